--- a/packages/coupling/src/frame/frame.ts
+++ b/packages/coupling/src/frame/frame.ts
@@ -12,7 +12,13 @@
 
 const coder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
-export const encode = (value: Frame): Uint8Array => coder.encode(value);
+let last: { readonly value: Frame; readonly bytes: Uint8Array } | undefined;
+
+/** Writes a frame down; one that goes to several colleagues in a row only once. */
+export const encode = (value: Frame): Uint8Array => {
+  if (last?.value !== value) last = { value, bytes: coder.encode(value) };
+  return last.bytes;
+};
 
 /** Reads a frame; what is not one is told and nothing of it is used. */
 export const decode = (bytes: Uint8Array): Result<Frame, Breakdown> => {
--- a/packages/coupling/src/frame/member.ts
+++ b/packages/coupling/src/frame/member.ts
@@ -60,6 +60,11 @@
   release: g.release,
   slots: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(10000)),
   state: v.picklist(['up', 'leaving', 'gone']),
+  area: v.optional(g.areaName),
+  /** Grows with every word of the instance, so that a late one is known as such. */
+  calls: v.optional(g.seq),
+  /** For how long after this word it is slow, as it has just started. */
+  coldMs: v.optional(g.span),
   age: g.span,
 });
 export type Origin = v.InferOutput<typeof origin>;
--- a/packages/depot/src/index.ts
+++ b/packages/depot/src/index.ts
@@ -1,1 +1,2 @@
 export { program, schema } from './boot.js';
+export * from './run.js';
--- a/packages/footplate/src/index.ts
+++ b/packages/footplate/src/index.ts
@@ -3,6 +3,7 @@
 export * from './run/clock.js';
 export * from './run/loop.js';
 export * from './run/life.js';
+export * from './run/running.js';
 export * from './run/slices.js';
 export * from './http/door.js';
 export * from './http/body.js';
--- a/packages/footplate/src/run/life.ts
+++ b/packages/footplate/src/run/life.ts
@@ -4,7 +4,7 @@
 export const stopSpan = 5000;
 
 /** Calls back once when the process is asked to stop, and ends it in any case before the hard stop. */
-export const onStop = (log: Log, stop: () => Promise<void>): void => {
+export const onStop = (log: Log, stop: () => Promise<void>, span = stopSpan): void => {
   let asked = false;
   const begin = (signal: string): void => {
     if (asked) return;
@@ -13,7 +13,7 @@
     const late = setTimeout(() => {
       log.write('error', 'not everything ended in time');
       process.exit(1);
-    }, stopSpan);
+    }, span);
     void stop().then(() => {
       clearTimeout(late);
       log.write('info', 'stopped');
@@ -21,6 +21,8 @@
     });
   };
   process.on('SIGTERM', () => begin('SIGTERM'));
+  // The settings are read again at the next start; this signal ends nothing.
+  process.on('SIGHUP', () => log.write('info', 'the settings have changed'));
   process.on('SIGINT', () => begin('SIGINT'));
   process.on('uncaughtException', (fault) => {
     log.write('error', 'broke down', new Map([['why', fault.stack ?? fault.message]]));
--- a/packages/footplate/src/run/loop.ts
+++ b/packages/footplate/src/run/loop.ts
@@ -24,6 +24,7 @@
   log: Log,
   run: (effect: F, tell: Loop<S, E | WireEvent>['tell']) => void,
   isWire: (effect: F | WireEffect) => effect is WireEffect,
+  span = tickSpan,
 ): Loop<S, E | WireEvent> => {
   const effect = (one: F | WireEffect): void => {
     if (!isWire(one)) run(one, tell);
@@ -39,10 +40,10 @@
   let worst = 0;
   const timer = setInterval(() => {
     const at = now();
-    worst = Math.max(worst, at - last - tickSpan);
+    worst = Math.max(worst, at - last - span);
     last = at;
     tell((moment) => ({ kind: 'tick', now: moment }));
-  }, tickSpan);
+  }, span);
   return {
     store, tell,
     end: () => clearInterval(timer),
--- a/packages/gauge/src/index.ts
+++ b/packages/gauge/src/index.ts
@@ -3,6 +3,7 @@
 export * from './id/count.js';
 export * from './time/moment.js';
 export * from './random/dice.js';
+export * from './random/spread.js';
 export * from './table/map.js';
 export * from './table/alike.js';
 export * from './table/columns.js';
--- a/packages/ledger/src/command/calls.ts
+++ b/packages/ledger/src/command/calls.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import { type Hash, type Moment, type Step, drop, hash as hashSchema, join, nextSeq, nodeId, address, put, step } from '@switchwheel/gauge';
+import { type Hash, type Moment, type Step, drop, generation as generationSchema, hash as hashSchema, join, nextSeq, nodeId, address, put, step } from '@switchwheel/gauge';
 import { type Colleague, type Electorate, type FrameOf, aim, send } from '@switchwheel/coupling';
 import { bundleHash, hashOf } from '@switchwheel/timetable';
 import { isPrimary } from '../duty/poll.js';
@@ -15,7 +15,7 @@
 const askSpan = 300;
 const wantMost = 64;
 
-const applyBody = v.object({ hash: hashSchema, order: v.array(hashSchema) });
+const applyBody = v.object({ hash: hashSchema, order: v.array(hashSchema), number: v.optional(generationSchema) });
 const aimsBody = v.pipe(v.array(aim), v.minLength(1), v.maxLength(10_000));
 const electorateBody = v.object({ add: v.optional(v.object({ node: nodeId, address })), remove: v.optional(nodeId) });
 
@@ -42,8 +42,11 @@
 
 /** Has the description compiled with the nodes' own code once all its pieces are here. */
 const ready = (state: Store, command: ApplyCommand): Done => {
+  const others = state.compiling.get(command.hash) ?? [];
+  const next = { ...state, compiling: put(state.compiling, command.hash, [...others, command]) };
+  if (others.length > 0) return step(next);
   const texts = command.order.map((one) => state.control.pieces.get(one) ?? state.spare.get(one) ?? '');
-  return step({ ...state, compiling: put(state.compiling, command.hash, command) }, { kind: 'compile', hash: command.hash, texts });
+  return step(next, { kind: 'compile', hash: command.hash, texts });
 };
 
 type Lacking = NonNullable<ReturnType<Store['lacking']['get']>>;
@@ -56,7 +59,7 @@
 };
 
 const onApply = (state: Store, command: ApplyCommand, now: Moment): Done => {
-  const open = state.lacking.has(command.asker.id) || [...state.compiling.values()].some((one) => one.asker.id === command.asker.id)
+  const open = state.lacking.has(command.asker.id) || [...state.compiling.values()].flat().some((one) => one.asker.id === command.asker.id)
     || state.waitlist.some((one) => one.kind === 'apply' && one.asker.id === command.asker.id)
     || (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
   if (open) return step(state);
@@ -88,7 +91,7 @@
     case 'apply': {
       const body = parse(applyBody, word.body);
       if (body === undefined || bundleHash(body.order) !== body.hash) return bad('not a description in pieces');
-      return onApply(state, { kind: 'apply', asker, hash: body.hash, order: body.order, base: word.base, faults: [] }, now);
+      return onApply(state, { kind: 'apply', asker, hash: body.hash, order: body.order, base: word.base, number: body.number, faults: [] }, now);
     }
     case 'purge': {
       const aims = parse(aimsBody, word.body);
@@ -140,9 +143,9 @@
 
 /** The compile of a description ended. */
 export const onCompiled = (state: Store, hash: Hash, faults: ApplyCommand['faults'], now: Moment): Done => {
-  const command = state.compiling.get(hash);
-  if (command === undefined) return step(state);
-  return queue({ ...state, compiling: drop(state.compiling, hash) }, { ...command, faults }, now);
+  let next: Done = step({ ...state, compiling: drop(state.compiling, hash) });
+  for (const command of state.compiling.get(hash) ?? []) next = join(next.effects, queue(next.state, { ...command, faults }, now));
+  return next;
 };
 
 /** Lets time pass over calls that lack pieces. */
--- a/packages/ledger/src/command/decide.ts
+++ b/packages/ledger/src/command/decide.ts
@@ -39,7 +39,10 @@
     return { ...nothing, bounces: [told(command, 409, { kind: 'stale', text: `the base is generation ${command.base}, in force is ${now}`, generation: now })] };
   }
   if (command.faults.length > 0) return { ...nothing, bounces: [told(command, 422, { kind: 'invalid', text: 'the description is refused whole', faults: command.faults })] };
-  const generation = nextGeneration(now);
+  // Where the operator numbers the descriptions the highest holds, whatever order they come in.
+  // It is told once this write lasts, and with it the higher one that may be in the same batch.
+  if (command.number !== undefined && command.number <= now) return { ...nothing, results: [told(command, 200, { kind: 'held', generation: now })] };
+  const generation = command.number ?? nextGeneration(now);
   const offer = { generation, hash: command.hash, pieces: [...command.order] };
   const result = told(command, 200, { kind: 'accepted', generation, hash: command.hash });
   const keep = new Set([...command.order, ...(current?.pieces ?? [])]);
--- a/packages/ledger/src/mend/mend.ts
+++ b/packages/ledger/src/mend/mend.ts
@@ -191,6 +191,7 @@
   const known = state.charter;
   if (known?.fleet === word.fleet) return step(state, answer(true, ''));
   if (known !== undefined && known.epoch > 0) return step(state, answer(false, `belongs to the fleet ${known.fleet}`));
+  if (!state.foundable) return step(state, answer(false, 'no fleet is founded on this store'));
   if (state.phase === 'reading' || state.chore !== undefined) return step(state, answer(false, 'busy; found again'));
   const charter: Charter = { fleet: word.fleet, epoch: noEpoch, insync: word.stores.map((one) => one.node), stores: word.stores, electorate: word.electorate };
   return startChore(state, { since: now, after: 'founded', to: from.address, charter, stamp: { epoch: charter.epoch, seq: nextSeq(noSeq) }, puts: [], stamps: new Map(), call: word.id }, true);
--- a/packages/ledger/src/state/state.ts
+++ b/packages/ledger/src/state/state.ts
@@ -16,7 +16,7 @@
 
 /** What is to become one write, in its turn. */
 export type Command =
-  | { readonly kind: 'apply'; readonly asker: Asker; readonly hash: Hash; readonly order: readonly Hash[]; readonly base: Generation | undefined; readonly faults: readonly Fault[] }
+  | { readonly kind: 'apply'; readonly asker: Asker; readonly hash: Hash; readonly order: readonly Hash[]; readonly base: Generation | undefined; readonly number: Generation | undefined; readonly faults: readonly Fault[] }
   | { readonly kind: 'purge'; readonly asker: Asker; readonly aims: readonly Aim[] }
   | { readonly kind: 'electorate'; readonly asker: Asker; readonly electorate: Electorate }
   | { readonly kind: 'node'; readonly node: NodeId; readonly role: string; readonly incarnation: Incarnation; readonly online: boolean; readonly report: Report }
@@ -102,6 +102,8 @@
   readonly berth: Berth;
   readonly phase: 'reading' | 'blank' | 'member' | 'stopping';
   readonly trouble: string;
+  /** Whether a fleet may be founded on this store: one that came back with an empty disk belongs to one already. */
+  readonly foundable: boolean;
   /** Whether the disk holds something that can't be trusted: the first write sweeps it away. */
   readonly soiled: boolean;
   readonly charter: Charter | undefined;
@@ -118,7 +120,8 @@
   /** Mends that came while one was being written. */
   readonly mends: readonly { readonly from: Colleague; readonly word: FrameOf<'mend'> }[];
   readonly waitlist: readonly Command[];
-  readonly compiling: ReadonlyMap<Hash, Extract<Command, { kind: 'apply' }>>;
+  /** Calls whose description is being compiled: several may bring the same one. */
+  readonly compiling: ReadonlyMap<Hash, readonly Extract<Command, { kind: 'apply' }>[]>;
   readonly spare: ReadonlyMap<Hash, string>;
   readonly lacking: ReadonlyMap<CallId, { readonly command: Extract<Command, { kind: 'apply' }>; readonly since: Moment; readonly asked: Moment; readonly awaited: number }>;
   readonly colleagues: ReadonlyMap<NodeId, ColleagueWord>;
@@ -142,8 +145,8 @@
 
 export const noStamp: Stamp = { epoch: noEpoch, seq: noSeq };
 
-export const newStore = (member: Member, seeds: readonly Address[], dice: Dice): Store => ({
-  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), phase: 'reading', trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
+export const newStore = (member: Member, seeds: readonly Address[], dice: Dice, foundable = true): Store => ({
+  foundable, berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), phase: 'reading', trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
   stand: newStand(member.node, primary, []), serving: false, muted: false, job: undefined, chore: undefined, mends: [], waitlist: [], compiling: new Map(), spare: new Map(),
   lacking: new Map(), colleagues: new Map(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, due: undefined,
   seen: new Map(), opened: undefined, diskFull: undefined, shunned: start, nextId: 1, dice,
--- a/packages/roster/src/origins/origins.ts
+++ b/packages/roster/src/origins/origins.ts
@@ -1,4 +1,4 @@
-import { type InstanceId, type Moment, between, earlier, put, sift } from '@switchwheel/gauge';
+import { type InstanceId, type Moment, between, earlier, noSeq, put, sift } from '@switchwheel/gauge';
 import type { Origin } from '@switchwheel/coupling';
 
 /** An origin with the time it was last heard, by this process's clock. */
@@ -14,7 +14,7 @@
 const rankOf = (state: Origin['state']): number => rank.get(state) ?? 0;
 
 const same = (one: Seen, two: Seen): boolean =>
-  one.service === two.service && one.address === two.address && one.release === two.release && one.slots === two.slots && one.state === two.state;
+  one.service === two.service && one.address === two.address && one.release === two.release && one.slots === two.slots && one.state === two.state && one.area === two.area;
 
 /** Takes a word of an origin in. Leaving and gone are final for an instance, whoever says otherwise. */
 export const learn = (origins: Origins, word: Seen): { readonly origins: Origins; readonly news: boolean } => {
@@ -30,7 +30,8 @@
     return { origins: put(rest, word.instance, word), news: true };
   }
   const at = word.at > known.at ? word.at : known.at;
-  const latest = word.at > known.at ? word : known;
+  const [before, now] = [known.calls ?? noSeq, word.calls ?? noSeq];
+  const latest = now > before || (now === before && word.at > known.at) ? word : known;
   const state = rankOf(word.state) > rankOf(known.state) ? word.state : known.state;
   const next: Seen = { ...latest, state, at };
   if (same(next, known)) return { origins: at - known.at > 200 ? put(origins, word.instance, next) : origins, news: false };
--- a/packages/roster/src/registry/calls.ts
+++ b/packages/roster/src/registry/calls.ts
@@ -97,7 +97,7 @@
     case 'found':
       return found(state, ref, call, now);
     case 'apply':
-      return ask(state, ref, call.id, { verb: 'apply', body: JSON.stringify({ hash: call.hash, order: call.order }), base: call.base, pieces: call.pieces, span: 8000 }, now);
+      return ask(state, ref, call.id, { verb: 'apply', body: JSON.stringify({ hash: call.hash, order: call.order, number: call.number }), base: call.base, pieces: call.pieces, span: 8000 }, now);
     case 'purge':
       return ask(state, ref, call.id, { verb: 'purge', body: JSON.stringify(call.aims), span: 4000 }, now);
     case 'ask':
--- a/packages/roster/src/registry/event.ts
+++ b/packages/roster/src/registry/event.ts
@@ -4,7 +4,7 @@
 /** An outside call, already read and checked for its form. */
 export type Outside =
   | { readonly verb: 'announce'; readonly origin: Omit<Origin, 'age'> }
-  | { readonly verb: 'apply'; readonly id: CallId; readonly base: Generation | undefined; readonly hash: Hash; readonly order: readonly Hash[]; readonly pieces: ReadonlyMap<Hash, string> }
+  | { readonly verb: 'apply'; readonly id: CallId; readonly base: Generation | undefined; readonly number?: Generation | undefined; readonly hash: Hash; readonly order: readonly Hash[]; readonly pieces: ReadonlyMap<Hash, string> }
   | { readonly verb: 'purge'; readonly id: CallId; readonly aims: readonly Aim[] }
   | { readonly verb: 'ask'; readonly id: CallId; readonly about: CallId }
   | { readonly verb: 'view'; readonly id: CallId; readonly what: string }
--- a/packages/roster/src/registry/machine.ts
+++ b/packages/roster/src/registry/machine.ts
@@ -1,4 +1,4 @@
-import { type Moment, type Step, earlier, join, noSeq, put, sift, step, toMoment } from '@switchwheel/gauge';
+import { type Moment, type Step, earlier, join, noSeq, put, sift, step, toCallId, toMoment } from '@switchwheel/gauge';
 import { type Colleague, type Frame, type FrameOf, log, send } from '@switchwheel/coupling';
 import { recall, seat, vote } from '@switchwheel/ballot';
 import { learnHolder } from '../berth/berth.js';
@@ -14,6 +14,8 @@
 const tuneSpan = 250;
 /** How often nodes are told of the fleet without news: an origin that nobody speaks of counts as silent. */
 const rosterSpan = 1000;
+const proposeSpan = 300;
+const foundSpan = 30_000;
 /** How long a session that ended is still told of. */
 const forgetSpan = 600_000;
 
@@ -99,6 +101,14 @@
   }));
 };
 
+/** Proposes the fleet to its stores until one stands; not long after, as a store may come back with an empty disk. */
+const propose = (state: Registry, now: Moment): Done => {
+  const { proposal, witness } = state;
+  if (proposal === undefined || state.fleet !== undefined || now - state.proposed < proposeSpan || now - witness.born > foundSpan) return step(state);
+  const word = { kind: 'found' as const, id: toCallId(`${proposal.fleet}.${state.member.node}`), fleet: proposal.fleet, stores: [...proposal.stores], electorate: proposal.electorate };
+  return step({ ...state, proposed: now }, ...proposal.stores.map((one) => send(one.address, word)));
+};
+
 const onTick = (state: Registry, now: Moment): Done => {
   let next: Done = step(state);
   if (now - state.tuned >= tuneSpan) next = join(next.effects, tune(next.state, now));
@@ -113,6 +123,7 @@
     // Whoever may take a duty over hears of it at once.
     if (fresh) next = join(next.effects, push(next.state, next.state.feed.top, now));
   }
+  next = join(next.effects, propose(next.state, now));
   if (now - state.told >= rosterSpan) {
     const near = [...next.state.sessions.values()].filter((one) => alive(one, now) && one.member.role !== 'registry' && one.registry === state.member.node);
     next = join(next.effects, step({ ...next.state, told: now }, ...tellNodes(next.state, near.map((one) => one.member.address), now)));
--- a/packages/roster/src/registry/state.ts
+++ b/packages/roster/src/registry/state.ts
@@ -54,8 +54,17 @@
   readonly agreed: ReadonlySet<NodeId>;
 }
 
+/** A fleet that its first processes found by themselves: each of them, from the same seeds, proposes the same. */
+export interface Proposal {
+  readonly fleet: FleetId;
+  readonly stores: readonly { readonly node: NodeId; readonly address: Address }[];
+  readonly electorate: Electorate;
+}
+
 export interface Registry {
   readonly member: Member;
+  readonly proposal: Proposal | undefined;
+  readonly proposed: Moment;
   readonly seeds: readonly Address[];
   readonly witness: Witness;
   readonly sessions: ReadonlyMap<NodeId, Known>;
@@ -82,8 +91,8 @@
   readonly dice: Dice;
 }
 
-export const newRegistry = (member: Member, seeds: readonly Address[], now: Moment, dice: Dice): Registry => ({
-  member, seeds, witness: newWitness(member.node, now), sessions: new Map(), origins: new Map(), holders: new Map(), heard: new Map(),
+export const newRegistry = (member: Member, seeds: readonly Address[], now: Moment, dice: Dice, proposal?: Proposal): Registry => ({
+  proposal, proposed: start, member, seeds, witness: newWitness(member.node, now), sessions: new Map(), origins: new Map(), holders: new Map(), heard: new Map(),
   feed: noFeed, electorate: undefined, fleet: undefined, pieces: new Map(), wanted: new Map(), asked: new Map(), offered: new Map(),
   pending: new Map(), founding: new Map(), gossiped: start, tuned: start, told: start, lapsed: new Set(), stopping: false, dice,
 });
--- /dev/null
+++ b/packages/shunt/src/line/line.ts
@@ -0,0 +1,324 @@
+import { type AreaName, type Dice, type InstanceId, type Kind, type Moment, type Seq, type ServiceName, between, later, roll, tally } from '@switchwheel/gauge';
+import type { Fields } from '@switchwheel/coupling';
+import { type Track, match, pickService } from '@switchwheel/timetable';
+import { moored } from '@switchwheel/roster';
+import { type Cabin, type Cache, Desk, type Entry, type Slip, conditional, cutTarget, fieldOf, handOn, mayServe } from '@switchwheel/waybill';
+import { Book, type Taste } from '../origin/book.js';
+import { type Told, type Trip, type TripEffect, type TripEvent, newTrip, tripStep } from '../trip/trip.js';
+import { type Bounds, type Cab, type Call, type LegPort, type Tell, type Word, type Words } from './port.js';
+import { Edges, Quota } from './quota.js';
+
+/** How an edge chooses and how much it takes on. */
+export interface Manner {
+  readonly area: AreaName;
+  readonly words: Words;
+  readonly bounds: Bounds;
+  /** Requests under way at the most; more are told to come back. */
+  readonly most: number;
+}
+
+interface Waiter {
+  readonly call: Call;
+  readonly track: Track;
+  readonly tell: Tell;
+  readonly until: Moment;
+  gone: boolean;
+}
+
+interface Flight {
+  readonly since: Moment;
+  readonly epoch: number;
+  readonly waiters: Waiter[];
+}
+
+interface Run {
+  readonly number: number;
+  readonly call: Call;
+  readonly track: Track;
+  readonly service: ServiceName;
+  readonly slip: Slip | undefined;
+  readonly tell: Tell;
+  readonly taste: Taste;
+  readonly cuts: Map<number, { readonly cut: () => void; readonly instance: InstanceId; readonly since: Moment }>;
+  /** When each leg was sent, and the last purge that was acted on by then. */
+  readonly births: Map<number, { readonly since: Moment; readonly purged: Seq }>;
+  trip: Trip;
+  lateAt: Moment | undefined;
+  left: boolean;
+}
+
+const tagsIn = (fields: Fields, name: string): readonly string[] => (fieldOf(fields, name) ?? '').split(/[\s,]+/).filter((one) => one !== '');
+
+const fault = (kind: Kind, text: string, retryMs: number): Word => ({ kind: 'fault', fault: kind, text, retryMs });
+/** How young a fetch must be for others to wait for it: what it brings is no older. */
+const joinSpan = 1000;
+/** What is left to the caller when this edge gives up. */
+const marginMs = 15;
+const shortWait = 120;
+
+/**
+ * The way of a request at an edge that sends straight to origins: kept, joined, or sent. What may run, wait or be told
+ * is decided by `tripStep`; the class only holds bodies, origins and quotas, which change with each request.
+ */
+export class DirectLine {
+  readonly counts = new Map<string, number>();
+  readonly book: Book;
+  readonly #cab: Cab;
+  readonly #desk: Desk;
+  readonly #legs: LegPort;
+  readonly #manner: Manner;
+  readonly #edges = new Edges();
+  readonly #quota: Quota;
+  readonly #runs = new Map<number, Run>();
+  readonly #flights = new Map<string, Flight>();
+  #dice: Dice;
+  #epoch = 0;
+  #last = 0;
+
+  constructor(cab: Cab, cache: Cache, legs: LegPort, manner: Manner, dice: Dice) {
+    this.#cab = cab;
+    this.#desk = new Desk(cache);
+    this.#legs = legs;
+    this.#manner = manner;
+    this.#quota = new Quota(manner.bounds, this.#edges);
+    this.book = new Book(dice);
+    this.#dice = dice;
+  }
+
+  /** Requests that are under way. */
+  get open(): number {
+    return this.#runs.size;
+  }
+
+  bump(name: string): void {
+    tally(this.counts, name);
+  }
+
+  /** Purges came: nobody waits any more for fetches that began before. */
+  purged(): void {
+    this.#epoch += 1;
+  }
+
+  /** Takes over what the fleet looks like. */
+  learn(cabin: Cabin): void {
+    const now = this.#cab.now();
+    this.#edges.note(cabin.berth.members.filter((one) => one.role === 'edge').length, now);
+    for (const instance of this.book.learn(cabin.berth.origins, now)) this.#legs.forget(instance);
+  }
+
+  /** Takes a whole request on; gives what to call when the caller leaves. */
+  serve(call: Call, tell: Tell): () => void {
+    const now = this.#cab.now();
+    const cabin = this.#cab.cabin();
+    const end = (word: Word): (() => void) => {
+      this.#say(tell, word);
+      return () => undefined;
+    };
+    if (cabin.table === undefined) return end(fault('unready', 'this node is not ready', 300));
+    const { path } = cutTarget(call.target);
+    const found = match(cabin.table, call.method, call.host, path);
+    if (found.found !== 'track') return end(fault('absent', 'no route', 0));
+    const track = found.track;
+    const service = pickService(track, this.#roll());
+    this.#quota.asked(service, now);
+    const until = later(now, Math.max(1, Math.min(track.timeoutMs, call.spanMs ?? track.timeoutMs) - marginMs));
+    const slip = this.#desk.slip(track, call.method, call.host, call.target, call.fields);
+    const kept = slip === undefined ? undefined : this.#kept(slip, cabin, now);
+    if (kept !== undefined) {
+      this.bump('kept');
+      return end({ kind: 'kept', entry: kept, at: now });
+    }
+    const flight = slip === undefined ? undefined : this.#flights.get(slip.flight);
+    if (flight !== undefined && flight.epoch === this.#epoch && between(flight.since, now) < joinSpan) {
+      const waiter: Waiter = { call, track, tell, until, gone: false };
+      flight.waiters.push(waiter);
+      this.bump('joined');
+      return () => { waiter.gone = true; };
+    }
+    if (this.#runs.size >= this.#manner.most) return end(fault('bounced', 'too many requests are under way', 300));
+    return this.#start({ call, track, service, slip, tell, until }, now);
+  }
+
+  /** Lets time pass: what is late may get another origin, what is over is told. */
+  tick(now: Moment): void {
+    for (const run of [...this.#runs.values()]) {
+      if (now >= run.trip.until) this.#event(run, { kind: 'expired', now });
+      else if (run.lateAt !== undefined && now >= run.lateAt) {
+        run.lateAt = undefined;
+        this.#event(run, { kind: 'late', now });
+      }
+    }
+    for (const flight of this.#flights.values()) {
+      for (const waiter of flight.waiters) {
+        if (waiter.gone || now < waiter.until) continue;
+        waiter.gone = true;
+        this.#say(waiter.tell, fault('slow', 'no origin answered in time', 0));
+      }
+    }
+  }
+
+  /** Breaks off all that is under way. */
+  breakAll(): number {
+    const many = this.#runs.size;
+    const now = this.#cab.now();
+    for (const run of [...this.#runs.values()]) this.#event(run, { kind: 'expired', now });
+    return many;
+  }
+
+  #start(one: Pick<Run, 'call' | 'track' | 'service' | 'slip' | 'tell'> & { readonly until: Moment }, now: Moment): () => void {
+    const { track, call } = one;
+    this.#last += 1;
+    const most = track.origins ?? (track.repeatable ? 3 : 2);
+    const run: Run = {
+      number: this.#last, call, track, service: one.service, slip: one.slip, tell: one.tell, taste: { area: this.#manner.area, far: 1.3, sharp: 3 }, cuts: new Map(), births: new Map(),
+      trip: newTrip(track.repeatable, most, one.until), lateAt: later(now, this.#lateSpan(one.service, track)), left: false,
+    };
+    this.#runs.set(run.number, run);
+    if (one.slip !== undefined) this.#flights.set(one.slip.flight, { since: now, epoch: this.#epoch, waiters: [] });
+    this.#event(run, { kind: 'start', now });
+    return () => {
+      run.left = true;
+      // Others may wait for what can be kept: it goes on without its caller.
+      if (run.slip === undefined) this.#event(run, { kind: 'left', now: this.#cab.now() });
+    };
+  }
+
+  #lateSpan(service: ServiceName, track: Track): number {
+    return Math.max(3 * this.book.typical(service), Math.min(400, track.goalMs ?? 400), 60);
+  }
+
+  #event(run: Run, event: TripEvent): void {
+    const queue: TripEvent[] = [event];
+    for (let head = queue.shift(); head !== undefined; head = queue.shift()) {
+      const done = tripStep(run.trip, head);
+      run.trip = done.state;
+      for (const effect of done.effects) {
+        const raised = this.#run(run, effect, head.now);
+        if (raised !== undefined) queue.push(raised);
+      }
+    }
+    if (run.trip.phase === 'over') this.#runs.delete(run.number);
+  }
+
+  #run(run: Run, effect: TripEffect, now: Moment): TripEvent | undefined {
+    switch (effect.kind) {
+      case 'pick':
+        return this.#pick(run, effect.extra, now);
+      case 'send':
+        this.#send(run, effect.leg, effect.instance, now);
+        return undefined;
+      case 'cut': {
+        const out = run.cuts.get(effect.leg);
+        run.cuts.delete(effect.leg);
+        if (out === undefined) return undefined;
+        const berth = this.book.get(out.instance);
+        // A leg that is cut took at least this long: a slow origin is known by it.
+        if (berth !== undefined) this.book.ended(berth, Math.max(berth.typicalMs, between(out.since, now)), true, now);
+        out.cut();
+        return undefined;
+      }
+      case 'tell':
+        this.#told(run, effect.told, now);
+        return undefined;
+    }
+  }
+
+  #pick(run: Run, extra: boolean, now: Moment): TripEvent {
+    const service = this.#cab.cabin().table?.services.get(run.service);
+    if (service === undefined) return { kind: 'none', now, text: 'the service is gone', retryMs: shortWait };
+    const berth = this.book.pick(run.service, run.trip.tried, run.taste, this.#quota.room(service), () => true, now);
+    if (berth === undefined) return { kind: 'none', now, text: 'no origin stands', retryMs: 250 };
+    if (extra && run.trip.tried.has(berth.instance)) return { kind: 'none', now, text: 'no other origin stands', retryMs: 250 };
+    if (extra && !this.#quota.extra(run.service, now)) {
+      this.bump('budget');
+      return { kind: 'none', now, text: 'no further tries are left', retryMs: 250 };
+    }
+    const wait = this.#quota.wait(service, now);
+    if (wait > 0) {
+      this.bump('ceiling');
+      return { kind: 'none', now, text: 'the service takes no more just now', retryMs: wait + 20 };
+    }
+    if (extra) this.bump('extra');
+    return { kind: 'picked', now, instance: berth.instance };
+  }
+
+  #send(run: Run, leg: number, instance: InstanceId, now: Moment): void {
+    const berth = this.book.get(instance);
+    if (berth === undefined) return;
+    const { call, track } = run;
+    this.book.sent(berth);
+    const drop = [this.#manner.words.timeLeft, this.#manner.words.instance, 'content-length', 'expect', ...(run.slip === undefined ? [] : conditional)];
+    const spanMs = Math.max(1, Math.floor(between(now, run.trip.until)));
+    const fields: Fields = [...handOn(call.fields, drop), [this.#manner.words.timeLeft, String(spanMs)], [this.#manner.words.instance, instance]];
+    const ended = (): boolean => {
+      const known = run.cuts.has(leg);
+      run.cuts.delete(leg);
+      return known;
+    };
+    run.births.set(leg, { since: now, purged: this.#cab.cabin().purged });
+    const cut = this.#legs.send(
+      { service: run.service, address: berth.address, instance, id: call.id, method: call.method, target: call.target, fields, body: call.body, spanMs, fresh: !track.repeatable },
+      {
+        answered: (answer) => {
+          if (!ended()) return;
+          const at = this.#cab.now();
+          if (answer.unrun) this.book.full(berth, at);
+          else this.book.ended(berth, between(now, at), answer.status < 500, at);
+          this.#event(run, { kind: 'answered', now: at, leg, answer });
+        },
+        broke: (sent, text) => {
+          if (!ended()) return;
+          const at = this.#cab.now();
+          this.bump(sent ? 'broke' : 'unopened');
+          this.book.ended(berth, undefined, false, at);
+          this.#event(run, { kind: 'broke', now: at, leg, sent, text });
+        },
+      },
+    );
+    run.cuts.set(leg, { cut, instance, since: now });
+  }
+
+  #kept(slip: Slip, cabin: Cabin, now: Moment): Entry | undefined {
+    // An edge that is cut off from all registries is out of touch, and serves what it has.
+    if (!mayServe(cabin, now) && moored(cabin.berth, now)) return undefined;
+    return this.#desk.cache.find(slip.key, slip.fields, now);
+  }
+
+  #told(run: Run, told: Told, now: Moment): void {
+    const flight = run.slip === undefined ? undefined : this.#flights.get(run.slip.flight);
+    if (run.slip !== undefined && flight !== undefined) this.#flights.delete(run.slip.flight);
+    const word = this.#wordOf(run, told, now);
+    if (!run.left) this.#say(run.tell, word);
+    for (const waiter of flight?.waiters ?? []) {
+      if (waiter.gone) continue;
+      waiter.gone = true;
+      if (word.kind === 'kept') this.#say(waiter.tell, word);
+      else this.serve(waiter.call, waiter.tell);
+    }
+  }
+
+  #wordOf(run: Run, told: Told, now: Moment): Word {
+    if (told.kind === 'fault') return { kind: 'fault', fault: told.fault, text: told.text, retryMs: told.retryMs };
+    const { answer } = told;
+    const birth = run.births.get(told.leg);
+    if (run.slip === undefined || answer.status !== 200 || birth === undefined) return { kind: 'answer', answer };
+    const { slip } = run;
+    const entry: Entry = {
+      key: slip.key, vary: new Map(), status: answer.status, fields: answer.fields, body: answer.body, digest: '', born: birth.since,
+      lifetime: slip.track.cache?.lifetimeMs ?? 0, tags: tagsIn(answer.fields, this.#manner.words.tags),
+    };
+    if (entry.lifetime > 0) this.#desk.cache.store(entry, slip.fields, slip.track.cache?.vary ?? [], birth.purged, now);
+    return { kind: 'kept', entry, at: now };
+  }
+
+  #say(tell: Tell, word: Word): void {
+    this.bump(word.kind === 'fault' ? `fault_${word.fault}` : word.kind === 'kept' ? 'told_kept' : `status_${Math.floor(word.answer.status / 100)}xx`);
+    tell(word);
+  }
+
+  #roll(): number {
+    const [chance, dice] = roll(this.#dice);
+    this.#dice = dice;
+    return chance;
+  }
+}
--- a/packages/timetable/src/description/compile.ts
+++ b/packages/timetable/src/description/compile.ts
@@ -2,7 +2,7 @@
 import type { ClassName, Generation, Hash, RouteName, ServiceName } from '@switchwheel/gauge';
 import { checkHead, checkShares } from './check.js';
 import { type Fault, fault, readInto } from './fault.js';
-import { head as headSchema, route as routeSchema, type Head, type Route } from './schema.js';
+import { head as headSchema, route as routeSchema, type Head, type Part, type Route } from './schema.js';
 import type { Laid, Portion, Table, Track } from './table.js';
 
 /** What a route may name. */
@@ -22,10 +22,12 @@
   return fresh;
 };
 
-const toTrack = (bench: Bench, one: Route): Track => ({
-  name: one.name, service: one.service, group: one.class, methods: shared(bench, one.methods),
+const partsOf = (one: Route): readonly Part[] => one.split ?? (one.service === undefined ? [] : [{ service: one.service, weight: 1 }]);
+
+const toTrack = (bench: Bench, one: Route, first: Part, parts: readonly Part[]): Track => ({
+  name: one.name, service: first.service, parts, group: one.class, methods: shared(bench, one.methods),
   repeatable: one.repeatable ?? one.methods.every((name) => safe.has(name)),
-  timeoutMs: one.timeoutMs, cache: one.cache,
+  timeoutMs: one.timeoutMs, goalMs: one.goalMs, origins: one.origins, rank: one.rank ?? 0, cache: one.cache,
 });
 
 /** Tracks being laid, by host and then by path or prefix; rows of an older table are copied before they change. */
@@ -81,7 +83,13 @@
   const host = one.host ?? '';
   const rows = ownRows(one.path === undefined ? bench.prefix : bench.exact, host);
   const row = rows.get(key) ?? [];
-  const track = toTrack(bench, one);
+  const parts = partsOf(one);
+  const first = parts.find((part) => part.weight > 0) ?? parts[0];
+  if (first === undefined || (one.service !== undefined && one.split !== undefined)) {
+    bench.faults.push(fault(at, 'a route has either a service or a split'));
+    return undefined;
+  }
+  const track = toTrack(bench, one, first, parts);
   for (const other of row) {
     const shared = [...track.methods].filter((name) => other.methods.has(name));
     if (shared.length > 0) bench.faults.push(fault(at, `the route ${one.name} clashes with ${other.name}: both match ${shared.join(', ')} ${host}${key}`));
@@ -97,7 +105,7 @@
   if (first === undefined) bench.names.set(one.name, index);
   else bench.faults.push(fault(`${at}.name`, `the name ${one.name} is also that of routes.${first}`));
   if (known !== undefined) {
-    if (!known.services.has(one.service)) bench.faults.push(fault(`${at}.service`, `no service is named ${one.service}`));
+    for (const { service } of partsOf(one)) if (!known.services.has(service)) bench.faults.push(fault(`${at}.service`, `no service is named ${service}`));
     if (!known.groups.has(one.class)) bench.faults.push(fault(`${at}.class`, `no class is named ${one.class}`));
   }
   if (one.cache !== undefined && one.methods.some((name) => name !== 'GET' && name !== 'HEAD')) {
@@ -132,7 +140,7 @@
 const meetingOf = (portions: ReadonlyMap<string, Portion>): ReadonlyMap<ServiceName, ReadonlySet<ClassName>> => {
   const used = new Map<ServiceName, Set<ClassName>>();
   for (const portion of portions.values()) {
-    for (const { track } of portion) used.set(track.service, (used.get(track.service) ?? new Set<ClassName>()).add(track.group));
+    for (const { track } of portion) for (const { service } of track.parts) used.set(service, (used.get(service) ?? new Set<ClassName>()).add(track.group));
   }
   return used;
 };
--- a/packages/timetable/src/description/table.ts
+++ b/packages/timetable/src/description/table.ts
@@ -1,14 +1,20 @@
 import type { ClassName, Generation, Hash, RouteName, ServiceName } from '@switchwheel/gauge';
-import type { Group, Head, Policy, Route, Service } from './schema.js';
+import type { Group, Head, Part, Policy, Route, Service } from './schema.js';
 
 /** A route ready to be matched, with what it leaves out filled in. */
 export interface Track {
   readonly name: RouteName;
+  /** The first of its services. */
   readonly service: ServiceName;
+  /** All of its services with their weights; one for a route that is not split. */
+  readonly parts: readonly Part[];
   readonly group: ClassName;
   readonly methods: ReadonlySet<string>;
   readonly repeatable: boolean;
   readonly timeoutMs: number;
+  readonly goalMs: number | undefined;
+  readonly origins: number | undefined;
+  readonly rank: number;
   readonly cache: Route['cache'];
 }
 
@@ -70,3 +76,15 @@
   }
   return seen.size > 0 ? { found: 'method', methods: [...seen].sort() } : { found: 'none' };
 };
+
+/** The service that a request goes to: `chance` from 0 up to 1 falls into the weights. */
+export const pickService = (track: Track, chance: number): ServiceName => {
+  if (track.parts.length === 1) return track.service;
+  let left = chance * track.parts.reduce((sum, one) => sum + one.weight, 0);
+  for (const one of track.parts) {
+    if (one.weight <= 0) continue;
+    left -= one.weight;
+    if (left < 0) return one.service;
+  }
+  return track.parts.findLast((one) => one.weight > 0)?.service ?? track.service;
+};
--- /dev/null
+++ b/packages/turnout/src/direct/leg.ts
@@ -0,0 +1,143 @@
+import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
+import type { Socket } from 'node:net';
+import type { InstanceId } from '@switchwheel/gauge';
+import { type Fields, parts } from '@switchwheel/coupling';
+import type { LegEars, LegOrder, LegPort, Words } from '@switchwheel/shunt';
+import { fieldOf } from '@switchwheel/waybill';
+
+/** How long a connection may take to open. */
+const openMs = 300;
+/** Idle connections to one origin that are kept. */
+const mostIdle = 8;
+/** How long a connection may be idle here: well before an origin closes it. */
+const idleMs = 4000;
+const mostBody = 64 * 1024 * 1024;
+
+const toFields = (message: IncomingMessage): Fields => {
+  const out: Fields = [];
+  const raw = message.rawHeaders;
+  for (let at = 0; at + 1 < raw.length; at += 2) out.push([raw[at] ?? '', raw[at + 1] ?? '']);
+  return out;
+};
+
+/** Bytes that come while nothing is asked belong to no request: the connection ends. */
+const onStray = function onStray(this: Socket): void {
+  this.destroy();
+};
+
+/** Connections that are kept open; nothing is ever read from an idle one. */
+class Kept extends Agent {
+  override keepSocketAlive(socket: Socket): boolean {
+    if (socket.bytesRead === 0 || socket.readableLength > 0 || socket.destroyed) return false;
+    super.keepSocketAlive(socket);
+    socket.on('data', onStray);
+    socket.resume();
+    return true;
+  }
+
+  override reuseSocket(socket: Socket, asked: ClientRequest): void {
+    socket.off('data', onStray);
+    super.reuseSocket(socket, asked);
+  }
+}
+
+/** Sends requests to origins with the plain HTTP client: no retries, no redirects, each answer whole and of the right request. */
+export class Origins implements LegPort {
+  readonly #words: Words;
+  readonly #agents = new Map<InstanceId, Kept>();
+  /** Connections opened, for the figures. */
+  opened = 0;
+
+  constructor(words: Words) {
+    this.#words = words;
+  }
+
+  forget(instance: InstanceId): void {
+    const agent = this.#agents.get(instance);
+    if (agent === undefined) return;
+    for (const list of Object.values(agent.freeSockets)) for (const socket of list ?? []) socket.destroy();
+    this.#agents.delete(instance);
+  }
+
+  send(order: LegOrder, ears: LegEars): () => void {
+    const { host, port } = parts(order.address);
+    const headers = order.fields.flat();
+    const bare = order.method === 'GET' || order.method === 'HEAD';
+    if (!bare || order.body.length > 0) headers.push('Content-Length', String(order.body.length));
+    const asked = request({ host, port, method: order.method, path: order.target, headers, agent: order.fresh ? false : this.#agentOf(order.instance), setHost: false });
+    let over = false;
+    // Until the connection is open nothing can have been sent.
+    let sent = false;
+    const end = (): boolean => {
+      if (over) return false;
+      over = true;
+      clearTimeout(late);
+      return true;
+    };
+    const broke = (text: string): void => {
+      if (!end()) return;
+      asked.destroy();
+      ears.broke(sent, text);
+    };
+    const late = setTimeout(() => { if (!sent) broke('the connection did not open'); }, openMs);
+    asked.on('socket', (socket: Socket) => {
+      if (!socket.connecting) {
+        sent = true;
+        return;
+      }
+      socket.setNoDelay(true);
+      socket.once('connect', () => {
+        sent = true;
+        this.opened += 1;
+      });
+    });
+    asked.on('error', (fault) => broke(fault.message));
+    asked.on('close', () => broke('the connection closed'));
+    asked.on('response', (message) => this.#take(order, message, broke, (answer) => { if (end()) ears.answered(answer); }));
+    asked.end(order.body.length > 0 ? order.body : undefined);
+    return () => { if (end()) asked.destroy(); };
+  }
+
+  #take(order: LegOrder, message: IncomingMessage, broke: (text: string) => void, done: (answer: Parameters<LegEars['answered']>[0]) => void): void {
+    const status = message.statusCode ?? 0;
+    const fields = toFields(message);
+    const lower: Fields = fields.map(([name, value]) => [name.toLowerCase(), value]);
+    if (fieldOf(lower, this.#words.id) !== order.id) {
+      broke('an answer to another request');
+      message.socket.destroy();
+      return;
+    }
+    const unrun = status === 421 || fieldOf(lower, this.#words.unrun) !== undefined;
+    if (status >= 200 && status < 300 && this.#words.proof !== undefined && fieldOf(lower, this.#words.proof) === undefined) {
+      broke('a success without its proof');
+      message.socket.destroy();
+      return;
+    }
+    const told = fieldOf(lower, 'content-length');
+    const list: Buffer[] = [];
+    let size = 0;
+    message.on('data', (part: Buffer) => {
+      list.push(part);
+      size += part.length;
+      if (size > mostBody) broke('an answer that is too large');
+    });
+    message.on('error', (fault) => broke(fault.message));
+    message.on('aborted', () => broke('the answer broke off'));
+    message.on('end', () => {
+      const bodiless = order.method === 'HEAD' || status === 204 || status === 304;
+      if (!message.complete || (!bodiless && told !== undefined && Number(told) !== size)) {
+        broke('the answer is not whole');
+        return;
+      }
+      done({ status, fields: lower, body: list.length === 1 ? list[0] ?? Buffer.alloc(0) : Buffer.concat(list), unrun });
+    });
+  }
+
+  #agentOf(instance: InstanceId): Kept {
+    const known = this.#agents.get(instance);
+    if (known !== undefined) return known;
+    const agent = new Kept({ keepAlive: true, maxFreeSockets: mostIdle, scheduling: 'lifo', timeout: idleMs });
+    this.#agents.set(instance, agent);
+    return agent;
+  }
+}
--- /dev/null
+++ b/packages/turnout/src/direct/program.ts
@@ -0,0 +1,107 @@
+import { createServer } from 'node:http';
+import type { Address, AreaName, NodeId } from '@switchwheel/gauge';
+import { type WireEffect, Yard, parts } from '@switchwheel/coupling';
+import { build } from '@switchwheel/timetable';
+import { type Bounds, DirectLine, type Words } from '@switchwheel/shunt';
+import { type Cabin, type CabinEffect, type CabinEvent, Cache, cabinStep, newCabin } from '@switchwheel/waybill';
+import { type Log, type Running, inSlices, isWireEffect, newDice, newIncarnation, now, runLoop, wait } from '@switchwheel/footplate';
+import { DirectDoor } from './door.js';
+import { Origins } from './leg.js';
+
+/** What an edge that sends straight to origins needs to know. */
+export interface DirectBoot {
+  readonly node: NodeId;
+  readonly area: AreaName;
+  readonly listen: Address;
+  readonly seeds: readonly Address[];
+  readonly door: Address;
+  /** Where the platform asks whether this edge is ready, and at which path. */
+  readonly ready: { readonly address: Address; readonly path: string };
+  readonly cacheBytes: number;
+  readonly words: Words;
+  readonly bounds: Bounds;
+  /** How long a stop may take in all, in milliseconds. */
+  readonly stopMs: number;
+}
+
+/** How long the platform needs to see that an edge is stopping. */
+const noticeMs = 2600;
+const mostOpen = 1024;
+
+/** Starts an edge that carries the bytes of its requests itself. */
+export const startDirect = async (boot: DirectBoot, log: Log): Promise<Running> => {
+  const member = { node: boot.node, role: 'edge' as const, area: boot.area, address: boot.listen, door: boot.door, incarnation: newIncarnation() };
+  const yard = new Yard({ node: member.node, address: member.address, incarnation: member.incarnation });
+  const cache = new Cache(boot.cacheBytes);
+  const legs = new Origins(boot.words);
+  type OwnEffect = Exclude<CabinEffect, WireEffect>;
+  const isOwnWire = (effect: CabinEffect): effect is WireEffect => isWireEffect(effect);
+  const run = (effect: OwnEffect): void => {
+    switch (effect.kind) {
+      case 'build':
+        void inSlices(build(effect.texts, effect.offer.generation, effect.offer.hash, effect.before)).then((built) => loop.tell((at) => built.isOk
+          ? { kind: 'built', now: at, offer: effect.offer, table: built.value }
+          : { kind: 'unbuilt', now: at, offer: effect.offer, faults: built.error }));
+        break;
+      case 'adopt':
+        door.hold(effect.table.head.limits);
+        break;
+      case 'purge':
+        cache.purge(effect.purges, effect.flush, effect.top);
+        line.purged();
+        break;
+      case 'kept':
+      case 'unkept':
+        break;
+    }
+  };
+  const reduce = (state: Cabin, event: CabinEvent): ReturnType<typeof cabinStep> => cabinStep(state, event);
+  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(reduce, newCabin(member, boot.seeds, newDice()), yard, log, run, isOwnWire);
+  const cabin = (): Cabin => loop.store.state();
+  const line = new DirectLine({ now, cabin }, cache, legs, { area: boot.area, words: boot.words, bounds: boot.bounds, most: mostOpen }, newDice());
+  let stopping = false;
+  const door = new DirectDoor(line, boot.words, { closing: () => stopping });
+
+  let seen: Cabin['berth'] | undefined;
+  let settled = false;
+  const timer = setInterval(() => {
+    const one = cabin();
+    if (one.berth.origins !== seen?.origins || one.berth.members !== seen.members) line.learn(one);
+    seen = one.berth;
+    line.tick(now());
+  }, 20);
+  // Ready: a description runs, and the fleet's word of the origins has come.
+  const ready = (): boolean => {
+    const one = cabin();
+    settled ||= one.table !== undefined && one.failed === undefined && one.berth.members.length > 0;
+    return settled && one.failed === undefined && !stopping;
+  };
+  const readyServer = createServer({ keepAliveTimeout: 30_000 }, (asked, answer) => {
+    const known = asked.method === 'GET' && asked.url === boot.ready.path;
+    answer.writeHead(!known ? 404 : ready() ? 200 : 503, ['content-length', '0']).end();
+  });
+  await new Promise<void>((done) => { readyServer.listen(parts(boot.ready.address), done); });
+  await yard.listen();
+  await door.listen(boot.door);
+  log.write('info', 'started', new Map<string, string>([['listen', boot.listen], ['door', boot.door]]));
+
+  return {
+    stop: async () => {
+      const since = now();
+      stopping = true;
+      loop.tell((at) => ({ kind: 'stop', now: at }));
+      await wait(Math.min(noticeMs, boot.stopMs / 2));
+      door.shut();
+      while ((door.open > 0 || line.open > 0) && now() - since < boot.stopMs - 300) await wait(10);
+      if (line.open > 0) log.write('warn', 'requests are broken off by the stop', new Map([['open', line.breakAll()]]));
+      await wait(50);
+      clearInterval(timer);
+      door.hang();
+      readyServer.close();
+      readyServer.closeAllConnections();
+      loop.end();
+      yard.close();
+      if (line.counts.size > 0) log.write('info', 'served', new Map(line.counts));
+    },
+  };
+};
--- a/packages/waybill/src/line/edge.ts
+++ b/packages/waybill/src/line/edge.ts
@@ -1,6 +1,6 @@
-import { type Address, type AskId, type Kind, type Moment, type Seq, noGeneration, noSeq, tally, toAskId, toMoment } from '@switchwheel/gauge';
+import { type Address, type AskId, type Kind, type Moment, type Seq, noGeneration, noSeq, spread, tally, toAskId, toMoment } from '@switchwheel/gauge';
 import type { Ask, Fields, Frame, FrameOf } from '@switchwheel/coupling';
-import { type Track, match } from '@switchwheel/timetable';
+import { type Track, match, pickService } from '@switchwheel/timetable';
 import { type Desk, type Slip, bornAt, conditional, cutTarget } from '../cache/desk.js';
 import { handOn, ownFields, tagsOf } from '../cache/fields.js';
 import { Flights } from '../cache/flights.js';
@@ -165,7 +165,7 @@
     this.#cab.tell((at) => ({
       kind: 'take', now: at,
       wagon: {
-        id, service: track.service, generation: table?.generation ?? noGeneration, route: track.name, group: track.group,
+        id, service: pickService(track, spread(id)), generation: table?.generation ?? noGeneration, route: track.name, group: track.group,
         method: call.method === 'HEAD' && storable ? 'GET' : call.method, host: call.host, path: call.target,
         fields: withCaller(call, handOn(call.fields, storable ? [...conditional, ...ownFields] : ownFields)),
         repeatable: track.repeatable, storable, until: pass.until, purged,
--- a/packages/yardmaster/src/outside/app.ts
+++ b/packages/yardmaster/src/outside/app.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import Koa from 'koa';
 import * as v from 'valibot';
-import { type CallId, type Generation, type Kind, isCallId, isGeneration, noGeneration, tell, toCallId } from '@switchwheel/gauge';
+import { type CallId, type Generation, type Hash, type Kind, isCallId, isGeneration, noGeneration, tell, toCallId } from '@switchwheel/gauge';
 import { type Fault, build, cut, readInto } from '@switchwheel/timetable';
 import type { Outside } from '@switchwheel/roster';
 import { inSlices, readBody } from '@switchwheel/footplate';
@@ -69,30 +69,47 @@
   ctx.body = result.body;
 };
 
-/** Reads a whole description, checks it here with the nodes' own code, and hands it on in pieces. */
+/** A call of an operator with a whole description. */
+export interface HandIn {
+  readonly id: CallId;
+  readonly base?: Generation | undefined;
+  /** The number that the operator gives it: the highest holds. */
+  readonly number?: Generation | undefined;
+}
+export type Handed =
+  | { readonly handed: 'refused'; readonly faults: readonly Fault[] }
+  | { readonly handed: 'fits'; readonly hash: Hash; readonly routes: number }
+  | { readonly handed: 'told'; readonly status: number; readonly body: string };
+
+/** Checks a whole description here with the nodes' own code, and hands it on in pieces. */
+export const handIn = async (raw: unknown, ask: Ask, call: HandIn, only: 'check' | 'apply'): Promise<Handed> => {
+  const bundle = await inSlices(cut(raw));
+  if (bundle.isErr) return { handed: 'refused', faults: bundle.error };
+  const { hash, order, pieces } = bundle.value;
+  const built = await inSlices(build(order.map((one) => pieces.get(one) ?? ''), noGeneration, hash));
+  if (built.isErr) return { handed: 'refused', faults: built.error };
+  if (only === 'check') return { handed: 'fits', hash, routes: built.value.routes };
+  return { handed: 'told', ...await ask({ verb: 'apply', id: call.id, base: call.base, number: call.number, hash, order, pieces }) };
+};
+
 const description = async (ctx: Koa.Context, ask: Ask, limit: number, only: 'check' | 'apply'): Promise<void> => {
   const id = callIdOf(ctx);
   const base = baseOf(ctx);
   if (id === undefined || base === undefined) return;
   const raw = await readJson(ctx, limit);
   if (raw === undefined) return;
-  const bundle = await inSlices(cut(raw));
-  if (bundle.isErr) {
-    fail(ctx, 'invalid', 'the description is refused whole', bundle.error);
-    return;
-  }
-  const texts = bundle.value.order.map((hash) => bundle.value.pieces.get(hash) ?? '');
-  const built = await inSlices(build(texts, noGeneration, bundle.value.hash));
-  if (built.isErr) {
-    fail(ctx, 'invalid', 'the description is refused whole', built.error);
-    return;
+  const done = await handIn(raw, ask, { id, base: base.base }, only);
+  switch (done.handed) {
+    case 'refused':
+      fail(ctx, 'invalid', 'the description is refused whole', done.faults);
+      break;
+    case 'fits':
+      ctx.body = { kind: 'fits', hash: done.hash, routes: done.routes };
+      break;
+    case 'told':
+      tellResult(ctx, done);
+      break;
   }
-  if (only === 'check') {
-    ctx.body = { kind: 'fits', hash: bundle.value.hash, routes: built.value.routes };
-    return;
-  }
-  const { hash, order, pieces } = bundle.value;
-  tellResult(ctx, await ask({ verb: 'apply', id, base: base.base, hash, order, pieces }));
 };
 
 /** The outside calls of a core machine: for operators, for origins, for itself and for the store. */
