Operators order a release: POST and GET /v1/releases, switchwheel release

Before: releases could only be looked at. After: an order by HTTP and by command line, with its call id, answered as a purge is; one service's order by GET /v1/releases/SERVICE, 404 if there was none. Conclusion: thin; what is checked is checked by the forms and by the primary.

--- a/packages/switchwheel/src/command/run.ts
+++ b/packages/switchwheel/src/command/run.ts
@@ -27,6 +27,8 @@
   readonly stores: readonly string[];
   readonly witnesses: readonly string[];
   readonly waitMs: number;
+  /** The span of an order to move to a release, as written: `16s`, `500ms`. */
+  readonly span: string;
 }
 
 const good = (out: string): Outcome => ({ code: 0, out, fault: '' });
@@ -156,12 +158,33 @@
   const fleet = await call(options.reach, { method: 'GET', path: '/v1/fleet' });
   if (fleet.isErr) return bad(`no registry answers: ${fleet.error}`);
   const origins = listAt(fleet.value.body, 'origins');
-  return ask(options, { method: 'GET', path: '/v1/verdicts' }, (body) => table(['service', 'release', 'verdict', 'spent', 'bad', 'origins up'], listAt(body, 'verdicts').map((one) => [
+  const orders = await call(options.reach, { method: 'GET', path: '/v1/releases' });
+  const moves = orders.isOk && orders.value.status === 200 && !options.json ? `${orderTable(orders.value.body)}\n\n` : '';
+  return ask(options, { method: 'GET', path: '/v1/verdicts' }, (body) => moves + table(['service', 'release', 'verdict', 'spent', 'bad', 'origins up'], listAt(body, 'verdicts').map((one) => [
     text(at(one, 'service')), text(at(one, 'release')), text(at(one, 'state')), text(at(one, 'spent')), text(at(one, 'bad')),
     String(origins.filter((row) => at(row, 'service') === at(one, 'service') && at(row, 'release') === at(one, 'release') && at(row, 'state') === 'up').length),
   ])));
 };
 
+const spanOf = (raw: string): number | undefined => {
+  const [, many, unit] = /^(\d+(?:\.\d+)?)(ms|s|m)$/.exec(raw) ?? [];
+  if (many === undefined) return undefined;
+  return Number(many) * (unit === 'ms' ? 1 : unit === 's' ? 1000 : 60_000);
+};
+
+const release = (options: Options, service: string | undefined, target: string | undefined): Promise<Outcome> => {
+  const spanMs = spanOf(options.span);
+  if (service === undefined || target === undefined) return Promise.resolve(wrong('release SERVICE TARGET'));
+  if (spanMs === undefined) return Promise.resolve(wrong(`--span ${options.span}: a span such as 16s, 500ms or 2m`));
+  const id = options.id ?? randomUUID();
+  return ask(options, { method: 'POST', path: '/v1/releases', body: JSON.stringify({ id, service, target, spanMs }) }, (body) => `accepted: ${text(at(body, 'service'))} moves to ${text(at(body, 'target'))} (id ${id})`);
+};
+
+const orderTable = (body: unknown): string => table(['service', 'settled', 'target', 'phase', 'share', 'spent', 'why'], listAt(body, 'releases').map((one) => [
+  text(at(one, 'service')), text(at(one, 'settled')), text(at(one, 'target')), text(at(one, 'phase')), text(at(one, 'share')),
+  `${Math.round(Number(at(one, 'spentMs')) / 1000)}/${Math.round(Number(at(one, 'spanMs')) / 1000)} s`, text(at(one, 'text')),
+]));
+
 const rollouts = (options: Options): Promise<Outcome> => ask(options, { method: 'GET', path: '/v1/rollouts' }, (body) => {
   const rows = listAt(body, 'rollouts');
   const head = table(['generation', 'status', 'wave', 'troubled', 'targets'], rows.map((one) => {
@@ -204,6 +227,8 @@
       return status(options);
     case 'rollouts':
       return rollouts(options);
+    case 'release':
+      return release(options, rest[0], rest[1]);
     case 'releases':
       return releases(options);
     case 'purge':
--- a/packages/switchwheel/src/main.ts
+++ b/packages/switchwheel/src/main.ts
@@ -15,7 +15,8 @@
     show                 the description in force
     status               nodes, sessions, duties
     rollouts             rollouts with their targets
-    releases             releases of services and what is judged of them
+    release SERVICE R    move a service to origins of a release within --span; a bad release is taken back
+    releases             releases of services, orders to move to them, and what is judged
     purge [PATH ...]     purge objects by path, or by --tag, or --all
     call ID              what became of a call whose answer got lost
     witness add|remove N change the witnesses by one
@@ -33,6 +34,7 @@
     --strict         import fails if any directive has no counterpart
     --store NODE     found only on these stores; repeat it for more (all in touch)
     --witness NODE   found only with these registries as witnesses (all in touch)
+    --span SPAN      how long a release may take to move: 16s, 500ms, 2m (60s)
     --timeout MS     how long to wait for an answer (10000)
 
   Exit codes
@@ -42,11 +44,11 @@
   flags: {
     registry: { type: 'string', isMultiple: true, shortFlag: 'r' }, json: { type: 'boolean', default: false }, base: { type: 'number' }, force: { type: 'boolean', default: false },
     id: { type: 'string' }, wait: { type: 'number', default: 3000 }, host: { type: 'string' }, tag: { type: 'string', isMultiple: true }, all: { type: 'boolean', default: false }, strict: { type: 'boolean', default: false }, store: { type: 'string', isMultiple: true }, witness: { type: 'string', isMultiple: true },
-    timeout: { type: 'number', default: 10_000 },
+    timeout: { type: 'number', default: 10_000 }, span: { type: 'string', default: '60s' },
   },
 });
 
-const known = new Set(['registry', 'r', 'json', 'base', 'force', 'id', 'wait', 'host', 'tag', 'all', 'strict', 'store', 'witness', 'timeout']);
+const known = new Set(['registry', 'r', 'json', 'base', 'force', 'id', 'wait', 'host', 'tag', 'all', 'strict', 'store', 'witness', 'timeout', 'span']);
 const quit = (code: number, fault: string): never => {
   process.stderr.write(`switchwheel: ${fault}\n`);
   process.exit(code);
@@ -67,7 +69,7 @@
   if (base !== undefined && !(Number.isSafeInteger(base) && base >= 0)) quit(2, '--base: a generation');
   if (!(timeout > 0) || !(wait >= 0)) quit(2, '--timeout and --wait: milliseconds');
   const outcome = await run(command, rest, {
-    reach: { registries, spanMs: timeout }, json: cli.flags.json, base, force: cli.flags.force, id: cli.flags.id, host: cli.flags.host, tags: cli.flags.tag ?? [], all: cli.flags.all, strict: cli.flags.strict, stores: cli.flags.store ?? [], witnesses: cli.flags.witness ?? [], waitMs: wait,
+    reach: { registries, spanMs: timeout }, json: cli.flags.json, base, force: cli.flags.force, id: cli.flags.id, host: cli.flags.host, tags: cli.flags.tag ?? [], all: cli.flags.all, strict: cli.flags.strict, stores: cli.flags.store ?? [], witnesses: cli.flags.witness ?? [], waitMs: wait, span: cli.flags.span,
   });
   if (outcome.out !== '') process.stdout.write(`${outcome.out}\n`);
   if (outcome.fault !== '') process.stderr.write(`${outcome.fault.split('\n').map((one, at) => (at === 0 ? `switchwheel: ${one}` : one)).join('\n')}\n`);
--- a/packages/yardmaster/src/outside/app.ts
+++ b/packages/yardmaster/src/outside/app.ts
@@ -1,16 +1,16 @@
 import { randomUUID } from 'node:crypto';
 import Koa from 'koa';
 import * as v from 'valibot';
-import { type CallId, type Generation, type Kind, isCallId, isGeneration, noGeneration, tell, toCallId } from '@switchwheel/gauge';
+import { type CallId, type Generation, type Kind, isCallId, isGeneration, isServiceName, noGeneration, tell, toCallId } from '@switchwheel/gauge';
 import { type Fault, build, cut, readInto } from '@switchwheel/timetable';
 import type { Outside } from '@switchwheel/roster';
 import { inSlices, readBody } from '@switchwheel/footplate';
-import { announcement, electorateForm, foundForm, purgeForm } from './forms.js';
+import { announcement, electorateForm, foundForm, purgeForm, releaseForm } from './forms.js';
 
 /** Hands a call to the machine; settles with its answer. */
 export type Ask = (call: Outside) => Promise<{ readonly status: number; readonly body: string }>;
 
-const views: ReadonlySet<string> = new Set(['description', 'rollouts', 'nodes', 'purges', 'verdicts', 'store']);
+const views: ReadonlySet<string> = new Set(['description', 'rollouts', 'nodes', 'purges', 'verdicts', 'releases', 'store']);
 const smallLimit = 4 * 1024 * 1024;
 
 const fail = (ctx: Koa.Context, kind: Kind, text: string, faults?: readonly Fault[]): void => {
@@ -130,6 +130,11 @@
         if (form !== undefined && id !== undefined) tellResult(ctx, await ask({ verb: 'purge', id, aims: form.aims }));
         return;
       }
+      case 'POST /v1/releases': {
+        const form = await readForm(ctx, releaseForm);
+        if (form !== undefined) tellResult(ctx, await ask({ verb: 'release', id: form.id ?? toCallId(randomUUID()), service: form.service, target: form.target, spanMs: form.spanMs }));
+        return;
+      }
       case 'POST /v1/fleet': {
         const form = await readForm(ctx, foundForm);
         if (form !== undefined) tellResult(ctx, await ask({ verb: 'found', id: form.id ?? toCallId(randomUUID()), fleet: form.fleet, stores: form.stores, witnesses: form.witnesses }));
@@ -156,6 +161,10 @@
     tellResult(ctx, await ask({ verb: 'ask', id: toCallId(randomUUID()), about: name }));
     return;
   }
+  if (version === 'v1' && ctx.method === 'GET' && family === 'releases' && isServiceName(name)) {
+    tellResult(ctx, await ask({ verb: 'view', id: toCallId(randomUUID()), what: `release/${name}` }));
+    return;
+  }
   if (version === 'v1' && ctx.method === 'GET' && family !== undefined && name === undefined && views.has(family)) {
     tellResult(ctx, await ask({ verb: 'view', id: toCallId(randomUUID()), what: family }));
     return;
--- a/packages/yardmaster/src/outside/forms.ts
+++ b/packages/yardmaster/src/outside/forms.ts
@@ -19,3 +19,9 @@
 });
 
 export const electorateForm = v.strictObject({ id: v.optional(g.callId), add: v.optional(g.nodeId), remove: v.optional(g.nodeId) });
+
+/** An order to move a service to origins of a release. */
+export const releaseForm = v.strictObject({
+  id: v.optional(g.callId), service: g.serviceName, target: g.release,
+  spanMs: v.pipe(v.number('a number'), v.minValue(1000, 'at least 1000'), v.maxValue(86_400_000, 'at most a day')),
+});
