--- a/packages/ledger/src/job/job.ts
+++ b/packages/ledger/src/job/job.ts
@@ -1,4 +1,4 @@
-import { type Moment, type Step, join, nextSeq, start, step, toMoment } from '@switchwheel/gauge';
+import { type Moment, type NodeId, type Step, join, nextSeq, start, step, toMoment } from '@switchwheel/gauge';
 import { type Charter, type FrameOf, type Put, type Stamp, log, send } from '@switchwheel/coupling';
 import { ask, heldEpoch, holds } from '@switchwheel/ballot';
 import { absorbAll } from '@switchwheel/timetable';
@@ -10,7 +10,7 @@
 import { apply } from '../table/table.js';
 
 type Done = Step<Store, StoreEffect>;
-/** How long the backup may take before the primary goes on alone. */
+/** How long a backup may take before the primary goes on without it. */
 export const copySpan = 400;
 /** How long the own disk may make no progress before the duty is given up. */
 export const stallSpan = 700;
@@ -21,6 +21,7 @@
 const roomSpan = 1000;
 const maxBatch = 512;
 const noPieces: Store['spare'] = new Map();
+const nobody: Job['confirmed'] = new Set();
 
 export const tellCall = (one: CallResult): StoreEffect => send(one.to, { kind: 'called', id: one.id, status: one.status, body: one.body });
 
@@ -36,7 +37,7 @@
 /** Opens a write with nothing in it but a charter. */
 export const openCharter = (state: Store, charter: Charter, now: Moment): Done => {
   const stamp: Stamp = { epoch: charter.epoch, seq: nextSeq(state.stamp.seq) };
-  const job: Job = { id: state.nextId, phase: 'disk', lasts: false, since: now, sent: now, charter, stamp, prior: state.stamp, puts: [], draft: state.control, results: [], tried: [] };
+  const job: Job = { id: state.nextId, phase: 'disk', lasts: false, since: now, sent: now, charter, confirmed: nobody, stamp, prior: state.stamp, puts: [], draft: state.control, results: [], tried: [] };
   return step({ ...state, job, nextId: state.nextId + 1 }, diskWrite(job.id, charter, stamp, []));
 };
 
@@ -95,7 +96,7 @@
     return step(next, ...told, ...tried.flatMap((one) => tellTried(draft, one)));
   }
   const job: Job = {
-    id: state.nextId, phase: 'disk', lasts: false, since: now, sent: now, stamp, prior: state.stamp, puts, draft, results, tried,
+    id: state.nextId, phase: 'disk', lasts: false, since: now, sent: now, confirmed: nobody, stamp, prior: state.stamp, puts, draft, results, tried,
     charter: electorate === charter.electorate ? charter : { ...charter, electorate },
   };
   return step({ ...next, job, nextId: state.nextId + 1 }, ...told, diskWrite(job.id, job.charter, stamp, puts));
@@ -109,10 +110,15 @@
 const colleaguesOf = (state: Store, charter: Charter): readonly Charter['stores'][number][] =>
   charter.stores.filter((one) => one.node !== me(state));
 
-const copies = (state: Store, job: Job): readonly StoreEffect[] => {
+/** The backups that must have a write and have not said so. */
+const awaited = (state: Store, job: Job): readonly NodeId[] =>
+  job.charter.insync.filter((one) => one !== me(state) && !job.confirmed.has(one));
+
+const copies = (state: Store, job: Job, to: readonly NodeId[]): readonly StoreEffect[] => {
   const frame: FrameOf<'copy'> = { kind: 'copy', charter: job.charter, stamp: job.stamp, prior: job.prior, puts: [...job.puts] };
-  return colleaguesOf(state, job.charter).map((one) => send(one.address, frame));
+  return colleaguesOf(state, job.charter).filter((one) => to.includes(one.node)).map((one) => send(one.address, frame));
 };
+const everyCopy = (state: Store, job: Job): readonly StoreEffect[] => copies(state, job, job.charter.stores.map((one) => one.node));
 
 /** The write lasts wherever it must: it counts, and everyone is told. */
 const finish = (state: Store, job: Job, now: Moment): Done => {
@@ -135,7 +141,7 @@
   return join([...told, ...fed], opened);
 };
 
-/** The own disk has the write: the colleague is next, if it must have it too. */
+/** The own disk has the write: the backups are next, those in sync must have it too. */
 export const onSynced = (state: Store, id: number, now: Moment): Done => {
   const job = state.job;
   if (job?.id !== id) return step(state);
@@ -144,10 +150,10 @@
   if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.charter.epoch) {
     return abandon({ ...state, job: { ...job, phase: 'copy' } });
   }
-  const alone = job.charter.insync.length === 1;
-  if (alone) return join(copies(state, job), finish(state, job, now));
-  const next: Job = { ...job, phase: 'copy', lasts: true, since: now, sent: now };
-  return step({ ...state, job: next }, ...copies(state, next));
+  const next: Job = { ...job, phase: 'copy', lasts: true, confirmed: nobody, since: now, sent: now };
+  const whole = awaited(state, next).length === 0;
+  if (whole) return join(everyCopy(state, next), finish(state, next, now));
+  return step({ ...state, job: next }, ...everyCopy(state, next));
 };
 
 /** The own disk did not take the write: it never takes effect, unless this disk has had it since before. */
@@ -168,21 +174,24 @@
   return step({ ...next, serving: true, muted: state.muted || !written }, words, ...bounced);
 };
 
-/** The colleague answered a copy. */
+/** A backup answered a copy: once all in sync have it the write counts. */
 export const onCopied = (state: Store, word: FrameOf<'copied'>, now: Moment): Done => {
   const job = state.job;
   if (job?.phase !== 'copy' || word.epoch !== job.stamp.epoch || word.seq !== job.stamp.seq || !job.charter.insync.includes(word.node)) return step(state);
-  if (!word.ok) return join([log('warn', 'the backup did not take a write', ['why', word.text])], goAlone(state, now));
-  if (!holds(state.stand, now)) return step(state);
-  return finish(state, job, now);
+  if (!word.ok) return join([log('warn', 'a backup did not take a write', ['store', word.node], ['why', word.text])], leaveOut(state, [word.node], now));
+  if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.charter.epoch) return step(state);
+  const next: Job = { ...job, confirmed: new Set([...job.confirmed, word.node]) };
+  const whole = awaited(state, next).length === 0;
+  return whole ? finish(state, next, now) : step({ ...state, job: next });
 };
 
-/** Asks the witnesses for an epoch in which this store alone is in sync. */
-export const goAlone = (state: Store, now: Moment): Done => {
+/** Asks the witnesses for an epoch in which these stores are not in sync; the others stay. */
+export const leaveOut = (state: Store, lost: readonly NodeId[], now: Moment): Done => {
   const charter = state.charter;
   if (charter === undefined || !holds(state.stand, now)) return step(state);
-  const asked = ask(state.stand, poll(state, charter, now), [me(state)], now);
-  return join([log('warn', 'going on without the backup')], step({ ...state, stand: asked.state }, ...asked.effects));
+  const rest = state.stand.insync.filter((one) => !lost.includes(one));
+  const asked = ask(state.stand, poll(state, charter, now), rest, now);
+  return join([log('warn', 'going on without a backup', ['stores', lost.join(', ')])], step({ ...state, stand: asked.state }, ...asked.effects));
 };
 
 /** Lets time pass over a write. */
@@ -199,8 +208,9 @@
     return join([log('error', 'the disk makes no progress; giving the duty up')], retire(state, 5000, now));
   }
   if (state.stand.phase.phase !== 'holding') return step(state);
-  if (now - job.since > copySpan) return goAlone(state, now);
-  return now - job.sent > resend ? step({ ...state, job: { ...job, sent: now } }, ...copies(state, job)) : step(state);
+  const late = awaited(state, job);
+  if (now - job.since > copySpan) return leaveOut(state, late, now);
+  return now - job.sent > resend ? step({ ...state, job: { ...job, sent: now } }, ...copies(state, job, late)) : step(state);
 };
 
 /** This store won: the charter of its holding is written before anything else. */
--- a/packages/ledger/src/machine.ts
+++ b/packages/ledger/src/machine.ts
@@ -30,7 +30,8 @@
 
 const words = (state: Store, now: Moment, bye: boolean): Words => ({ report: report(state, now), held: [], purged: noSeq, bye });
 
-const onRead = (state: Store, found: Found): Done => {
+const onRead = (before: Store, found: Found, now: Moment): Done => {
+  const state: Store = { ...before, born: now };
   if (found.found === 'nothing') return step({ ...state, phase: 'blank' }, log('info', 'the disk is empty: this store is no member until it is founded or mended'));
   if (found.found === 'damaged') {
     return step({ ...state, phase: 'blank', soiled: true, trouble: `damaged disk: ${found.text}` }, log('error', 'the disk is damaged: nothing of it is used, a colleague has to mend this store', ['why', found.text]));
@@ -187,7 +188,7 @@
   if (state.phase === 'stopping') return step(state);
   switch (event.kind) {
     case 'read':
-      return onRead(state, event.found);
+      return onRead(state, event.found, event.now);
     case 'tick':
       return onTick(state, event.now);
     case 'frame':
--- a/packages/ledger/src/mend/mend.ts
+++ b/packages/ledger/src/mend/mend.ts
@@ -1,17 +1,23 @@
-import { type Moment, type Step, join, nextSeq, noEpoch, noSeq, start, step } from '@switchwheel/gauge';
+import { type Moment, type NodeId, type Step, join, nextSeq, noEpoch, noSeq, start, step, toMoment } from '@switchwheel/gauge';
 import { type Charter, type Colleague, type FrameOf, type Put, log, send } from '@switchwheel/coupling';
 import { ask, heldEpoch } from '@switchwheel/ballot';
 import { absorbAll } from '@switchwheel/timetable';
-import { inSync, isPrimary, poll } from '../duty/poll.js';
-import { goAlone } from '../job/job.js';
+import { areaOf, inSync, inTouch, isPrimary, poll, quietSpan } from '../duty/poll.js';
+import { leaveOut } from '../job/job.js';
 import type { StoreEffect } from '../state/event.js';
-import { type Chore, type Store, me } from '../state/state.js';
+import { type Chore, type ColleagueWord, type Store, me } from '../state/state.js';
 import { apply, digests, inRange, sameStamp } from '../table/table.js';
 
 type Done = Step<Store, StoreEffect>;
 const greetSpan = 300;
 const mendBytes = 1024 * 1024;
 const mendRanges = 8;
+/** How long a store may be silent before it counts as gone. */
+const hereSpan = 1000;
+/** How long a spare may make no progress before the next one has its turn. */
+const turnSpan = 4000;
+/** How long a store out of sync may be silent before it gives up its place in the charter. */
+const goneSpan = 10_000;
 
 const startChore = (state: Store, chore: Omit<Chore, 'id'>, wipe: boolean): Done => {
   const own: Chore = { ...chore, id: state.nextId };
@@ -40,7 +46,9 @@
   if (sameStamp(state.stamp, word.stamp) && charter.epoch === word.charter.epoch) return step(state, copied(state, wanted, true, ''));
   if (state.chore !== undefined || state.job !== undefined) return step(state);
   const required = word.charter.insync.includes(me(state));
-  if (!sameStamp(state.stamp, word.prior)) return step(state, ...(required ? [copied(state, wanted, false, 'a gap')] : []));
+  // It may have the write itself already, from before the in-sync set changed.
+  const next = sameStamp(state.stamp, word.prior) || sameStamp(state.stamp, word.stamp);
+  if (!next) return step(state, ...(required ? [copied(state, wanted, false, 'a gap')] : []));
   return startChore(state, { since: now, after: 'copied', ...wanted, puts: word.puts, stamps: new Map(), call: undefined }, false);
 };
 
@@ -71,7 +79,13 @@
   return step(next, log('error', 'the disk refused a mend', ['why', text]));
 };
 
-const addresses = (state: Store): readonly Charter['stores'][number]['address'][] => {
+/** Who is told where this store stands: everyone by the primary and while there is none, else those whom it concerns. */
+const addresses = (state: Store, now: Moment): readonly Charter['stores'][number]['address'][] => {
+  const leader = isPrimary(state, now) ? undefined : [...state.colleagues.values()].find((one) => one.primary && now - one.at < quietSpan);
+  if (leader !== undefined) {
+    const peers = state.charter?.stores.filter((one) => one.node !== me(state) && inSync(state) && state.charter?.insync.includes(one.node)) ?? [];
+    return [...new Set([leader.address, ...peers.map((one) => one.address)])];
+  }
   const known = state.charter?.stores.filter((one) => one.node !== me(state)).map((one) => one.address) ?? [];
   const near = state.berth.members.filter((one) => one.role === 'store' && one.node !== me(state)).map((one) => one.address);
   return [...new Set([...known, ...near])];
@@ -86,17 +100,35 @@
     kind: 'greet', node: me(state), stamp: state.stamp, primary, full: state.diskFull !== undefined || state.job?.phase === 'orphan', at: now, digests: away ? digests(state.table) : [],
     ...(state.charter === undefined ? {} : { charter: state.charter }),
   };
-  return step({ ...state, greeted: now }, ...addresses(state).map((to) => send(to, word)));
+  return step({ ...state, greeted: now }, ...addresses(state, now).map((to) => send(to, word)));
 };
 
-const dropLost = (state: Store, from: Colleague, charter: Charter): Charter['stores'] | undefined => {
-  if (charter.stores.some((one) => one.node === from.node)) {
-    return charter.stores.map((one) => (one.node === from.node ? { node: one.node, address: from.address } : one));
-  }
-  // A store that is new here takes the place of one that is out of sync and out of touch.
-  const gone = charter.stores.find((one) => one.node !== me(state) && !state.berth.members.some((near) => near.node === one.node));
-  if (charter.stores.length >= 2 && gone === undefined) return undefined;
-  return [...charter.stores.filter((one) => one.node !== gone?.node), { node: from.node, address: from.address }];
+/** The stores of the charter with one that is taken in: who is out of sync and long silent gives its place. */
+const placed = (state: Store, from: Colleague, charter: Charter, now: Moment): Charter['stores'] => [
+  ...charter.stores.filter((one) => one.node !== from.node
+    && (charter.insync.includes(one.node) || now - (state.colleagues.get(one.node)?.at ?? state.born) < goneSpan)),
+  { node: from.node, address: from.address },
+];
+
+/** Which of some spares is mended first: one with room, in an area that has no copy, with a place in the charter. */
+const best = (state: Store, charter: Charter, spares: readonly ColleagueWord[]): NodeId | undefined => {
+  const areas = new Set(charter.insync.map((one) => areaOf(state, one)));
+  const cost = (one: ColleagueWord): number =>
+    (one.full ? 4 : 0) + (areas.has(areaOf(state, one.node)) ? 2 : 0) + (charter.stores.some((row) => row.node === one.node) ? 0 : 1);
+  return [...spares].sort((one, two) => cost(one) - cost(two) || (one.node < two.node ? -1 : 1))[0]?.node;
+};
+
+/** Chooses the one spare that is mended now. */
+const elect = (state: Store, charter: Charter, now: Moment): Store => {
+  const spares = [...state.colleagues.values()].filter((one) => !charter.insync.includes(one.node) && !one.primary && now - one.at < hereSpan
+    && (one.charter === undefined || one.charter.fleet === charter.fleet));
+  const current = state.mending;
+  const here = current !== undefined && spares.some((one) => one.node === current.node);
+  if (here && now - current.since < turnSpan) return state;
+  const tried = here ? new Set([...state.tried, current.node]) : state.tried;
+  const left = spares.filter((one) => !tried.has(one.node));
+  const node = best(state, charter, left.length > 0 ? left : spares);
+  return { ...state, tried: left.length > 0 ? tried : new Set(), mending: node === undefined ? undefined : { node, since: now } };
 };
 
 /** A colleague tells where it stands. */
@@ -104,30 +136,35 @@
   const row = { node: word.node, address: from.address, charter: word.charter, stamp: word.stamp, primary: word.primary, full: word.full, at: now };
   const led = word.primary && word.charter !== undefined ? follow(state, word.charter, now) : state;
   const left = !word.primary && state.colleagues.get(word.node)?.primary === true;
-  const noted: Store = { ...led, led: left ? start : led.led, colleagues: new Map([...state.colleagues, [word.node, row]]) };
+  const noted: Store = { ...led, led: left ? toMoment(now - quietSpan) : led.led, colleagues: new Map([...state.colleagues, [word.node, row]]) };
   const charter = state.charter;
   if (charter === undefined || !isPrimary(state, now) || state.job !== undefined) return step(noted);
   if (word.charter !== undefined && word.charter.fleet !== charter.fleet) return step(noted);
   // A store that counts as in sync and says that it holds nothing has lost its disk: it is left out at once, and then mended.
-  if (charter.insync.includes(word.node) && word.charter === undefined) return goAlone(noted, now);
-  if (charter.insync.includes(word.node) || charter.insync.length > 1 || word.digests.length === 0) return step(noted);
-  const stores = dropLost(state, from, charter);
-  if (stores === undefined) return step(noted);
+  if (charter.insync.includes(word.node) && word.charter === undefined) return leaveOut(noted, [word.node], now);
+  const near = inTouch(noted, now);
+  if (charter.insync.includes(word.node) || near.length >= state.limits.copies || word.digests.length === 0) return step(noted);
+  return mendNext(elect(noted, charter, now), from, word, charter, [...near, word.node], now);
+};
+
+/** Mends the spare whose turn it is, or takes it in once it is equal. */
+const mendNext = (state: Store, from: Colleague, word: FrameOf<'greet'>, charter: Charter, insync: readonly NodeId[], now: Moment): Done => {
+  if (state.mending?.node !== word.node) return step(state);
   const mine = digests(state.table);
   const unlike = mine.flatMap((one, range) => (one === word.digests[range] ? [] : [range]));
-  const shown: Charter = { ...charter, stores };
+  const shown: Charter = { ...charter, stores: placed(state, from, charter, now) };
   if (unlike.length > 0) {
-    return step(noted, ...unlike.slice(0, mendRanges).map((range) => send(from.address, {
+    return step(state, ...unlike.slice(0, mendRanges).map((range) => send(from.address, {
       kind: 'listing' as const, epoch: charter.epoch, stamp: state.stamp, range, keys: inRange(state.table, range),
     })));
   }
   if (!sameStamp(word.stamp, state.stamp) || word.charter?.epoch !== charter.epoch) {
-    return step(noted, send(from.address, { kind: 'mend', epoch: charter.epoch, charter: shown, settled: state.stamp, entries: [] }));
+    return step(state, send(from.address, { kind: 'mend', epoch: charter.epoch, charter: shown, settled: state.stamp, entries: [] }));
   }
-  // Equal to the last entry and stamp, and nothing is being written: both are in sync from the next epoch on.
-  const next: Store = { ...noted, charter: shown };
-  const asked = ask(state.stand, poll(next, shown, now), [me(state), word.node], now);
-  return join([log('info', 'the backup is mended', ['store', word.node])], step({ ...next, stand: asked.state }, ...asked.effects));
+  // Equal to the last entry and stamp, and nothing is being written: it is in sync from the next epoch on.
+  const next: Store = { ...state, charter: shown, mending: undefined, tried: new Set() };
+  const asked = ask(state.stand, poll(next, shown, now), insync, now);
+  return join([log('info', 'a spare is mended', ['store', word.node])], step({ ...next, stand: asked.state }, ...asked.effects));
 };
 
 /** Whether a store may be mended by the holder of this epoch. */
@@ -161,7 +198,8 @@
     size += entry.data.length;
     if (size > mendBytes) break;
   }
-  return step(state, send(from.address, { kind: 'mend', epoch: charter.epoch, charter, entries }));
+  const mending = state.mending?.node === word.node ? { node: word.node, since: now } : state.mending;
+  return step({ ...state, mending }, send(from.address, { kind: 'mend', epoch: charter.epoch, charter, entries }));
 };
 
 const maxMends = 64;
--- a/packages/ledger/src/state/state.ts
+++ b/packages/ledger/src/state/state.ts
@@ -43,7 +43,14 @@
   readonly body: string;
 }
 
-/** A write under way: first on this disk, then on the colleague's. */
+/** How many copies of the state a fleet keeps, and how many machines with a disk it may lose at once. */
+export interface Limits {
+  readonly copies: number;
+  readonly tolerate: number;
+}
+export const pair: Limits = { copies: 2, tolerate: 1 };
+
+/** A write under way: first on this disk, then on those of the backups in sync. */
 export interface Job {
   readonly id: number;
   /** An orphan was given up while the disk still had it in hand: what lasts of it is known later. */
@@ -53,6 +60,8 @@
   readonly since: Moment;
   readonly sent: Moment;
   readonly charter: Charter;
+  /** The backups that have it under this charter. */
+  readonly confirmed: ReadonlySet<NodeId>;
   readonly stamp: Stamp;
   readonly prior: Stamp;
   readonly puts: readonly Put[];
@@ -100,7 +109,10 @@
 /** The whole state of a store. */
 export interface Store {
   readonly berth: Berth;
+  readonly limits: Limits;
   readonly phase: 'reading' | 'blank' | 'member' | 'stopping';
+  /** When this process had read its disk. */
+  readonly born: Moment;
   readonly trouble: string;
   /** Whether the disk holds something that can't be trusted: the first write sweeps it away. */
   readonly soiled: boolean;
@@ -122,6 +134,10 @@
   readonly spare: ReadonlyMap<Hash, string>;
   readonly lacking: ReadonlyMap<CallId, { readonly command: Extract<Command, { kind: 'apply' }>; readonly since: Moment; readonly asked: Moment; readonly awaited: number }>;
   readonly colleagues: ReadonlyMap<NodeId, ColleagueWord>;
+  /** The spare that is being mended, and since when it made no progress. */
+  readonly mending: { readonly node: NodeId; readonly since: Moment } | undefined;
+  /** Spares whose mending came to nothing: the others have their turn first. */
+  readonly tried: ReadonlySet<NodeId>;
   readonly tuned: ReadonlyMap<NodeId, Tuned>;
   readonly touch: ReadonlyMap<NodeId, Touch>;
   /** The highest epoch that is known to have left this store out. */
@@ -142,10 +158,10 @@
 
 export const noStamp: Stamp = { epoch: noEpoch, seq: noSeq };
 
-export const newStore = (member: Member, seeds: readonly Address[], dice: Dice): Store => ({
-  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), phase: 'reading', trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
+export const newStore = (member: Member, seeds: readonly Address[], dice: Dice, limits = pair): Store => ({
+  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), limits, phase: 'reading', born: start, trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
   stand: newStand(member.node, primary, []), serving: false, muted: false, job: undefined, chore: undefined, mends: [], waitlist: [], compiling: new Map(), spare: new Map(),
-  lacking: new Map(), colleagues: new Map(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, due: undefined,
+  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, due: undefined,
   seen: new Map(), opened: undefined, diskFull: undefined, shunned: start, nextId: 1, dice,
 });
 
--- a/packages/ledger/src/table/table.ts
+++ b/packages/ledger/src/table/table.ts
@@ -31,11 +31,17 @@
   return copy;
 };
 
-/** A digest for each range, over keys and stamps. */
+const known = new WeakMap<Table, string[]>();
+
+/** A digest for each range, over keys and stamps; a table never changes, so each is reckoned once. */
 export const digests = (table: Table): string[] => {
+  const before = known.get(table);
+  if (before !== undefined) return before;
   const rows: string[][] = Array.from({ length: rangeCount }, () => []);
   for (const [key, entry] of table) rows[rangeOf(key)]?.push(`${key} ${entry.stamp.epoch} ${entry.stamp.seq}`);
-  return rows.map((row) => createHash('sha256').update(row.sort().join('\n')).digest('hex').slice(0, 16));
+  const result = rows.map((row) => createHash('sha256').update(row.sort().join('\n')).digest('hex').slice(0, 16));
+  known.set(table, result);
+  return result;
 };
 
 export const inRange = (table: Table, range: number): { key: string; stamp: Stamp }[] =>
--- a/packages/roster/src/registry/calls.ts
+++ b/packages/roster/src/registry/calls.ts
@@ -29,8 +29,8 @@
     .filter((one) => call.witnesses.length === 0 || call.witnesses.includes(one.node));
   const lost = [...call.stores.filter((name) => !stores.some((one) => one.node === name)), ...call.witnesses.filter((name) => !seats.some((one) => one.node === name))];
   if (lost.length > 0) return step(state, reply(ref, 409, { kind: 'unready', text: `not in touch: ${lost.join(', ')}` }));
-  if (stores.length < 1 || stores.length > 2) {
-    return step(state, reply(ref, 409, { kind: 'unready', text: `a fleet is founded on one store or two; in touch: ${stores.map((one) => one.node).join(', ') || 'none'}` }));
+  if (stores.length < 1) {
+    return step(state, reply(ref, 409, { kind: 'unready', text: 'a fleet is founded on one store at least; in touch: none' }));
   }
   if (state.fleet !== undefined) return step(state, reply(ref, 409, { kind: 'stale', text: `the fleet ${state.fleet} stands already` }));
   const word: FrameOf<'found'> = {
--- a/packages/testtrack/src/cast/store.ts
+++ b/packages/testtrack/src/cast/store.ts
@@ -1,6 +1,6 @@
 import { type Address, type CallId, type Moment, type NodeId, type Store, toAreaName, toGeneration } from '@switchwheel/gauge';
 import type { Member, WireEvent } from '@switchwheel/coupling';
-import { type DiskWrite, type Found, type KeyedEntry, type Store as StoreState, type StoreEffect, type StoreEvent, newStore, storeStep } from '@switchwheel/ledger';
+import { type DiskWrite, type Found, type KeyedEntry, type Store as StoreState, type StoreEffect, type StoreEvent, type Limits, newStore, storeStep } from '@switchwheel/ledger';
 import { holds } from '@switchwheel/ballot';
 import { build, finish } from '@switchwheel/timetable';
 import { Actor, type Stage } from '../world/actor.js';
@@ -10,11 +10,13 @@
 export class SimStore extends Actor {
   readonly disk: VirtualDisk<DiskWrite>;
   readonly #seeds: () => readonly Address[];
+  readonly #limits: Limits | undefined;
   #store: Store<StoreState, StoreEvent> | undefined;
 
-  constructor(stage: Stage, node: NodeId, address: Address, area: string, seeds: () => readonly Address[]) {
+  constructor(stage: Stage, node: NodeId, address: Address, area: string, seeds: () => readonly Address[], limits?: Limits) {
     super(stage, node, address, area);
     this.#seeds = seeds;
+    this.#limits = limits;
     this.disk = new VirtualDisk(stage.agenda, stage.chance.part());
   }
 
@@ -24,7 +26,7 @@
 
   protected boot(): void {
     const member: Member = { node: this.node, role: 'store', area: toAreaName(this.area), address: this.address, incarnation: this.incarnation };
-    const first = newStore(member, this.#seeds(), { seed: Math.floor(this.stage.chance.next() * 4294967296) });
+    const first = newStore(member, this.#seeds(), { seed: Math.floor(this.stage.chance.next() * 4294967296) }, this.#limits);
     this.#store = this.makeStore<StoreState, StoreEvent, StoreEffect>(storeStep, first, (effect) => this.#run(effect));
     const found = this.#found();
     this.later(this.stage.chance.between(5, 30), () => this.#tell((now) => ({ kind: 'read', now, found })));
--- a/packages/testtrack/src/world/world.ts
+++ b/packages/testtrack/src/world/world.ts
@@ -12,12 +12,16 @@
 import { type Shape, describe } from './describe.js';
 import { toCallId, toFleetId, toGeneration } from '@switchwheel/gauge';
 import type { Aim } from '@switchwheel/coupling';
+import type { Limits } from '@switchwheel/ledger';
 
 /** How large a simulated fleet is, and what stands behind it. */
 export interface Layout {
   readonly seed: number;
   readonly edges: number;
   readonly shields: number;
+  /** How many machines have a disk; two if it isn't said. */
+  readonly stores?: number;
+  readonly limits?: Limits;
   readonly services: readonly { readonly name: ServiceName; readonly origins: number; readonly slots: number; readonly perSecond: number | undefined; readonly hedgeMs?: number }[];
 }
 
@@ -66,11 +70,12 @@
     const seeds = (): readonly Address[] => this.registries.slice(0, 3).map((one) => one.address);
     const areas = ['one', 'two', 'three', 'four'];
     const area = (at: number): string => areas[at % areas.length] ?? 'one';
-    for (let at = 0; at < layout.shields + 2; at += 1) {
+    const stores = layout.stores ?? 2;
+    for (let at = 0; at < layout.shields + stores; at += 1) {
       const name = at < layout.shields ? `shield-${at + 1}-registry` : `store-${at - layout.shields + 1}-registry`;
       this.registries.push(new SimRegistry(this, toNodeId(name), toAddress(`10.0.0.${at + 1}:1`), area(at), seeds));
     }
-    for (let at = 0; at < 2; at += 1) this.stores.push(new SimStore(this, toNodeId(`store-${at + 1}`), toAddress(`10.0.1.${at + 1}:1`), area(at + 1), seeds));
+    for (let at = 0; at < stores; at += 1) this.stores.push(new SimStore(this, toNodeId(`store-${at + 1}`), toAddress(`10.0.1.${at + 1}:1`), area(at + 1), seeds, layout.limits));
     for (let at = 0; at < layout.shields; at += 1) this.proxies.push(new SimProxy(this, 'shield', toNodeId(`shield-${at + 1}`), toAddress(`10.0.2.${at + 1}:1`), area(at), seeds, () => this.origins));
     for (let at = 0; at < layout.edges; at += 1) this.proxies.push(new SimProxy(this, 'edge', toNodeId(`edge-${at + 1}`), toAddress(`10.0.3.${at + 1}:1`), area(at), seeds, () => this.origins));
   }
@@ -84,6 +89,22 @@
     return registry;
   }
 
+  /** A new machine with a blank disk. */
+  addStore(name: string, at: number, area = 'one'): SimStore {
+    const seeds = this.registries.slice(0, 3).map((one) => one.address);
+    const store = new SimStore(this, toNodeId(name), toAddress(`10.0.8.${at}:1`), area, () => seeds, this.layout.limits);
+    this.stores.push(store);
+    store.start();
+    return store;
+  }
+
+  /** A store is gone for good, with its disk. */
+  dropStore(store: SimStore): void {
+    store.kill();
+    this.stores.splice(this.stores.indexOf(store), 1);
+    this.actors.delete(store.address);
+  }
+
   /** A registry is gone for good: nothing names it any more. */
   dropRegistry(registry: SimRegistry): void {
     registry.kill();
@@ -134,7 +155,7 @@
     for (const actor of this.all) this.agenda.after(this.chance.between(0, 100), () => actor.start());
     for (const service of this.layout.services) for (let at = 0; at < service.origins; at += 1) this.addOrigin(service.name, service.slots);
     const met = this.until(5000, () => this.registries.every((one) => one.state !== undefined && [...one.state.sessions.values()].filter((row) => row.member.role === 'registry').length === this.registries.length - 1
-      && [...one.state.sessions.values()].filter((row) => row.member.role === 'store').length === 2));
+      && [...one.state.sessions.values()].filter((row) => row.member.role === 'store').length === this.stores.length));
     if (!met) throw new Error('the core did not find itself');
     let founded = false;
     const found = (): void => {
