A departure is told as known once a majority of registries has it

Cause: the registry that answered 200 to an origin's leaving could lose power with its word still on the way; the origin was then sent requests for as long as it had been heard of, and R6 was broken.

Ruled out: writing departures to the stores (a disk's time for each, and none while there is no primary); waiting for every registry (one that is down would hold up all).

Before: 200 at once, gossip sent in the same turn.

After: `news` and `noted` frames; 200 once a majority of the electorate, this registry counted, took the word; 503 after 700 ms without; a repeated call is answered at once. `up` is answered at once as before.

--- a/packages/coupling/src/frame/control.ts
+++ b/packages/coupling/src/frame/control.ts
@@ -41,6 +41,9 @@
     fleet: v.optional(g.fleetId),
   }),
   v.object({ kind: kind('handover'), duty: g.duty, epoch: g.epoch }),
+  /** An origin leaves or is gone: a registry tells its colleagues, and each answers that it took the word. */
+  v.object({ kind: kind('news'), origin }),
+  v.object({ kind: kind('noted'), node: g.nodeId, instance: g.instanceId, state: origin.entries.state }),
   v.object({ kind: kind('roster'), members: v.array(member), origins: v.array(origin), holders: v.array(holder) }),
   v.object({
     kind: kind('gossip'), from: member, full: v.boolean(), sessions: v.array(session), origins: v.array(origin), holders: v.array(holder),
--- a/packages/roster/src/origins/origins.ts
+++ b/packages/roster/src/origins/origins.ts
@@ -11,7 +11,8 @@
 export const silentSpan = 10_000;
 const forgetSpan = 600_000;
 const rank: ReadonlyMap<Origin['state'], number> = new Map([['up', 0], ['leaving', 1], ['gone', 2]]);
-const rankOf = (state: Origin['state']): number => rank.get(state) ?? 0;
+/** How far an origin is on its way out. */
+export const rankOf = (state: Origin['state']): number => rank.get(state) ?? 0;
 
 const same = (one: Seen, two: Seen): boolean =>
   one.service === two.service && one.address === two.address && one.release === two.release && one.slots === two.slots && one.state === two.state;
@@ -46,8 +47,8 @@
   return result;
 };
 
-export const tellOrigins = (origins: Origins, now: Moment): Origin[] =>
-  [...origins.values()].map(({ at, ...word }) => ({ ...word, age: between(at, now) }));
+export const tellOrigin = ({ at, ...word }: Seen, now: Moment): Origin => ({ ...word, age: between(at, now) });
+export const tellOrigins = (origins: Origins, now: Moment): Origin[] => [...origins.values()].map((one) => tellOrigin(one, now));
 
 export const forget = (origins: Origins, now: Moment): Origins => sift(origins, (one) => now - one.at < forgetSpan);
 /** Whether requests may be sent to it at all. */
--- a/packages/roster/src/registry/calls.ts
+++ b/packages/roster/src/registry/calls.ts
@@ -1,27 +1,14 @@
 import { type CallId, type Moment, type NodeId, type Step, drop, noSeq, put, step } from '@switchwheel/gauge';
 import { type FrameOf, send } from '@switchwheel/coupling';
-import { learn } from '../origins/origins.js';
+import { announce } from './announce.js';
 import { type Outside, type RegistryEffect, reply, replyText } from './event.js';
 import type { Pending, Registry } from './state.js';
-import { alive, inTouch, primaryHolder, spread } from './words.js';
+import { alive, inTouch, primaryHolder } from './words.js';
 
 type Done = Step<Registry, RegistryEffect>;
 const resend = 400;
 const maxPending = 256;
 
-const announce = (state: Registry, ref: number, call: Extract<Outside, { verb: 'announce' }>, now: Moment): Done => {
-  if (!inTouch(state, now)) {
-    return step(state, reply(ref, 503, { kind: 'unready', text: 'this registry is not in touch with the core; announce to another' }));
-  }
-  const known = state.origins.get(call.origin.instance);
-  if (known !== undefined && known.state !== 'up' && call.origin.state === 'up') {
-    return step(state, reply(ref, 409, { kind: 'stale', text: `instance ${call.origin.instance} is ${known.state} for good; a new run takes a new instance id` }));
-  }
-  const learned = learn(state.origins, { ...call.origin, at: now });
-  const next = { ...state, origins: learned.origins };
-  return step(next, ...(learned.news ? spread(next, now) : []), reply(ref, 200, { kind: 'announced', againMs: 2000 }));
-};
-
 const found = (state: Registry, ref: number, call: Extract<Outside, { verb: 'found' }>, now: Moment): Done => {
   const near = [...state.sessions.values()].filter((one) => alive(one, now));
   const stores = near.filter((one) => one.member.role === 'store' && (call.stores.length === 0 || call.stores.includes(one.member.node))).map((one) => one.member);
@@ -93,7 +80,7 @@
 export const onOutside = (state: Registry, ref: number, call: Outside, now: Moment): Done => {
   switch (call.verb) {
     case 'announce':
-      return announce(state, ref, call, now);
+      return announce(state, ref, call.origin, now);
     case 'found':
       return found(state, ref, call, now);
     case 'apply':
--- a/packages/roster/src/registry/machine.ts
+++ b/packages/roster/src/registry/machine.ts
@@ -3,6 +3,7 @@
 import { recall, seat, vote } from '@switchwheel/ballot';
 import { learnHolder } from '../berth/berth.js';
 import { forget, learnAll } from '../origins/origins.js';
+import { onNews, onNoted, passDepartures } from './announce.js';
 import { chase, onCalled, onFounded, onOutside, onStoreWant } from './calls.js';
 import type { RegistryEffect, RegistryEvent } from './event.js';
 import { learnSession, onHail, onPiece, onWant, push, vacant } from './nodes.js';
@@ -117,6 +118,7 @@
     const near = [...next.state.sessions.values()].filter((one) => alive(one, now) && one.member.role !== 'registry' && one.registry === state.member.node);
     next = join(next.effects, step({ ...next.state, told: now }, ...tellNodes(next.state, near.map((one) => one.member.address), now)));
   }
+  next = join(next.effects, passDepartures(next.state, now));
   return join(next.effects, chase(next.state, now));
 };
 
@@ -128,6 +130,10 @@
       return onBallot(state, from, frame, now);
     case 'gossip':
       return onGossip(state, frame, now);
+    case 'news':
+      return onNews(state, from, frame, now);
+    case 'noted':
+      return onNoted(state, frame);
     case 'feed':
       return onFeed(state, frame, now);
     case 'want':
--- a/packages/roster/src/registry/state.ts
+++ b/packages/roster/src/registry/state.ts
@@ -1,8 +1,8 @@
 import {
-  type Address, type CallId, type Dice, type Duty, type Epoch, type FleetId, type Generation, type Hash, type Moment, type NodeId, type Seq,
+  type Address, type CallId, type Dice, type Duty, type Epoch, type FleetId, type Generation, type Hash, type InstanceId, type Moment, type NodeId, type Seq,
   noEpoch, noSeq, start,
 } from '@switchwheel/gauge';
-import type { Electorate, Holder, Member, Offer, Purge, Report, Verdict } from '@switchwheel/coupling';
+import type { Electorate, Holder, Member, Offer, Origin, Purge, Report, Verdict } from '@switchwheel/coupling';
 import { type Witness, newWitness } from '@switchwheel/ballot';
 import type { Origins } from '../origins/origins.js';
 
@@ -45,6 +45,15 @@
   readonly pieces: ReadonlyMap<Hash, string>;
 }
 
+/** An origin's departure that was announced here: who of the colleagues confirmed that they know, and who waits for it. */
+export interface Departure {
+  readonly state: Origin['state'];
+  readonly confirmed: boolean;
+  readonly sent: Moment;
+  readonly noted: ReadonlySet<NodeId>;
+  readonly waiting: readonly { readonly ref: number; readonly since: Moment }[];
+}
+
 /** A founding under way: the stores that agreed so far. */
 export interface Founding {
   readonly ref: number;
@@ -72,6 +81,7 @@
   readonly offered: ReadonlyMap<NodeId, { readonly hash: Hash; readonly at: Moment; readonly tries: number }>;
   readonly pending: ReadonlyMap<CallId, Pending>;
   readonly founding: ReadonlyMap<CallId, Founding>;
+  readonly departures: ReadonlyMap<InstanceId, Departure>;
   readonly gossiped: Moment;
   readonly tuned: Moment;
   /** When the nodes with a session here were last told of the whole fleet. */
@@ -85,5 +95,5 @@
 export const newRegistry = (member: Member, seeds: readonly Address[], now: Moment, dice: Dice): Registry => ({
   member, seeds, witness: newWitness(member.node, now), sessions: new Map(), origins: new Map(), holders: new Map(), heard: new Map(),
   feed: noFeed, electorate: undefined, fleet: undefined, pieces: new Map(), wanted: new Map(), asked: new Map(), offered: new Map(),
-  pending: new Map(), founding: new Map(), gossiped: start, tuned: start, told: start, lapsed: new Set(), stopping: false, dice,
+  pending: new Map(), founding: new Map(), departures: new Map(), gossiped: start, tuned: start, told: start, lapsed: new Set(), stopping: false, dice,
 });
--- a/packages/testtrack/src/guard/list.ts
+++ b/packages/testtrack/src/guard/list.ts
@@ -26,7 +26,7 @@
 const decide = 'ledger/dist/command/decide.js';
 const poll = 'ledger/dist/duty/poll.js';
 const origins = 'roster/dist/origins/origins.js';
-const calls = 'roster/dist/registry/calls.js';
+const announce = 'roster/dist/registry/announce.js';
 
 export const guards: readonly Guard[] = [
   { name: 'one leg for unsafe', rule: 'R1', file: keeper, from: "how.end === 'unrun' || how.end === 'unopened' || load.repeatable;", to: 'true;' },
@@ -71,7 +71,8 @@
   { name: 'a shield that slept does not tell what it had', rule: 'R7', file: shield, from: 'return this.#cab.state().woke > since && ', to: 'return false && ' },
   { name: 'leaving and gone are final', rule: 'R6', file: origins, from: 'rankOf(word.state) > rankOf(known.state) ? word.state : known.state', to: 'latest.state' },
   { name: 'an address belongs to one instance', rule: 'R6', file: origins, from: "if (word.state === 'up') {", to: 'if (false) {' },
-  { name: 'a registry out of touch takes no announcements', rule: 'R6', file: calls, from: 'if (!inTouch(state, now)) {', to: 'if (false) {' },
+  { name: 'a registry out of touch takes no announcements', rule: 'R6', file: announce, from: 'if (!inTouch(state, now)) {', to: 'if (false) {' },
+  { name: 'a departure is told once a majority has it', rule: 'R6', file: announce, from: 'return knowing.length >= majority(set.members.length);', to: 'return true;' },
   { name: 'the budget of extra legs', rule: 'R8', file: keeper, from: 'return sumOf(state.extra, now) + 1 <= base + extraShare * sumOf(state.traffic, now);', to: 'return true;' },
   { name: 'a new keeper begins with a small budget', rule: 'R8', file: keeper, from: 'now - state.opened < extraSpan ? Math.floor(firstBase / 2 ** (state.holdings - 1)) : extraBase', to: 'now - state.opened < extraSpan ? firstBase : extraBase' },
   { name: 'a new keeper begins with an empty ceiling', rule: 'R9', file: 'waybill/dist/keeper/state.js', from: 'tokens: 0, filled: now', to: 'tokens: (rules.perSecond ?? 0) * 3, filled: now' },
