--- a/packages/depot/src/run.ts
+++ b/packages/depot/src/run.ts
@@ -1,6 +1,6 @@
 import { type Address, type AreaName, type NodeId, toGeneration } from '@switchwheel/gauge';
 import { type WireEffect, Yard } from '@switchwheel/coupling';
-import { type Store, type StoreEffect, type StoreEvent, inSync, isPrimary, newStore, storeStep } from '@switchwheel/ledger';
+import { type Limits, type Store, type StoreEffect, type StoreEvent, inSync, isPrimary, newStore, pair, storeStep } from '@switchwheel/ledger';
 import { build } from '@switchwheel/timetable';
 import { Disk, type Log, type Reading, type Running, adminApp, inSlices, isWireEffect, newDice, newIncarnation, now, openDoor, plainReading as plain, runLoop, wait } from '@switchwheel/footplate';
 import { changeOf, findOn } from './rows.js';
@@ -13,6 +13,8 @@
   readonly seeds: readonly Address[];
   readonly data: string;
   readonly admin?: Address;
+  /** How many copies are kept, and how many may be lost at once. */
+  readonly limits?: Limits;
   /** Whether a fleet may be founded on this store. */
   readonly foundable?: boolean;
 }
@@ -45,7 +47,7 @@
     }
   };
   const isOwnWire = (effect: StoreEffect): effect is WireEffect => isWireEffect(effect);
-  const loop = runLoop<Store, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice(), boot.foundable ?? true), yard, log, run, isOwnWire);
+  const loop = runLoop<Store, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice(), boot.limits ?? pair, boot.foundable ?? true), yard, log, run, isOwnWire);
   const state = loop.store.state;
 
   let worstLag = 0;
--- a/packages/ledger/src/command/calls.ts
+++ b/packages/ledger/src/command/calls.ts
@@ -1,9 +1,5 @@
 import * as v from 'valibot';
-<<<<<<< HEAD
-import { type Hash, type Moment, type Step, drop, generation as generationSchema, hash as hashSchema, join, nextSeq, nodeId, address, put, step } from '@switchwheel/gauge';
-=======
-import { type Hash, type Moment, type Step, drop, hash as hashSchema, join, nextSeq, nodeId, address, put, release, serviceName, step } from '@switchwheel/gauge';
->>>>>>> releases
+import { type Hash, type Moment, type Step, drop, generation as generationSchema, hash as hashSchema, join, nextSeq, nodeId, address, put, release, serviceName, step } from '@switchwheel/gauge';
 import { type Colleague, type Electorate, type FrameOf, aim, send } from '@switchwheel/coupling';
 import { bundleHash, hashOf } from '@switchwheel/timetable';
 import { isPrimary } from '../duty/poll.js';
--- a/packages/testtrack/src/guard/list.ts
+++ b/packages/testtrack/src/guard/list.ts
@@ -26,7 +26,7 @@
 const decide = 'ledger/dist/command/decide.js';
 const poll = 'ledger/dist/duty/poll.js';
 const origins = 'roster/dist/origins/origins.js';
-const calls = 'roster/dist/registry/calls.js';
+const announce = 'roster/dist/registry/announce.js';
 
 export const guards: readonly Guard[] = [
   { name: 'one leg for unsafe', rule: 'R1', file: keeper, from: "how.end === 'unrun' || how.end === 'unopened' || load.repeatable;", to: 'true;' },
@@ -41,10 +41,11 @@
   { name: 'blank votes do not count', rule: 'lost write', file: stand, from: 'one !== undefined && (poll.trustBlank || !one.blank)', to: 'one !== undefined' },
   { name: 'only stores in sync are elected', rule: 'lost write', file: witness, from: 'if (ballot.duty === primary && !mine.insync.includes(ballot.node))', to: 'if (false)' },
   { name: 'only stores in sync stand', rule: 'lost write', file: poll, from: 'state.charter.insync.includes(me(state)) && state.ousted <= state.charter.epoch', to: 'true' },
-  { name: 'the backup has it before the answer', rule: 'lost write', file: job, from: 'const alone = job.charter.insync.length === 1;', to: 'const alone = true;' },
+  { name: 'the backup has it before the answer', rule: 'lost write', file: job, from: 'const whole = awaited(state, next).length === 0;\n    if (whole)\n        return join(', to: 'if (true)\n        return join(' },
+  { name: 'every backup in sync has it before the answer', rule: 'lost write', file: job, from: 'const whole = awaited(state, next).length === 0;\n    return whole ?', to: 'return true ?' },
   { name: 'the own disk has it before the answer', rule: 'lost write', file: job, from: 'return step({ ...next, job, nextId: state.nextId + 1 }, ...told, diskWrite(job.id, job.charter, stamp, puts));', to: 'return join([...told, diskWrite(job.id, job.charter, stamp, puts)], finish({ ...next, job, nextId: state.nextId + 1 }, job, now));' },
   { name: 'what lasts is never told as refused', rule: 'R2', file: job, from: 'const bounced = job.lasts ? unsure(job.results) : ', to: 'const bounced = ' },
-  { name: 'a primary answers only while it holds', rule: 'lost write', file: job, from: 'if (!holds(state.stand, now))\n        return step(state);\n    return finish(', to: 'return finish(' },
+  { name: 'a primary answers only while it holds', rule: 'lost write', file: job, from: 'if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.charter.epoch)\n        return step(state);\n    const next', to: 'const next' },
   { name: 'a generation is made from its base', rule: 'generation', file: decide, from: 'if (command.base !== undefined && command.base !== now)', to: 'if (false)' },
   { name: 'an invalid description is refused whole', rule: 'whole', file: decide, from: 'if (command.faults.length > 0)', to: 'if (false)' },
   { name: 'a call is answered once', rule: 'whole', file: decide, from: "return before === undefined ? undefined : { ...nothing, bounces: [{ ...command.asker, status: before.status, body: before.body }] };", to: 'return undefined;' },
@@ -70,7 +71,8 @@
   { name: 'a shield that slept does not tell what it had', rule: 'R7', file: shield, from: 'return this.#cab.state().woke > since && ', to: 'return false && ' },
   { name: 'leaving and gone are final', rule: 'R6', file: origins, from: 'rankOf(word.state) > rankOf(known.state) ? word.state : known.state', to: 'latest.state' },
   { name: 'an address belongs to one instance', rule: 'R6', file: origins, from: "if (word.state === 'up') {", to: 'if (false) {' },
-  { name: 'a registry out of touch takes no announcements', rule: 'R6', file: calls, from: 'if (!inTouch(state, now)) {', to: 'if (false) {' },
+  { name: 'a registry out of touch takes no announcements', rule: 'R6', file: announce, from: 'if (!inTouch(state, now)) {', to: 'if (false) {' },
+  { name: 'a departure is told once a majority has it', rule: 'R6', file: announce, from: 'return knowing.length >= majority(set.members.length);', to: 'return true;' },
   { name: 'the budget of extra legs', rule: 'R8', file: keeper, from: 'return sumOf(state.extra, now) + 1 <= base + extraShare * sumOf(state.traffic, now);', to: 'return true;' },
   { name: 'a new keeper begins with a small budget', rule: 'R8', file: keeper, from: 'now - state.opened < extraSpan ? Math.floor(firstBase / 2 ** (state.holdings - 1)) : extraBase', to: 'now - state.opened < extraSpan ? firstBase : extraBase' },
   { name: 'a new keeper begins with an empty ceiling', rule: 'R9', file: 'waybill/dist/keeper/state.js', from: 'tokens: 0, filled: now', to: 'tokens: (rules.perSecond ?? 0) * 3, filled: now' },
