--- a/packages/shunt/src/line/line.ts
+++ b/packages/shunt/src/line/line.ts
@@ -1,12 +1,13 @@
-import { type AreaName, type Dice, type InstanceId, type Kind, type Moment, type Seq, type ServiceName, between, later, roll, tally } from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
-import { type Track, match, pickService } from '@switchwheel/timetable';
+import { type AreaName, type Dice, type InstanceId, type Kind, type Moment, type Release, type Seq, type ServiceName, between, later, roll, tally } from '@switchwheel/gauge';
+import type { Fields, FrameOf } from '@switchwheel/coupling';
+import { type Track, chooseRelease, match, pickService } from '@switchwheel/timetable';
 import { moored } from '@switchwheel/roster';
 import { type Cabin, type Cache, Desk, type Entry, type Slip, conditional, cutTarget, fieldOf, handOn, mayServe } from '@switchwheel/waybill';
 import { Book, type Taste } from '../origin/book.js';
 import { type Told, type Trip, type TripEffect, type TripEvent, newTrip, tripStep } from '../trip/trip.js';
 import { type Bounds, type Cab, type Call, type LegPort, type Tell, type Word, type Words } from './port.js';
 import { Edges, Quota } from './quota.js';
+import { type Outcome, Tallies } from '../release/tally.js';
 
 /** How an edge chooses and how much it takes on. */
 export interface Manner {
@@ -39,7 +40,7 @@
   readonly slip: Slip | undefined;
   readonly tell: Tell;
   readonly taste: Taste;
-  readonly cuts: Map<number, { readonly cut: () => void; readonly instance: InstanceId; readonly since: Moment }>;
+  readonly cuts: Map<number, { readonly cut: () => void; readonly instance: InstanceId; readonly release: Release; readonly since: Moment }>;
   /** When each leg was sent, and the last purge that was acted on by then. */
   readonly births: Map<number, { readonly since: Moment; readonly purged: Seq }>;
   trip: Trip;
@@ -55,6 +56,8 @@
 /** What is left to the caller when this edge gives up. */
 const marginMs = 15;
 const shortWait = 120;
+/** How old the word of the primary may be for a trial to go on. */
+const freshSpan = 1500;
 
 /**
  * The way of a request at an edge that sends straight to origins: kept, joined, or sent. What may run, wait or be told
@@ -71,6 +74,7 @@
   readonly #quota: Quota;
   readonly #runs = new Map<number, Run>();
   readonly #flights = new Map<string, Flight>();
+  readonly #tallies = new Tallies();
   #dice: Dice;
   #epoch = 0;
   #last = 0;
@@ -103,6 +107,7 @@
   learn(cabin: Cabin): void {
     const now = this.#cab.now();
     this.#edges.note(cabin.berth.members.filter((one) => one.role === 'edge').length, now);
+    this.#tallies.note(cabin.releases.values(), now);
     for (const instance of this.book.learn(cabin.berth.origins, now)) this.#legs.forget(instance);
   }
 
@@ -157,6 +162,16 @@
     }
   }
 
+  /** What this edge counts for orders that stand, for the primary. */
+  tell(cabin: Cabin): readonly FrameOf<'tally'>[] {
+    const { node, incarnation } = cabin.berth.member;
+    return [...cabin.releases.values()].flatMap((one) => {
+      if (one.phase === 'none' || (one.phase !== 'trial' && one.phase !== 'moving' && one.leftMs <= 0)) return [];
+      const word = this.#tallies.tell(one, this.#cab.now());
+      return word === undefined ? [] : [{ kind: 'tally' as const, node, incarnation, ...word }];
+    });
+  }
+
   /** Breaks off all that is under way. */
   breakAll(): number {
     const many = this.#runs.size;
@@ -212,6 +227,7 @@
         run.cuts.delete(effect.leg);
         if (out === undefined) return undefined;
         const berth = this.book.get(out.instance);
+        this.#count(run, out.release, 'cut', between(out.since, now));
         // A leg that is cut took at least this long: a slow origin is known by it.
         if (berth !== undefined) this.book.ended(berth, Math.max(berth.typicalMs, between(out.since, now)), true, now);
         out.cut();
@@ -226,7 +242,9 @@
   #pick(run: Run, extra: boolean, now: Moment): TripEvent {
     const service = this.#cab.cabin().table?.services.get(run.service);
     if (service === undefined) return { kind: 'none', now, text: 'the service is gone', retryMs: shortWait };
-    const berth = this.book.pick(run.service, run.trip.tried, run.taste, this.#quota.room(service), () => true, now);
+    const release = this.#release(run, extra, now);
+    if (release === null) return { kind: 'none', now, text: 'no origin of a sound release stands', retryMs: 250 };
+    const berth = this.book.pick(run.service, run.trip.tried, run.taste, this.#quota.room(service), (one) => release === undefined || one.release === release, now);
     if (berth === undefined) return { kind: 'none', now, text: 'no origin stands', retryMs: 250 };
     if (extra && run.trip.tried.has(berth.instance)) return { kind: 'none', now, text: 'no other origin stands', retryMs: 250 };
     if (extra && !this.#quota.extra(run.service, now)) {
@@ -242,11 +260,23 @@
     return { kind: 'picked', now, instance: berth.instance };
   }
 
+  /** The release to send to: any if there is but one, none if only one that was judged bad is left. Further legs try no release. */
+  #release(run: Run, extra: boolean, now: Moment): Release | undefined | null {
+    const releases = this.book.releases(run.service);
+    const cabin = this.#cab.cabin();
+    const state = cabin.releases.get(run.service);
+    if (releases.size <= 1 && state === undefined) return undefined;
+    const fresh = between(cabin.releasesAt, now) < freshSpan;
+    return chooseRelease(state, releases, run.track.group, extra ? 1 : this.#roll(), fresh) ?? (releases.size === 0 ? undefined : null);
+  }
+
   #send(run: Run, leg: number, instance: InstanceId, now: Moment): void {
     const berth = this.book.get(instance);
     if (berth === undefined) return;
     const { call, track } = run;
     this.book.sent(berth);
+    const { release } = berth;
+    this.#tallies.sent(run.service, release, track.group);
     const drop = [this.#manner.words.timeLeft, this.#manner.words.instance, 'content-length', 'expect', ...(run.slip === undefined ? [] : conditional)];
     const spanMs = Math.max(1, Math.floor(between(now, run.trip.until)));
     const fields: Fields = [...handOn(call.fields, drop), [this.#manner.words.timeLeft, String(spanMs)], [this.#manner.words.instance, instance]];
@@ -262,6 +292,7 @@
         answered: (answer) => {
           if (!ended()) return;
           const at = this.#cab.now();
+          this.#count(run, release, answer.unrun ? 'cut' : answer.status < 500 ? 'good' : 'bad', answer.unrun ? 0 : between(now, at));
           if (answer.unrun) this.book.full(berth, at);
           else this.book.ended(berth, between(now, at), answer.status < 500, at);
           this.#event(run, { kind: 'answered', now: at, leg, answer });
@@ -270,12 +301,18 @@
           if (!ended()) return;
           const at = this.#cab.now();
           this.bump(sent ? 'broke' : 'unopened');
+          this.#count(run, release, sent ? 'bad' : 'cut', sent ? between(now, at) : 0);
           this.book.ended(berth, undefined, false, at);
           this.#event(run, { kind: 'broke', now: at, leg, sent, text });
         },
       },
     );
-    run.cuts.set(leg, { cut, instance, since: now });
+    run.cuts.set(leg, { cut, instance, release, since: now });
+  }
+
+  #count(run: Run, release: Release, outcome: Outcome, ms: number): void {
+    const settled = this.#cab.cabin().releases.get(run.service)?.settled;
+    this.#tallies.ended(run.service, release, run.track.group, outcome, ms, this.book.typical(run.service, settled));
   }
 
   #kept(slip: Slip, cabin: Cabin, now: Moment): Entry | undefined {
--- a/packages/shunt/src/origin/book.ts
+++ b/packages/shunt/src/origin/book.ts
@@ -113,9 +113,14 @@
     one.barredUntil = later(now, 40);
   }
 
-  /** The usual span of an answer of a service. */
-  typical(service: ServiceName): number {
-    return this.#usual(service);
+  /** The usual span of an answer of a service, or of one release of it. */
+  typical(service: ServiceName, release?: Release): number {
+    return this.#usual(service, release);
+  }
+
+  /** The releases that have an origin. */
+  releases(service: ServiceName): ReadonlySet<Release> {
+    return new Set(this.of(service).map((one) => one.release));
   }
 
   #fault(one: Berth, now: Moment): void {
@@ -123,8 +128,8 @@
     if (one.faults >= 2) one.barredUntil = later(now, Math.min(longBar, shortBar * 2 ** Math.min(6, one.faults - 2)));
   }
 
-  #usual(service: ServiceName): number {
-    const known = this.of(service).filter((one) => one.answers > 2).map((one) => one.typicalMs).sort((one, two) => one - two);
+  #usual(service: ServiceName, release?: Release): number {
+    const known = this.of(service).filter((one) => one.answers > 2 && (release === undefined || one.release === release)).map((one) => one.typicalMs).sort((one, two) => one - two);
     return known[Math.floor(known.length / 2)] ?? firstMs;
   }
 
--- a/packages/turnout/src/direct/program.ts
+++ b/packages/turnout/src/direct/program.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { Address, AreaName, NodeId } from '@switchwheel/gauge';
+import { type Address, type AreaName, type NodeId, primary } from '@switchwheel/gauge';
 import { type WireEffect, Yard, parts } from '@switchwheel/coupling';
 import { build } from '@switchwheel/timetable';
 import { type Bounds, DirectLine, type Words } from '@switchwheel/shunt';
@@ -27,6 +27,10 @@
 /** How long the platform needs to see that an edge is stopping. */
 const noticeMs = 2600;
 const mostOpen = 1024;
+/** How often counts of releases are told. */
+const tellMs = 250;
+/** How often time is let pass over the control side. */
+const tickMs = 50;
 
 /** Starts an edge that carries the bytes of its requests itself. */
 export const startDirect = async (boot: DirectBoot, log: Log): Promise<Running> => {
@@ -56,19 +60,24 @@
     }
   };
   const reduce = (state: Cabin, event: CabinEvent): ReturnType<typeof cabinStep> => cabinStep(state, event);
-  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(reduce, newCabin(member, boot.seeds, newDice()), yard, log, run, isOwnWire);
+  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(reduce, newCabin(member, boot.seeds, newDice()), yard, log, run, isOwnWire, tickMs);
   const cabin = (): Cabin => loop.store.state();
   const line = new DirectLine({ now, cabin }, cache, legs, { area: boot.area, words: boot.words, bounds: boot.bounds, most: mostOpen }, newDice());
   let stopping = false;
   const door = new DirectDoor(line, boot.words, { closing: () => stopping });
 
-  let seen: Cabin['berth'] | undefined;
+  let seen: Cabin | undefined;
+  let told = now();
   let settled = false;
   const timer = setInterval(() => {
     const one = cabin();
-    if (one.berth.origins !== seen?.origins || one.berth.members !== seen.members) line.learn(one);
-    seen = one.berth;
+    if (one.berth.origins !== seen?.berth.origins || one.berth.members !== seen.berth.members || one.releases !== seen.releases) line.learn(one);
+    seen = one;
     line.tick(now());
+    const store = one.berth.holders.get(primary);
+    if (store === undefined || now() - told < tellMs) return;
+    told = now();
+    for (const word of line.tell(one)) yard.send(store.address, word);
   }, 20);
   // Ready: a description runs, and the fleet's word of the origins has come.
   const ready = (): boolean => {
--- a/packages/waybill/src/cabin/machine.ts
+++ b/packages/waybill/src/cabin/machine.ts
@@ -1,5 +1,5 @@
 import { type Moment, type Step, join, noGeneration, put, sift, step, toMoment } from '@switchwheel/gauge';
-import { type Colleague, type Frame, type FrameOf, type Offer, type Report, log, send } from '@switchwheel/coupling';
+import { type Colleague, type Frame, type FrameOf, type Offer, type ReleaseState, type Report, log, send } from '@switchwheel/coupling';
 import { type Words, adrift, drift, hail, moored, takeHeard, takeRoster } from '@switchwheel/roster';
 import { hashOf } from '@switchwheel/timetable';
 import { handOver, heldNow, onHandover, onVote, passDuties, takeVacant } from './duties.js';
@@ -81,9 +81,15 @@
   return step(state);
 };
 
+/** Only the highest state of a service counts, whoever tells it. */
+const learnReleases = (known: Cabin['releases'], told: readonly ReleaseState[]): Cabin['releases'] => {
+  const fresh = told.filter((one) => one.serial >= (known.get(one.service)?.serial ?? 0));
+  return fresh.length === 0 ? known : new Map([...known, ...fresh.map((one) => [one.service, one] as const)]);
+};
+
 const onHeard = (before: Cabin, from: Colleague, word: FrameOf<'heard'>, now: Moment): Done => {
   const berth = takeHeard(before.berth, from, word, now);
-  const purged = onPurges({ ...takeVacant({ ...before, berth }, word, now), verdicts: word.verdicts }, word);
+  const purged = onPurges({ ...takeVacant({ ...before, berth }, word, now), verdicts: word.verdicts, releases: learnReleases(before.releases, word.releases), releasesAt: word.age === undefined ? before.releasesAt : now }, word);
   let state = purged.state;
   if (word.age !== undefined && word.at > 0 && state.purged >= word.top && before.berth.moor?.address === from.address) {
     const asOf = toMoment(word.at - word.age);
--- a/packages/waybill/src/cabin/state.ts
+++ b/packages/waybill/src/cabin/state.ts
@@ -1,7 +1,7 @@
 import {
-  type Address, type Dice, type Duty, type Hash, type Moment, type Seq, type ServiceName, noSeq,
+  type Address, type Dice, type Duty, type Hash, type Moment, type Seq, type ServiceName, noSeq, start,
 } from '@switchwheel/gauge';
-import type { Member, Offer, Purge, Verdict, WireEffect, WireEvent } from '@switchwheel/coupling';
+import type { Member, Offer, Purge, ReleaseState, Verdict, WireEffect, WireEvent } from '@switchwheel/coupling';
 import type { Stand } from '@switchwheel/ballot';
 import { type Berth, newBerth } from '@switchwheel/roster';
 import type { Fault, Table } from '@switchwheel/timetable';
@@ -24,6 +24,9 @@
   /** As of when this node is known to have acted on every accepted purge. */
   readonly asOf: Moment | undefined;
   readonly verdicts: readonly Verdict[];
+  /** Which release each service's requests go to, as last told. */
+  readonly releases: ReadonlyMap<ServiceName, ReleaseState>;
+  readonly releasesAt: Moment;
   readonly stands: ReadonlyMap<ServiceName, Stand>;
   /** Since when each duty is seen vacant. */
   readonly vacant: ReadonlyMap<Duty, Moment>;
@@ -47,6 +50,6 @@
 
 export const newCabin = (member: Member, seeds: readonly Address[], dice: Dice): Cabin => ({
   berth: newBerth(member, seeds, { seed: dice.seed ^ 0x2545f491 }), table: undefined, fitting: { phase: 'idle' }, pieces: new Map(), failed: undefined,
-  purged: noSeq, asOf: undefined, verdicts: [], stands: new Map(), vacant: new Map(), stopping: false, dice,
+  purged: noSeq, asOf: undefined, verdicts: [], releases: new Map(), releasesAt: start, stands: new Map(), vacant: new Map(), stopping: false, dice,
 });
 
