A node leaves a registry that has no fresh word of the primary

Cause: a registry cut off from the primary, or just started, answers hails but brings no descriptions and no purges; its nodes stayed with it for as long as it spoke.

Ruled out: leaving at the first answer without an age (a primary that changes leaves all registries without one for a moment); moving before the fleet is known (a founding would set every node wandering).

Before: only a registry silent for 700 ms, or whose channel ended, was left.

After: 500 ms of answers without an age, from a registry of a founded fleet, send the node to another, at most once in 500 ms; the session stands.

Conclusion: nodes go after 1.2 s of the registry's word growing old and half a second more.

--- a/packages/roster/src/berth/berth.ts
+++ b/packages/roster/src/berth/berth.ts
@@ -9,12 +9,16 @@
 export const hailSpan = 250;
 /** How long a registry may be silent before the node goes to another. */
 export const deafSpan = 700;
+/** How long a registry may have no fresh word of the primary before the node goes to another, and how long it stays at least. */
+const staleSpan = 500;
 const looseSpan = 1200;
 
 interface Moor {
   readonly address: Address;
   readonly since: Moment;
   readonly heard: Moment | undefined;
+  /** Since when it has no fresh word of the primary. */
+  readonly stale: Moment | undefined;
 }
 
 /** A node's side of its session, and what it learned of the fleet through it. */
@@ -50,11 +54,15 @@
   const pool = others.length > 0 ? others : registries(berth);
   const [chance, dice] = roll(berth.dice);
   const address = pool[Math.floor(chance * pool.length)];
-  return { ...berth, dice, moor: address === undefined ? undefined : { address, since: now, heard: undefined } };
+  return { ...berth, dice, moor: address === undefined ? undefined : { address, since: now, heard: undefined, stale: undefined } };
 };
 
 const quiet = (moor: Moor, now: Moment): boolean => now - (moor.heard ?? moor.since) > deafSpan;
 
+/** Whether this registry has been without word of the primary for too long, and there is another one to go to. */
+const outdated = (berth: Berth, moor: Moor, now: Moment): boolean =>
+  moor.stale !== undefined && now - moor.stale > staleSpan && now - moor.since >= staleSpan && registries(berth).some((one) => one !== moor.address);
+
 /** Whether the session stands. */
 export const moored = (berth: Berth, now: Moment): boolean =>
   berth.heard > start && now - berth.heard < looseSpan;
@@ -79,13 +87,15 @@
   }));
 };
 
-/** Lets time pass: hails when it is due, goes to another registry when this one is silent. */
+/** Lets time pass: hails when it is due, goes to another registry when this one is silent or knows nothing new. */
 export const drift = (berth: Berth, words: Words, now: Moment): Step<Berth, WireEffect> => {
   if (berth.moor === undefined || quiet(berth.moor, now)) {
     const lost = berth.moor?.heard === undefined ? [] : [log('warn', 'registry is silent, going to another', ['registry', berth.moor.address])];
     const moved = elect(berth, now);
     return join(lost, hail(moved, words, now));
   }
+  // The session stands meanwhile: the next registry takes it on where this one had it.
+  if (outdated(berth, berth.moor, now)) return hail(elect(berth, now), words, now);
   return now - berth.hailed >= hailSpan ? hail(berth, words, now) : step(berth);
 };
 
@@ -114,12 +124,14 @@
   if (berth.moor?.address !== from.address) return berth;
   const known = berth.electorate;
   const next = word.electorate;
+  const fleet = word.fleet ?? berth.fleet;
+  const stale = word.age !== undefined || fleet === undefined ? undefined : berth.moor.stale ?? now;
   return {
     ...berth,
     heard: now,
-    moor: { ...berth.moor, heard: now },
+    moor: { ...berth.moor, heard: now, stale },
     electorate: next !== undefined && (known === undefined || next.serial > known.serial) ? next : known,
-    fleet: word.fleet ?? berth.fleet,
+    fleet,
   };
 };
 
--- /dev/null
+++ b/packages/testtrack/src/run/moor.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { moored } from '@switchwheel/roster';
+import type { SimProxy } from '../cast/proxy.js';
+import { type Scene, close, scene, seeds } from './stage.js';
+
+const registryOf = (proxy: SimProxy): string | undefined => proxy.state?.cabin.berth.moor?.address;
+
+/** Lets time pass and counts how often each node changes its registry; its session must stand all the while. */
+const watch = (run: Scene, span: number): ReadonlyMap<SimProxy, readonly number[]> => {
+  const moves = new Map<SimProxy, number[]>();
+  const last = new Map(run.world.proxies.map((one) => [one, registryOf(one)]));
+  for (let at = 0; at < span; at += 5) {
+    run.world.run(5);
+    for (const proxy of run.world.proxies) {
+      const { state } = proxy;
+      assert.ok(state !== undefined && moored(state.cabin.berth, proxy.clock), `the session of ${proxy.node} stands`);
+      const now = registryOf(proxy);
+      if (now !== last.get(proxy)) moves.set(proxy, [...moves.get(proxy) ?? [], run.world.agenda.now]);
+      last.set(proxy, now);
+    }
+  }
+  return moves;
+};
+
+void test('a registry that no longer hears the primary is left by its nodes, though it answers; what is applied then is in force everywhere', () => {
+  for (const seed of seeds(4)) {
+    const run = scene(seed, 40);
+    run.callers.begin();
+    run.world.run(2000);
+    const edge = run.world.edges[0];
+    const registry = run.world.registries.find((one) => edge !== undefined && one.address === registryOf(edge));
+    assert.ok(edge !== undefined && registry !== undefined);
+    for (const store of run.world.stores) {
+      run.world.net.cut(store.node, registry.node);
+      run.world.net.cut(registry.node, store.node);
+    }
+    // Its word of the primary counts for 1.2 s, half a second later nodes go.
+    watch(run, 2200);
+    const write = run.world.apply(50);
+    assert.ok(run.world.until(4000, () => write.told !== undefined));
+    watch(run, 1500);
+    assert.ok(run.world.proxies.every((one) => registryOf(one) !== registry.address), 'nobody stays or comes back');
+    run.world.net.heal();
+    run.world.run(3000);
+    assert.deepEqual(close(run), []);
+  }
+});
+
+void test('with no primary at all nodes look around, each at most twice a second, and their sessions stand', () => {
+  for (const seed of seeds(2)) {
+    const run = scene(seed, 20);
+    run.callers.begin();
+    run.world.run(2000);
+    for (const store of run.world.stores) store.kill();
+    const moves = watch(run, 6000);
+    assert.equal(moves.size, run.world.proxies.length, 'everyone looks around');
+    for (const times of moves.values()) for (const [at, time] of times.entries()) assert.ok(at === 0 || time - (times[at - 1] ?? 0) >= 490, times.join(', '));
+    for (const store of run.world.stores) store.start();
+    run.world.run(6000);
+    const after = watch(run, 1500);
+    assert.equal(after.size, 0, 'with a primary everyone stays');
+    assert.deepEqual(close(run), []);
+  }
+});
