The electorate follows the registries, if the setting says so

Cause: machines of the core are replaced for good without an operator who changes the witnesses; after a few such changes no majority would be left.

Ruled out: swapping a seat in one change (majorities of the two electorates need not meet); taking every seat that is silent (a remnant of three could shrink further); doing it by default (the product's operators change it).

Before: only `switchwheel witness add|remove` changed the electorate.

After: settings `copies`, `tolerate` and `electorate` of depot (2, 1, fixed). With `follows` the primary gives a seat to a registry in touch for 3 s, and takes that of a witness silent for 15 s when the electorate is even or more than one is lost. An operator's change made from an older electorate is answered 409 instead of overwriting the newer one.

--- a/packages/depot/src/boot.ts
+++ b/packages/depot/src/boot.ts
@@ -9,6 +9,9 @@
     ...commonSettings,
     { name: 'data', type: 'text', help: 'the one folder that all files live under' },
     { name: 'admin', type: 'text', help: 'IP:port for /live, /ready and /metrics' },
+    { name: 'copies', type: 'number', help: 'stores that must have each write (2)' },
+    { name: 'tolerate', type: 'number', help: 'machines with a disk that may be lost at once (1)' },
+    { name: 'electorate', type: 'text', help: 'fixed, or follows the registries (fixed)' },
   ],
 };
 
@@ -16,4 +19,7 @@
   ...common,
   data: v.pipe(v.string('a folder'), v.minLength(1, 'a folder')),
   admin: address,
+  copies: v.optional(v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(1, 'at least 1'), v.maxValue(15, 'at most 15')), 2),
+  tolerate: v.optional(v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(0, 'at least 0'), v.maxValue(14, 'at most 14')), 1),
+  electorate: v.optional(v.picklist(['fixed', 'follows'], 'fixed or follows'), 'fixed'),
 });
--- a/packages/depot/src/main.ts
+++ b/packages/depot/src/main.ts
@@ -38,8 +38,9 @@
       break;
   }
 };
+const limits = { copies: boot.copies, tolerate: boot.tolerate, follow: boot.electorate === 'follows' };
 const isOwnWire = (effect: StoreEffect): effect is WireEffect => isWireEffect(effect);
-const loop = runLoop<ReturnType<typeof newStore>, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice()), yard, log, run, isOwnWire);
+const loop = runLoop<ReturnType<typeof newStore>, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice(), limits), yard, log, run, isOwnWire);
 const state = loop.store.state;
 
 let worstLag = 0;
--- a/packages/ledger/src/command/decide.ts
+++ b/packages/ledger/src/command/decide.ts
@@ -123,9 +123,14 @@
     case 'electorate': {
       const again = repeated(control, command);
       if (again !== undefined) return again;
+      if (state.charter !== undefined && command.electorate.serial <= state.charter.electorate.serial) {
+        return { ...nothing, bounces: [told(command, 409, { kind: 'stale', text: 'the electorate changed meanwhile; ask again with a new id' })] };
+      }
       const result = told(command, 200, { kind: 'accepted', electorate: command.electorate });
       return { ...nothing, results: [result], puts: kept(control, result, seq), electorate: command.electorate };
     }
+    case 'seats':
+      return { ...nothing, electorate: command.electorate };
     case 'node':
       return decideNode(control, command);
     case 'forget':
--- a/packages/ledger/src/machine.ts
+++ b/packages/ledger/src/machine.ts
@@ -1,6 +1,7 @@
 import { type Moment, type Step, alike, drop, join, noGeneration, noSeq, put, start, step } from '@switchwheel/gauge';
 import { type Colleague, type Frame, type FrameOf, type Report, log } from '@switchwheel/coupling';
 import { count, hear, heldEpoch, pass } from '@switchwheel/ballot';
+import { nextElectorate } from './duty/seats.js';
 import { type Words, adrift, drift, hail, highest, takeHeard, takeRoster } from '@switchwheel/roster';
 import { absorbAll, noControl } from '@switchwheel/timetable';
 import { onCall, onCompiled, onPiece, onWant, passCalls, queue } from './command/calls.js';
@@ -15,6 +16,8 @@
 const planSpan = 60_000;
 const tickSpan = 5000;
 const lostSpan = 2000;
+/** How long a registry may be silent and still count as in touch without a break. */
+const breakSpan = 1000;
 /** How long a node may be out of touch before it is forgotten. */
 const forgetSpan = 3_600_000;
 
@@ -64,7 +67,9 @@
 
 const onTune = (state: Store, word: FrameOf<'tune'>, now: Moment): Done => {
   if (!isPrimary(state, now)) return step(state);
-  const row = { address: word.registry.address, at: now, serial: word.epoch === heldEpoch(state.stand) ? word.serial : noSeq, purged: word.purged };
+  const before = state.tuned.get(word.registry.node);
+  const since = before !== undefined && now - before.at < breakSpan ? before.since : now;
+  const row = { address: word.registry.address, since, at: now, serial: word.epoch === heldEpoch(state.stand) ? word.serial : noSeq, purged: word.purged };
   let next: Store = { ...state, tuned: put(state.tuned, word.registry.node, row) };
   const effects: StoreEffect[] = [...feedOne(next, row, word.at)];
   let touch = next.touch;
@@ -112,8 +117,18 @@
   return next;
 };
 
+/** Lets the electorate follow the registries, one seat at a time. */
+const seat = (state: Store, now: Moment): Done => {
+  const open = state.job !== undefined || state.waitlist.some((one) => one.kind === 'electorate' || one.kind === 'seats');
+  const electorate = state.limits.follow && !open ? nextElectorate(state, now) : undefined;
+  if (electorate === undefined) return step(state);
+  const queued = queue({ ...state, seated: now }, { kind: 'seats', electorate }, now);
+  return join([log('info', 'the electorate follows the registries', ['members', electorate.members.map((one) => one.node).join(', ')])], queued);
+};
+
 const lead = (state: Store, now: Moment): Done => {
-  let next = lose(state, now);
+  const seated = seat(state, now);
+  let next = join(seated.effects, lose(seated.state, now));
   if (now - next.state.planned >= planSpan) next = join(next.effects, queue({ ...next.state, planned: now }, { kind: 'plan' }, now));
   const due = next.state.due;
   if ((due !== undefined && now >= due) || now - next.state.turned >= tickSpan) {
--- a/packages/ledger/src/state/state.ts
+++ b/packages/ledger/src/state/state.ts
@@ -19,6 +19,7 @@
   | { readonly kind: 'apply'; readonly asker: Asker; readonly hash: Hash; readonly order: readonly Hash[]; readonly base: Generation | undefined; readonly faults: readonly Fault[] }
   | { readonly kind: 'purge'; readonly asker: Asker; readonly aims: readonly Aim[] }
   | { readonly kind: 'electorate'; readonly asker: Asker; readonly electorate: Electorate }
+  | { readonly kind: 'seats'; readonly electorate: Electorate }
   | { readonly kind: 'node'; readonly node: NodeId; readonly role: string; readonly incarnation: Incarnation; readonly online: boolean; readonly report: Report }
   | { readonly kind: 'forget'; readonly node: NodeId }
   | { readonly kind: 'trial'; readonly to: Address; readonly word: TrialWord }
@@ -47,8 +48,10 @@
 export interface Limits {
   readonly copies: number;
   readonly tolerate: number;
+  /** Whether registries that come become witnesses, and take the seats of those that are gone, by themselves. */
+  readonly follow: boolean;
 }
-export const pair: Limits = { copies: 2, tolerate: 1 };
+export const pair: Limits = { copies: 2, tolerate: 1, follow: false };
 
 /** A write under way: first on this disk, then on those of the backups in sync. */
 export interface Job {
@@ -96,6 +99,8 @@
 
 export interface Tuned {
   readonly address: Address;
+  /** Since when it has been in touch without a break. */
+  readonly since: Moment;
   readonly at: Moment;
   readonly serial: Seq;
   readonly purged: Seq;
@@ -147,6 +152,8 @@
   readonly greeted: Moment;
   readonly planned: Moment;
   readonly turned: Moment;
+  /** When the electorate last followed the registries. */
+  readonly seated: Moment;
   readonly due: Moment | undefined;
   readonly seen: Seen;
   readonly opened: Moment | undefined;
@@ -161,7 +168,7 @@
 export const newStore = (member: Member, seeds: readonly Address[], dice: Dice, limits = pair): Store => ({
   berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), limits, phase: 'reading', born: start, trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
   stand: newStand(member.node, primary, []), serving: false, muted: false, job: undefined, chore: undefined, mends: [], waitlist: [], compiling: new Map(), spare: new Map(),
-  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, due: undefined,
+  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, due: undefined,
   seen: new Map(), opened: undefined, diskFull: undefined, shunned: start, nextId: 1, dice,
 });
 
--- a/packages/testtrack/src/run/copies.test.ts
+++ b/packages/testtrack/src/run/copies.test.ts
@@ -4,9 +4,9 @@
 import type { Write } from '../world/world.js';
 import { type Scene, close, scene, seeds } from './stage.js';
 
-const fleet = (seed: number, change: { readonly stores?: number; readonly copies?: number; readonly tolerate?: number } = {}): Scene => {
-  const { stores = 3, copies = 3, tolerate = 1 } = change;
-  const run = scene(seed, 5, { edges: 2, shields: 2, stores, limits: { copies, tolerate } });
+const fleet = (seed: number, change: { readonly stores?: number; readonly copies?: number; readonly tolerate?: number; readonly follow?: boolean } = {}): Scene => {
+  const { stores = 3, copies = 3, tolerate = 1, follow = false } = change;
+  const run = scene(seed, 5, { edges: 2, shields: 2, stores, limits: { copies, tolerate, follow } });
   run.callers.begin();
   assert.ok(run.world.until(10_000, () => inSync(run).length === copies), `in sync at first: ${inSync(run).join(', ')}`);
   return run;
@@ -273,3 +273,45 @@
     assert.deepEqual(close(run), []);
   }
 });
+
+const seats = (run: Scene): readonly string[] => [...run.world.primary()?.state?.charter?.electorate.members.map((one) => one.node) ?? []].sort();
+
+void test('the electorate follows the registries: all are replaced one after the other without an operator, and the new ones elect', () => {
+  for (const seed of seeds(2)) {
+    const run = fleet(seed, { follow: true });
+    const write = confirmed(run, 100);
+    const before = seats(run);
+    for (const [at, gone] of [...run.world.registries].entries()) {
+      const fresh = run.world.addRegistry(`new-${at + 1}`, at + 1);
+      assert.ok(run.world.until(8000, () => seats(run).includes(fresh.node)), `${fresh.node} has a seat`);
+      run.world.dropRegistry(gone);
+      assert.ok(run.world.until(21_000, () => seats(run).length === before.length && !seats(run).includes(gone.node)), `${gone.node} has none: ${seats(run).join(', ')}`);
+    }
+    assert.deepEqual(seats(run), run.world.registries.map((one) => one.node).sort());
+    const primary = run.world.primary();
+    primary?.kill();
+    assert.ok(run.world.until(2500, () => run.world.primary() !== undefined));
+    primary?.start();
+    keptAll(run, [write], 3, `seed ${seed}`);
+    assert.deepEqual(close(run), []);
+  }
+});
+
+void test('the electorate stays as it is: without the setting, for a witness that is away for less than 15 s, and for one whose seat nobody can take', () => {
+  for (const follow of [false, true]) {
+    const run = fleet(500, { follow });
+    const before = seats(run);
+    const [away] = run.world.registries;
+    assert.ok(away !== undefined);
+    if (!follow) run.world.addRegistry('new-1', 1);
+    away.kill();
+    for (let turn = 0; turn < 20; turn += 1) {
+      run.world.run(1000);
+      assert.deepEqual(seats(run), before);
+    }
+    away.start();
+    run.world.run(6000);
+    assert.deepEqual(seats(run), before);
+    assert.deepEqual(close(run), []);
+  }
+});
