--- a/packages/depot/src/main.ts
+++ b/packages/depot/src/main.ts
@@ -12,5 +12,6 @@
   process.stderr.write(`${program.name}: data: the folder can't be used: ${problem instanceof Error ? problem.message : 'unknown'}\n`);
   process.exit(2);
 }
-const running = await startStore(boot, log, disk);
+const limits = { copies: boot.copies, tolerate: boot.tolerate, follow: boot.electorate === 'follows' };
+const running = await startStore({ ...boot, limits }, log, disk);
 onStop(log, running.stop);
