--- a/packages/depot/src/run.ts
+++ b/packages/depot/src/run.ts
@@ -15,6 +15,8 @@
   readonly admin?: Address;
   /** How many copies are kept, and how many may be lost at once. */
   readonly limits?: Limits;
+  /** How often time is let pass, in milliseconds. */
+  readonly tickMs?: number;
   /** Whether a fleet may be founded on this store. */
   readonly foundable?: boolean;
 }
@@ -47,7 +49,7 @@
     }
   };
   const isOwnWire = (effect: StoreEffect): effect is WireEffect => isWireEffect(effect);
-  const loop = runLoop<Store, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice(), boot.limits ?? pair, boot.foundable ?? true), yard, log, run, isOwnWire);
+  const loop = runLoop<Store, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice(), boot.limits ?? pair, boot.foundable ?? true), yard, log, run, isOwnWire, boot.tickMs);
   const state = loop.store.state;
 
   let worstLag = 0;
--- a/packages/footplate/src/run/loop.ts
+++ b/packages/footplate/src/run/loop.ts
@@ -25,6 +25,7 @@
   run: (effect: F, tell: Loop<S, E | WireEvent>['tell']) => void,
   isWire: (effect: F | WireEffect) => effect is WireEffect,
   span = tickSpan,
+  also: () => void = () => undefined,
 ): Loop<S, E | WireEvent> => {
   const effect = (one: F | WireEffect): void => {
     if (!isWire(one)) run(one, tell);
@@ -43,6 +44,7 @@
     worst = Math.max(worst, at - last - span);
     last = at;
     tell((moment) => ({ kind: 'tick', now: moment }));
+    also();
   }, span);
   return {
     store, tell,
--- a/packages/turnout/src/direct/program.ts
+++ b/packages/turnout/src/direct/program.ts
@@ -29,8 +29,8 @@
 const mostOpen = 1024;
 /** How often counts of releases are told. */
 const tellMs = 250;
-/** How often time is let pass over the control side. */
-const tickMs = 50;
+/** How often time is let pass, over the control side and over requests under way. */
+const tickMs = 30;
 
 /** Starts an edge that carries the bytes of its requests itself. */
 export const startDirect = async (boot: DirectBoot, log: Log): Promise<Running> => {
@@ -60,7 +60,7 @@
     }
   };
   const reduce = (state: Cabin, event: CabinEvent): ReturnType<typeof cabinStep> => cabinStep(state, event);
-  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(reduce, newCabin(member, boot.seeds, newDice()), yard, log, run, isOwnWire, tickMs);
+  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(reduce, newCabin(member, boot.seeds, newDice()), yard, log, run, isOwnWire, tickMs, () => pass());
   const cabin = (): Cabin => loop.store.state();
   const line = new DirectLine({ now, cabin }, cache, legs, { area: boot.area, words: boot.words, bounds: boot.bounds, most: mostOpen }, newDice());
   let stopping = false;
@@ -69,7 +69,7 @@
   let seen: Cabin | undefined;
   let told = now();
   let settled = false;
-  const timer = setInterval(() => {
+  const pass = (): void => {
     const one = cabin();
     if (one.berth.origins !== seen?.berth.origins || one.berth.members !== seen.berth.members || one.releases !== seen.releases) line.learn(one);
     seen = one;
@@ -78,7 +78,7 @@
     if (store === undefined || now() - told < tellMs) return;
     told = now();
     for (const word of line.tell(one)) yard.send(store.address, word);
-  }, 20);
+  };
   // Ready: a description runs, and the fleet's word of the origins has come.
   const ready = (): boolean => {
     const one = cabin();
@@ -104,7 +104,6 @@
       while ((door.open > 0 || line.open > 0) && now() - since < boot.stopMs - 300) await wait(10);
       if (line.open > 0) log.write('warn', 'requests are broken off by the stop', new Map([['open', line.breakAll()]]));
       await wait(50);
-      clearInterval(timer);
       door.hang();
       readyServer.close();
       readyServer.closeAllConnections();
--- a/packages/yardmaster/src/run.ts
+++ b/packages/yardmaster/src/run.ts
@@ -22,13 +22,22 @@
   readonly state: () => Registry;
 }
 
+/** What a fleet that founds itself gives a registry besides. */
+export interface RegistryWays {
+  readonly proposal?: Proposal | undefined;
+  /** Whether nodes that run nothing may start on what disks hold. */
+  readonly eager?: boolean;
+  /** How often time is let pass, in milliseconds. */
+  readonly tickMs?: number;
+}
+
 interface Answer {
   readonly status: number;
   readonly body: string;
 }
 
 /** Starts a registry; `app` makes its door for origins and operators. */
-export const startRegistry = async (boot: RegistryBoot, log: Log, app: (inside: Inside) => Koa, proposal?: Proposal, eager = false): Promise<Running> => {
+export const startRegistry = async (boot: RegistryBoot, log: Log, app: (inside: Inside) => Koa, { proposal, eager, tickMs }: RegistryWays = {}): Promise<Running> => {
   const member = { node: boot.node, role: 'registry' as const, area: boot.area, address: boot.listen, door: boot.door, admin: boot.door, incarnation: newIncarnation() };
   const yard = new Yard({ node: member.node, address: member.address, incarnation: member.incarnation });
   const waiting = new Map<number, (answer: Answer) => void>();
@@ -40,7 +49,7 @@
     waiting.delete(effect.ref);
   };
   const isOwnWire = (effect: RegistryEffect): effect is WireEffect => isWireEffect(effect);
-  const loop = runLoop<Registry, RegistryEvent, OwnEffect>(registryStep, newRegistry(member, boot.seeds, now(), newDice(), proposal, eager), yard, log, run, isOwnWire);
+  const loop = runLoop<Registry, RegistryEvent, OwnEffect>(registryStep, newRegistry(member, boot.seeds, now(), newDice(), proposal, eager ?? false), yard, log, run, isOwnWire, tickMs);
   const state = loop.store.state;
 
   const ask = (call: Outside): Promise<Answer> => new Promise((done) => {
