Origins that stand are on disk, and used for a short time after a full loss; more bounds from settings

Cause: after a full loss edges knew an origin only when it spoke again, up to 1.5 s later: late and refused answers in the second window after it. Ruled out: trusting the record for longer (an origin that left meanwhile would be asked). Canary share and slack, and how long caches may speak, come from the settings now.

--- a/packages/coupling/src/frame/control.ts
+++ b/packages/coupling/src/frame/control.ts
@@ -25,7 +25,7 @@
 export const memory = v.object({ duty: g.duty, epoch: g.epoch, node: g.nodeId, insync: v.array(g.nodeId) });
 export type Memory = v.InferOutput<typeof memory>;
 
-const hint = v.object({ kind: kind('hint'), node: g.nodeId, address: g.address, epoch: g.epoch, fleet: g.fleetId, offer });
+const hint = v.object({ kind: kind('hint'), node: g.nodeId, address: g.address, epoch: g.epoch, fleet: g.fleetId, offer, origins: v.array(origin) });
 
 export const controlFrames = [
   v.object({ kind: kind('hail'), member, seq: g.seq, at: g.moment, report, bye: v.boolean(), held: v.array(holder), purged: g.seq }),
--- a/packages/ledger/src/command/decide.ts
+++ b/packages/ledger/src/command/decide.ts
@@ -5,6 +5,7 @@
 } from '@switchwheel/timetable';
 import * as v from 'valibot';
 import { decideOrder, decideRelease } from './order.js';
+import { originPuts } from '../origins/origins.js';
 import type { CallResult, Command, Store } from '../state/state.js';
 
 /** What a command comes to: changes of the table, and what to tell whom once they last. */
@@ -151,6 +152,8 @@
     }
     case 'release':
       return { ...nothing, puts: decideRelease(control, command.next) };
+    case 'origins':
+      return { ...nothing, puts: originPuts(control.origins, state.berth.origins, command.sure, now) };
     case 'plan':
       return { ...nothing, puts: guard(control, plan(control, policyOf(control))) };
     case 'turn': {
--- a/packages/ledger/src/machine.ts
+++ b/packages/ledger/src/machine.ts
@@ -9,6 +9,7 @@
 import { feedOne } from './feed/feed.js';
 import { endHolding, onCopied, onSynced, onUnsynced, onWon, passJob, retire } from './job/job.js';
 import { greet, onChoreSynced, onChoreUnsynced, onCopy, onFetch, onFound, onGreet, onListing, onMend } from './mend/mend.js';
+import { passOrigins, recalled } from './origins/origins.js';
 import { onTally, passReleases } from './release/release.js';
 import type { Found, StoreEffect, StoreEvent } from './state/event.js';
 import { type Store, me } from './state/state.js';
@@ -133,6 +134,7 @@
   let next = join(seated.effects, lose(seated.state, now));
   if (now - next.state.planned >= planSpan) next = join(next.effects, queue({ ...next.state, planned: now }, { kind: 'plan' }, now));
   next = join(next.effects, passReleases(next.state, now));
+  next = join(next.effects, passOrigins(next.state, now));
   const due = next.state.due;
   if ((due !== undefined && now >= due) || now - next.state.turned >= tickSpan) {
     next = join(next.effects, queue({ ...next.state, due: undefined, turned: now }, { kind: 'turn' }, now));
@@ -146,7 +148,7 @@
   const { charter, berth } = state;
   if (offer === undefined || charter === undefined || berth.moor === undefined || isPrimary(state, now) || now - state.led < quietSpan) return [];
   const { node, address } = berth.member;
-  return [send(berth.moor.address, { kind: 'hint', node, address, epoch: charter.epoch, fleet: charter.fleet, offer })];
+  return [send(berth.moor.address, { kind: 'hint', node, address, epoch: charter.epoch, fleet: charter.fleet, offer, origins: recalled(state) })];
 };
 
 const onTick = (state: Store, now: Moment): Done => {
--- a/packages/ledger/src/release/release.ts
+++ b/packages/ledger/src/release/release.ts
@@ -45,7 +45,7 @@
 const pass = (state: Store, order: ReleaseOrder, now: Moment): Done => {
   const own = state.watches.get(order.service);
   if (own === undefined || !counts(order, spentAt(own, now)) || waits(state, order.service)) return step(state);
-  const next = advance(order, own, standingOf(state, order.service), now, releaseSettings);
+  const next = advance(order, own, standingOf(state, order.service), now, state.limits.releases ?? releaseSettings);
   if (next === order) return step(state);
   const told = next.phase === order.phase ? [] : [
     log('info', 'an order of a release goes on', ['service', order.service], ['target', next.target ?? ''], ['phase', next.phase], ['spent', Math.round(next.spentMs)], ['why', next.text]),
--- a/packages/ledger/src/state/state.ts
+++ b/packages/ledger/src/state/state.ts
@@ -5,7 +5,7 @@
 import type { Aim, Charter, Colleague, Electorate, FrameOf, Member, Put, Report, Stamp } from '@switchwheel/coupling';
 import { type Stand, newStand } from '@switchwheel/ballot';
 import { type Berth, newBerth } from '@switchwheel/roster';
-import { type Control, type Fault, type ReleaseOrder, type Seen, type Watch, noControl } from '@switchwheel/timetable';
+import { type Control, type Fault, type ReleaseOrder, type Seen, type Watch, noControl, type ReleaseSettings } from '@switchwheel/timetable';
 import type { Table } from '../table/table.js';
 
 /** Who waits for the answer to a call. */
@@ -25,6 +25,7 @@
   | { readonly kind: 'trial'; readonly to: Address; readonly word: TrialWord }
   | { readonly kind: 'order'; readonly asker: Asker; readonly service: ServiceName; readonly target: Release; readonly spanMs: number }
   | { readonly kind: 'release'; readonly next: ReleaseOrder }
+  | { readonly kind: 'origins'; readonly sure: boolean }
   | { readonly kind: 'plan' }
   | { readonly kind: 'turn' };
 
@@ -52,6 +53,10 @@
   readonly tolerate: number;
   /** Whether registries that come become witnesses, and take the seats of those that are gone, by themselves. */
   readonly follow: boolean;
+  /** Whether the origins that stand are kept on disk. */
+  readonly origins?: boolean;
+  /** What a release on trial is held to. */
+  readonly releases?: ReleaseSettings;
 }
 export const pair: Limits = { copies: 2, tolerate: 1, follow: false };
 
@@ -155,6 +160,8 @@
   /** When a primary was last heard. */
   readonly led: Moment;
   readonly greeted: Moment;
+  /** When the origins were last looked at. */
+  readonly noted: Moment;
   readonly planned: Moment;
   readonly turned: Moment;
   /** When the electorate last followed the registries. */
@@ -175,7 +182,7 @@
 export const newStore = (member: Member, seeds: readonly Address[], dice: Dice, limits = pair, foundable = true): Store => ({
   foundable, berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), limits, phase: 'reading', born: start, trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
   stand: newStand(member.node, primary, []), serving: false, muted: false, job: undefined, chore: undefined, mends: [], waitlist: [], compiling: new Map(), spare: new Map(),
-  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, due: undefined,
+  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, noted: start, due: undefined,
   watches: new Map(), seen: new Map(), opened: undefined, diskFull: undefined, shunned: start, nextId: 1, dice,
 });
 
--- a/packages/roster/src/registry/hint.test.ts
+++ b/packages/roster/src/registry/hint.test.ts
@@ -12,7 +12,7 @@
 const fleet = toFleetId('f1');
 
 const hint = (epoch: number, generation: number): FrameOf<'hint'> => ({
-  kind: 'hint', node: store.node, address: store.address, epoch: toEpoch(epoch), fleet, offer: { generation: toGeneration(generation), hash: toHash(String(generation % 10).repeat(64)), pieces: [] },
+  kind: 'hint', node: store.node, address: store.address, epoch: toEpoch(epoch), fleet, offer: { generation: toGeneration(generation), hash: toHash(String(generation % 10).repeat(64)), pieces: [] }, origins: [],
 });
 const from = (one: Member): { readonly node: Member['node']; readonly address: Member['address']; readonly incarnation: Member['incarnation'] } => ({ node: one.node, address: one.address, incarnation: one.incarnation });
 const hail = (generation: number): FrameOf<'hail'> => ({
--- a/packages/roster/src/registry/machine.ts
+++ b/packages/roster/src/registry/machine.ts
@@ -8,7 +8,7 @@
 import type { RegistryEffect, RegistryEvent } from './event.js';
 import { learnHint, learnSession, onHail, onPiece, onWant, push, vacant } from './nodes.js';
 import { type Feed, type Known, type Registry, newRegistry } from './state.js';
-import { alive, audience, colleagues, gossip, plainReport, primaryHolder, spread, tellNodes } from './words.js';
+import { alive, audience, colleagues, feedAge, gossip, plainReport, primaryHolder, spread, tellNodes } from './words.js';
 
 type Done = Step<Registry, RegistryEffect>;
 const gossipSpan = 300;
@@ -134,6 +134,14 @@
   return join(next.effects, chase(next.state, now));
 };
 
+const onHint = (state: Registry, word: FrameOf<'hint'>, now: Moment): Done => {
+  const noted = learnHint(state, word);
+  if (!state.eager || feedAge(state, now) !== undefined || (state.fleet !== undefined && state.fleet !== word.fleet)) return step(noted);
+  const learned = learnAll(noted.origins, word.origins, now);
+  const next = { ...noted, origins: learned.origins };
+  return step(next, ...(learned.news ? tellNodes(next, audience(next, now), now) : []));
+};
+
 const onFrame = (state: Registry, from: Colleague, frame: Frame, now: Moment): Done => {
   switch (frame.kind) {
     case 'hail':
@@ -159,7 +167,7 @@
     case 'founded':
       return onFounded(state, frame);
     case 'hint':
-      return step(learnHint(state, frame));
+      return onHint(state, frame, now);
     default:
       return step(state, log('warn', 'a frame this program does not take', ['frame', frame.kind], ['from', from.node]));
   }
--- a/packages/roster/src/registry/nodes.ts
+++ b/packages/roster/src/registry/nodes.ts
@@ -29,7 +29,7 @@
 const hinted = (state: Registry, known: Known, now: Moment): Offer | undefined =>
   (state.eager && known.report.phase === 'none' && now - state.witness.born > hintSpan ? state.hint?.offer : undefined);
 
-/** Keeps the newest of what disks are known to hold. */
+/** Keeps the newest of what disks are known to hold; the origins that a disk tells of are taken for a short time. */
 export const learnHint = (state: Registry, word: FrameOf<'hint'>): Registry => {
   const known = state.hint;
   if (state.fleet !== undefined && state.fleet !== word.fleet) return state;
--- a/packages/roster/src/registry/words.ts
+++ b/packages/roster/src/registry/words.ts
@@ -45,7 +45,7 @@
   holders: [...state.holders.values()],
   memories: [...memories(state.witness)],
   blank: state.witness.blank,
-  ...(state.hint === undefined || feedAge(state, now) !== undefined ? {} : { hint: state.hint }),
+  ...(state.hint === undefined || feedAge(state, now) !== undefined ? {} : { hint: { ...state.hint, origins: [] } }),
 });
 
 export const roster = (state: Registry, now: Moment): FrameOf<'roster'> =>
--- a/packages/shunt/src/line/line.ts
+++ b/packages/shunt/src/line/line.ts
@@ -2,7 +2,7 @@
 import type { Fields, FrameOf } from '@switchwheel/coupling';
 import { type Track, chooseRelease, match, pickService } from '@switchwheel/timetable';
 import { moored } from '@switchwheel/roster';
-import { type Cabin, type Cache, Desk, type Entry, type Slip, conditional, cutTarget, fieldOf, handOn, mayServe } from '@switchwheel/waybill';
+import { type Cabin, type Cache, Desk, type Entry, type Slip, conditional, cutTarget, fieldOf, handOn } from '@switchwheel/waybill';
 import { Book, type Taste } from '../origin/book.js';
 import { type Told, type Trip, type TripEffect, type TripEvent, newTrip, tripStep } from '../trip/trip.js';
 import { type Bounds, type Cab, type Call, type LegPort, type Tell, type Word, type Words } from './port.js';
@@ -134,7 +134,7 @@
       return end({ kind: 'kept', entry: kept, at: now });
     }
     const flight = slip === undefined ? undefined : this.#flights.get(slip.flight);
-    if (flight !== undefined && flight.epoch === this.#epoch && between(flight.since, now) < joinSpan) {
+    if (flight !== undefined && flight.epoch === this.#epoch && between(flight.since, now) < Math.min(joinSpan, this.#manner.bounds.keptMs / 2)) {
       const waiter: Waiter = { call, track, tell, until, gone: false };
       flight.waiters.push(waiter);
       this.bump('joined');
@@ -317,7 +317,8 @@
 
   #kept(slip: Slip, cabin: Cabin, now: Moment): Entry | undefined {
     // An edge that is cut off from all registries is out of touch, and serves what it has.
-    if (!mayServe(cabin, now) && moored(cabin.berth, now)) return undefined;
+    const sure = cabin.asOf !== undefined && between(cabin.asOf, now) < this.#manner.bounds.keptMs;
+    if (!sure && moored(cabin.berth, now)) return undefined;
     return this.#desk.cache.find(slip.key, slip.fields, now);
   }
 
--- a/packages/shunt/src/line/port.ts
+++ b/packages/shunt/src/line/port.ts
@@ -31,8 +31,10 @@
   /** How much over its rate a service may be asked in any window. */
   readonly ceilingWindowMs: number;
   readonly ceilingOver: number;
+  /** How long what is kept may be told after this edge last was known to have heard of every purge. */
+  readonly keptMs: number;
 }
-export const plainBounds: Bounds = { extraShare: 0.2, extraSlack: 60, extraWindowMs: 10_000, ceilingWindowMs: 5000, ceilingOver: 1.1 };
+export const plainBounds: Bounds = { extraShare: 0.2, extraSlack: 60, extraWindowMs: 10_000, ceilingWindowMs: 5000, ceilingOver: 1.1, keptMs: 1500 };
 
 /** A request as it came from a caller, with its whole body; names of fields as they came. */
 export interface Call {
--- a/packages/timetable/src/control/control.ts
+++ b/packages/timetable/src/control/control.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
 import * as g from '@switchwheel/gauge';
-import { type Offer, type Purge, type Put, type Report, type Verdict, offer, purge, report, verdict } from '@switchwheel/coupling';
+import { type Offer, type Origin, type Purge, type Put, type Report, type Verdict, offer, origin, purge, report, verdict } from '@switchwheel/coupling';
 import { policy } from '../description/schema.js';
 import { type ReleaseOrder, releaseOrder } from '../release/order.js';
 
@@ -50,12 +50,14 @@
   readonly verdicts: ReadonlyMap<string, Verdict>;
   /** The release each service is settled on, and the last order to move it. */
   readonly releases: ReadonlyMap<g.ServiceName, ReleaseOrder>;
+  /** The origins that stood when they were last looked at. */
+  readonly origins: ReadonlyMap<g.InstanceId, Origin>;
   readonly calls: ReadonlyMap<g.CallId, Outcome>;
   readonly pieces: ReadonlyMap<g.Hash, string>;
 }
 
 export const noControl: Control = {
-  stored: undefined, nodes: new Map(), rollouts: new Map(), targets: new Map(), purges: [], verdicts: new Map(), releases: new Map(), calls: new Map(), pieces: new Map(),
+  stored: undefined, nodes: new Map(), rollouts: new Map(), targets: new Map(), purges: [], verdicts: new Map(), releases: new Map(), origins: new Map(), calls: new Map(), pieces: new Map(),
 };
 
 /** How many batches of purges are kept for caches that come back; older ones make them start empty. */
@@ -72,6 +74,7 @@
   purge: (seq: g.Seq): string => `purge/${pad(seq)}`,
   verdict: (service: g.ServiceName, release: g.Release): string => `verdict/${service}/${release}`,
   release: (service: g.ServiceName): string => `release/${service}`,
+  origin: (instance: g.InstanceId): string => `origin/${instance}`,
   call: (id: g.CallId): string => `call/${id}`,
   piece: (hash: g.Hash): string => `piece/${hash}`,
 } as const;
@@ -107,6 +110,8 @@
       return { ...control, purges: absorbPurge(control.purges, Number(name), data) };
     case 'verdict':
       return { ...control, verdicts: setOrDrop(control.verdicts, key, data, verdict) };
+    case 'origin':
+      return g.isInstanceId(name) ? { ...control, origins: setOrDrop(control.origins, name, data, origin) } : control;
     case 'release':
       return g.isServiceName(name) ? { ...control, releases: setOrDrop(control.releases, name, data, releaseOrder) } : control;
     case 'call':
