--- a/packages/testtrack/src/world/actor.ts
+++ b/packages/testtrack/src/world/actor.ts
@@ -6,6 +6,12 @@
 import type { Tried } from '../rules/tried.js';
 import type { Net } from './net.js';
 
+/** Measures what actors send and what their machines' steps take. */
+export interface Meter {
+  readonly sent: (from: Actor, to: Actor, frame: Frame) => void;
+  readonly step: <T>(actor: Actor, work: () => T) => T;
+}
+
 /** What all actors of one run share. */
 export interface Stage {
   readonly agenda: Agenda;
@@ -20,6 +26,7 @@
   readonly breaches: string[];
   /** The highest generation that any operator was told. */
   readonly generation: () => number;
+  readonly meter?: Meter;
 }
 
 /** A process in the simulation: started, killed, frozen and woken; it runs the machine that ships. */
@@ -129,7 +136,7 @@
   }
 
   #tick(life: number): void {
-    this.stage.agenda.after(this.stage.chance.between(20, 30), () => {
+    this.stage.agenda.after(this.stage.chance.between(...this.pace), () => {
       if (!this.#alive || life !== this.#life) return;
       if (!this.#frozen) this.act(() => this.event((now) => ({ kind: 'tick', now })));
       this.#tick(life);
@@ -147,6 +154,7 @@
   protected send(to: Address, frame: Frame): void {
     const other = this.stage.actors.get(to);
     if (other === undefined) return;
+    this.stage.meter?.sent(this, other, frame);
     const from = this.colleague;
     const life = other.life;
     // Now and then what is sent goes through the real coding, so that frames and their checks stay in step.
@@ -160,11 +168,17 @@
     this.event((now) => ({ kind: 'gone', now, address }));
   }
 
+  /** The least and the most milliseconds between two ticks. */
+  protected get pace(): readonly [number, number] {
+    return [20, 30];
+  }
+
   protected abstract boot(): void;
   protected abstract ended(): void;
   abstract event(make: (now: Moment) => WireEvent): void;
 
   protected makeStore<S, E, F>(reduce: (state: S, event: E) => Step<S, F>, first: S, run: (effect: F) => void): Store<S, E> {
-    return createStore<S, E, F>(reduce, first, run);
+    const { meter } = this.stage;
+    return createStore<S, E, F>(meter === undefined ? reduce : (state, event) => meter.step(this, () => reduce(state, event)), first, run);
   }
 }
