Edges are told settled releases only if their digest differs

Cause: each answer to a hail and each push of a purge bore the records of releases of all services: 82 bytes a service, 3.6 times a second and once more for each purge; 208 of the 305 KB/s reckoned for an edge of 730. Ruled out: telling changes alone (a lost push stays unseen), telling them less often (a change comes late). Trials, moves and spans that run are told as ever; the end of a span is told once.

--- a/packages/coupling/src/frame/control.ts
+++ b/packages/coupling/src/frame/control.ts
@@ -28,7 +28,11 @@
 const hint = v.object({ kind: kind('hint'), node: g.nodeId, address: g.address, epoch: g.epoch, fleet: g.fleetId, offer });
 
 export const controlFrames = [
-  v.object({ kind: kind('hail'), member, seq: g.seq, at: g.moment, report, bye: v.boolean(), held: v.array(holder), purged: g.seq }),
+  v.object({
+    kind: kind('hail'), member, seq: g.seq, at: g.moment, report, bye: v.boolean(), held: v.array(holder), purged: g.seq,
+    /** A digest of the records of releases that the node knows: those that are settled are told only if it differs. */
+    releases: v.optional(v.string()),
+  }),
   v.object({
     kind: kind('heard'), at: g.moment, registry: g.nodeId, incarnation: g.incarnation,
     /** How old this registry's word of the primary is; absent when it has none that counts. */
--- a/packages/roster/src/berth/berth.ts
+++ b/packages/roster/src/berth/berth.ts
@@ -75,6 +75,8 @@
   readonly held: readonly Holder[];
   readonly purged: Seq;
   readonly bye: boolean;
+  /** The digest of the records of releases that it knows; undefined to be told all. */
+  readonly releases?: string | undefined;
 }
 
 /** Speaks to the registry now. */
@@ -84,6 +86,7 @@
   const next = { ...berth, seq, hailed: now };
   return step(next, send(berth.moor.address, {
     kind: 'hail', member: berth.member, seq, at: now, report: words.report, bye: words.bye, held: [...words.held], purged: words.purged,
+    ...(words.releases === undefined ? {} : { releases: words.releases }),
   }));
 };
 
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -1,4 +1,5 @@
 export * from './origins/origins.js';
+export * from './releases/digest.js';
 export * from './berth/berth.js';
 export * from './registry/state.js';
 export * from './registry/event.js';
--- a/packages/roster/src/registry/nodes.ts
+++ b/packages/roster/src/registry/nodes.ts
@@ -2,6 +2,7 @@
 import { type Duty, type Hash, type Moment, type Step, drop, join, later, put, start, step, toSpan } from '@switchwheel/gauge';
 import { type Colleague, type FrameOf, type Offer, type ReleaseState, type WireEffect, send } from '@switchwheel/coupling';
 import { learnHolder } from '../berth/berth.js';
+import { isSettled, releasesDigest } from '../releases/digest.js';
 import type { Known, Registry } from './state.js';
 import { feedAge, primaryHolder, roster, spread } from './words.js';
 
@@ -71,18 +72,36 @@
   return [...duties].filter((duty) => (state.witness.grants.get(duty)?.until ?? start) <= now);
 };
 
-/** The releases as told, with what is left of their spans by now. */
-const releases = (state: Registry, now: Moment): ReleaseState[] =>
-  state.feed.releases.map((one) => ({ ...one, leftMs: toSpan(Math.max(0, one.leftMs - (now - state.feed.releasesAt))) }));
+/** The records of releases with what is left of their spans by now, and their digest. */
+interface Records {
+  readonly releases: readonly ReleaseState[];
+  readonly digest: string;
+}
+// A digest holds for a feed's records until one of their spans is over.
+const digests = new WeakMap<readonly ReleaseState[], { readonly digest: string; readonly until: number }>();
 
-const heard = (state: Registry, at: Moment, purged: number, offer: Offer | undefined, now: Moment): FrameOf<'heard'> => {
+const records = (state: Registry, now: Moment): Records => {
+  const { releases: told, releasesAt } = state.feed;
+  const releases = told.map((one) => ({ ...one, leftMs: toSpan(Math.max(0, one.leftMs - (now - releasesAt))) }));
+  const before = digests.get(told);
+  if (before !== undefined && now < before.until) return { releases, digest: before.digest };
+  const digest = releasesDigest(releases);
+  digests.set(told, { digest, until: Math.min(Infinity, ...releases.filter((one) => one.leftMs > 0).map((one) => now + one.leftMs)) });
+  return { releases, digest };
+};
+
+/** What a node is told of releases: all, or only what moves if it knows the others. */
+const untold = (all: Records, known: string | undefined): ReleaseState[] =>
+  all.releases.filter((one) => known !== all.digest || !isSettled(one));
+
+const heard = (state: Registry, at: Moment, purged: number, offer: Offer | undefined, releases: ReleaseState[], now: Moment): FrameOf<'heard'> => {
   const age = feedAge(state, now);
   return {
     kind: 'heard', at, registry: state.member.node, incarnation: state.member.incarnation, epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
     purges: state.feed.purges.filter((one) => one.seq > purged), floor: state.feed.floor, top: state.feed.top,
-    verdicts: [...state.feed.verdicts], releases: releases(state, now),
+    verdicts: [...state.feed.verdicts], releases,
     vacant: vacant(state, now),
     ...(state.electorate === undefined ? {} : { electorate: state.electorate }),
     ...(state.fleet === undefined ? {} : { fleet: state.fleet }),
@@ -92,12 +111,12 @@
 /** A node spoke: its session stands, and desired is held against reported. */
 export const onHail = (state: Registry, from: Colleague, word: FrameOf<'hail'>, now: Moment): Done => {
   const before = state.sessions.get(word.member.node);
-  const known: Known = { member: word.member, report: word.report, registry: state.member.node, seq: word.seq, at: now, open: !word.bye };
+  const known: Known = { member: word.member, report: word.report, registry: state.member.node, seq: word.seq, at: now, open: !word.bye, releases: word.releases };
   const learned = learnSession(state, known);
   const holders = word.held.reduce(learnHolder, learned.state.holders);
   const base = holders === learned.state.holders ? learned.state : { ...learned.state, holders };
   const checked = reconcile(base, known, now);
-  const answer = send(from.address, heard(checked.state, word.at, word.purged, checked.offer, now));
+  const answer = send(from.address, heard(checked.state, word.at, word.purged, checked.offer, untold(records(checked.state, now), word.releases), now));
   const news = learned.news || holders !== learned.state.holders;
   const first = before === undefined || before.registry !== state.member.node || before.member.incarnation !== word.member.incarnation;
   const told = first ? [send(from.address, roster(checked.state, now))] : [];
@@ -107,11 +126,12 @@
 /** Pushes to every node with a session here: after news of the primary. */
 export const push = (state: Registry, purged: number, now: Moment): Done => {
   let next: Done = step(state);
+  const all = records(state, now);
   for (const known of state.sessions.values()) {
     if (known.registry !== state.member.node || known.member.role === 'registry' || known.member.role === 'store' || !known.open) continue;
     const checked = reconcile(next.state, known, now);
     // The time echoed is none of the node's own, so the push renews no lease; it bears news only.
-    next = join(next.effects, step(checked.state, send(known.member.address, heard(checked.state, start, purged, checked.offer, now))));
+    next = join(next.effects, step(checked.state, send(known.member.address, heard(checked.state, start, purged, checked.offer, untold(all, known.releases), now))));
   }
   return next;
 };
--- a/packages/roster/src/registry/state.ts
+++ b/packages/roster/src/registry/state.ts
@@ -14,6 +14,8 @@
   readonly seq: Seq;
   readonly at: Moment;
   readonly open: boolean;
+  /** The digest of the records of releases that it said it knows. */
+  readonly releases?: string | undefined;
 }
 
 /** What the primary told last, and as of when it is known to be all there is. */
--- a/packages/testtrack/src/scale/scale.test.ts
+++ b/packages/testtrack/src/scale/scale.test.ts
@@ -32,6 +32,14 @@
   for (const one of [spans.configMs, spans.purgeMs, spans.oneLostMs, spans.allLostMs]) assert.ok(one !== undefined && one > 0, JSON.stringify(spans));
 });
 
+void test('a calm edge is not told again of the releases of each service', () => {
+  const few = measure({ ...base, origins: 12, services: 2 });
+  const many = measure({ ...base, origins: 12, services: 12 });
+  const each = (reading: Reading): number => (reading.kinds.get('heard')?.bytes ?? 0) / perSecond(reading, 'heard');
+  // The two stores are told all; 82 bytes a record before.
+  assert.ok(each(many) < each(few) + 10 * 82 * 0.4, `${each(few)} and ${each(many)} bytes in an answer`);
+});
+
 void test('a line is fitted', () => {
   assert.deepEqual(fitLine([[1, 3], [2, 5], [3, 7]]), { slope: 2, base: 1, residual: 0 });
   assert.equal(fitLine([[1, 0], [2, 4], [3, 0]]).slope, 0);
--- a/packages/waybill/src/cabin/machine.ts
+++ b/packages/waybill/src/cabin/machine.ts
@@ -1,6 +1,6 @@
 import { type Moment, type Step, join, noGeneration, put, sift, step, toMoment } from '@switchwheel/gauge';
 import { type Colleague, type Frame, type FrameOf, type Offer, type ReleaseState, type Report, log, send } from '@switchwheel/coupling';
-import { type Words, adrift, drift, hail, moored, takeHeard, takeRoster } from '@switchwheel/roster';
+import { type Words, adrift, drift, hail, moored, releasesDigest, takeHeard, takeRoster } from '@switchwheel/roster';
 import { hashOf } from '@switchwheel/timetable';
 import { handOver, heldNow, onHandover, onVote, passDuties, takeVacant } from './duties.js';
 import type { Cabin, CabinEffect, CabinEvent } from './state.js';
@@ -39,7 +39,16 @@
   };
 };
 
-const words = (state: Cabin, now: Moment, bye = false): Words => ({ report: reportOf(state, now), held: [...heldNow(state, now), ...state.berth.holders.values()], purged: state.purged, bye });
+const digests = new WeakMap<Cabin['releases'], string>();
+
+const digestOf = (releases: Cabin['releases']): string => {
+  const known = digests.get(releases) ?? releasesDigest(releases.values());
+  digests.set(releases, known);
+  return known;
+};
+
+const words = (state: Cabin, now: Moment, bye = false): Words =>
+  ({ report: reportOf(state, now), held: [...heldNow(state, now), ...state.berth.holders.values()], purged: state.purged, bye, releases: digestOf(state.releases) });
 
 const speak = (state: Cabin, now: Moment): Done => {
   const hailed = hail(state.berth, words(state, now), now);
