Feeds bear the desired state only when a write changed it

Cause: any write, a purge too, made each registry count as behind, so that the primary sent it the desired state of all nodes. Ruled out: the purges themselves (0.84 KB a copy, flat in nodes). Pushes are as before: the registry notes the last write it was told of beside that of its desired state. The first write of an epoch and any but purges, answers, verdicts and releases count as news of it.

--- a/packages/ledger/src/feed/feed.ts
+++ b/packages/ledger/src/feed/feed.ts
@@ -1,4 +1,4 @@
-import { type Moment, start } from '@switchwheel/gauge';
+import { type Moment, noSeq, start } from '@switchwheel/gauge';
 import { type FrameOf, type Offer, send } from '@switchwheel/coupling';
 import { floorPurge, releaseStateOf, topPurge } from '@switchwheel/timetable';
 import { heldEpoch } from '@switchwheel/ballot';
@@ -17,7 +17,7 @@
 const feed = (state: Store, to: Tuned, at: Moment, now: Moment): FrameOf<'feed'> | undefined => {
   const charter = state.charter;
   if (charter === undefined) return undefined;
-  const behind = to.serial !== state.stamp.seq;
+  const behind = to.serial === noSeq || to.serial < state.listed;
   const rows = [...state.control.nodes].flatMap(([node, row]) => {
     if (row.desired === undefined) return [];
     return [{ node, ...row.desired, ...(row.failed === undefined ? {} : { failed: row.failed }) }];
--- a/packages/ledger/src/job/job.ts
+++ b/packages/ledger/src/job/job.ts
@@ -120,12 +120,19 @@
 };
 const everyCopy = (state: Store, job: Job): readonly StoreEffect[] => copies(state, job, job.charter.stores.map((one) => one.node));
 
+const unlisted = ['purge/', 'call/', 'verdict/', 'release/'];
+
+/** Whether a write may change what nodes are to run, or is the first of its epoch. */
+const relists = (state: Store, job: Job): boolean =>
+  !state.serving || state.muted || job.charter.epoch !== state.charter?.epoch || job.puts.some((one) => !unlisted.some((family) => one.key.startsWith(family)));
+
 /** The write lasts wherever it must: it counts, and everyone is told. */
 const finish = (state: Store, job: Job, now: Moment): Done => {
   const first = !state.serving || state.muted;
   const table = apply(state.table, job.puts, job.stamp);
   const next: Store = {
     ...state, job: undefined, stamp: job.stamp, table, control: job.draft, charter: job.charter, serving: true, muted: false, diskFull: undefined,
+    listed: relists(state, job) ? job.stamp.seq : state.listed,
   };
   const commands: Command[] = [];
   const stored = job.draft.stored?.offer.generation !== state.control.stored?.offer.generation;
--- a/packages/roster/src/registry/machine.ts
+++ b/packages/roster/src/registry/machine.ts
@@ -69,13 +69,13 @@
   if (word.epoch < state.feed.epoch) return step(state);
   if (state.fleet !== undefined && state.fleet !== word.fleet) return step(state, log('error', 'a feed of another fleet', ['fleet', word.fleet]));
   const old = state.feed;
-  const back = word.epoch === old.epoch && word.serial < old.serial;
+  const back = word.epoch === old.epoch && word.serial < old.latest;
   const asOf = word.at > 0 && !back ? toMoment(Math.max(word.at, old.asOf ?? 0)) : old.asOf;
   if (back) return step(state);
   const known = new Set(old.purges.map((one) => one.seq));
   const purges = [...old.purges, ...word.purges.filter((one) => !known.has(one.seq))].filter((one) => one.seq >= word.floor);
   const feed: Feed = {
-    epoch: word.epoch, serial: word.desired === undefined ? old.serial : word.serial, asOf,
+    epoch: word.epoch, serial: word.desired === undefined ? old.serial : word.serial, latest: word.serial, asOf,
     desired: word.desired === undefined ? old.desired : new Map(word.desired.map(({ node, ...row }) => [node, row])),
     offers: word.desired === undefined ? old.offers : new Map(word.offers.map((one) => [one.hash, one])),
     current: word.current ?? old.current,
@@ -87,7 +87,7 @@
     ...state, feed, witness, fleet: word.fleet, electorate: witness.electorate ?? state.electorate,
     pieces: feed.current?.hash === old.current?.hash ? state.pieces : sift(state.pieces, (_, hash) => kept.has(hash)),
   };
-  const news = feed.serial !== old.serial || feed.top !== old.top || feed.epoch !== old.epoch || feed.current?.generation !== old.current?.generation;
+  const news = feed.latest !== old.latest || feed.top !== old.top || feed.epoch !== old.epoch || feed.current?.generation !== old.current?.generation;
   return news ? push(next, old.top, now) : step(next);
 };
 
--- a/packages/roster/src/registry/releases.test.ts
+++ b/packages/roster/src/registry/releases.test.ts
@@ -23,6 +23,11 @@
 const feed = (releases: ReleaseState[], serial = 1, top = 0): FrameOf<'feed'> => ({
   kind: 'feed', at: toMoment(1), epoch: toEpoch(1), serial: toSeq(serial), fleet: toFleetId('f1'), offers: [], desired: [], purges: [], floor: toSeq(0), top: toSeq(top), verdicts: [], releases,
 });
+/** A feed of a write that does not touch what nodes are to run. */
+const lean = (releases: ReleaseState[], serial: number, top = 0): FrameOf<'feed'> => {
+  const { desired, ...rest } = feed(releases, serial, top);
+  return desired === undefined ? feed(releases, serial, top) : rest;
+};
 const hail = (seq: number, releases?: string): FrameOf<'hail'> => ({
   kind: 'hail', member: edge, seq: toSeq(seq), at: toMoment(1), bye: false, held: [], purged: noSeq,
   report: { generation: toGeneration(1), phase: 'applied', ready: true, fitness: { name: 'proxy', fit: true, text: '', parts: [] } },
@@ -71,3 +76,15 @@
   const changed = act(purged.state, store, feed([record('clips', { settled: toRelease('r2'), serial: toSeq(2) }), record('acts')], 3, 1), 1030);
   assert.deepEqual(changed.services, ['clips', 'acts'], 'a record that changed');
 });
+
+void test('a write that leaves the desired state alone is pushed all the same, and one that comes late is not taken', () => {
+  const known = releasesDigest([record('clips')]);
+  const state = act(fresh([record('clips')]), edge, hail(1, known), 1010).state;
+  const next = record('clips', { settled: toRelease('r2'), serial: toSeq(2) });
+  const changed = act(state, store, lean([next], 5), 1020);
+  assert.deepEqual(changed.services, ['clips']);
+  assert.equal(changed.state.feed.serial, 1, 'the desired state is as of the first write');
+  const late = act(changed.state, store, lean([record('clips')], 4), 1030);
+  assert.equal(late.services, undefined);
+  assert.equal(late.state.feed.releases[0]?.settled, 'r2');
+});
--- a/packages/roster/src/registry/state.ts
+++ b/packages/roster/src/registry/state.ts
@@ -21,7 +21,9 @@
 /** What the primary told last, and as of when it is known to be all there is. */
 export interface Feed {
   readonly epoch: Epoch;
+  /** The write as of which the desired state here is whole, and the last one that was told of. */
   readonly serial: Seq;
+  readonly latest: Seq;
   readonly asOf: Moment | undefined;
   readonly desired: ReadonlyMap<NodeId, { readonly generation: Generation; readonly hash: Hash; readonly failed?: Hash | undefined }>;
   readonly offers: ReadonlyMap<Hash, Offer>;
@@ -35,7 +37,7 @@
   readonly releasesAt: Moment;
 }
 export const noFeed: Feed = {
-  epoch: noEpoch, serial: noSeq, asOf: undefined, desired: new Map(), offers: new Map(), current: undefined, purges: [], floor: noSeq, top: noSeq, verdicts: [], releases: [], releasesAt: start,
+  epoch: noEpoch, serial: noSeq, latest: noSeq, asOf: undefined, desired: new Map(), offers: new Map(), current: undefined, purges: [], floor: noSeq, top: noSeq, verdicts: [], releases: [], releasesAt: start,
 };
 
 /** An outside call that waits for the store. */
--- a/packages/testtrack/src/scale/scale.test.ts
+++ b/packages/testtrack/src/scale/scale.test.ts
@@ -40,6 +40,13 @@
   assert.ok(each(many) < each(few) + 10 * 82 * 0.4, `${each(few)} and ${each(many)} bytes in an answer`);
 });
 
+void test('a purge is told to the registries without the desired state of all nodes', () => {
+  const each = (reading: Reading): number => (reading.kinds.get('feed')?.bytes ?? 0) / perSecond(reading, 'feed');
+  const six = measure({ ...base, purges: 10 });
+  const twelve = measure({ ...base, nodes: 12, purges: 10 });
+  assert.ok(each(twelve) < each(six) + 20, `${each(six)} and ${each(twelve)} bytes in a feed`);
+});
+
 void test('a line is fitted', () => {
   assert.deepEqual(fitLine([[1, 3], [2, 5], [3, 7]]), { slope: 2, base: 1, residual: 0 });
   assert.equal(fitLine([[1, 0], [2, 4], [3, 0]]).slope, 0);
