--- a/packages/ledger/src/state/state.ts
+++ b/packages/ledger/src/state/state.ts
@@ -184,11 +184,7 @@
 export const newStore = (member: Member, seeds: readonly Address[], dice: Dice, limits = pair, foundable = true): Store => ({
   foundable, berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), limits, phase: 'reading', born: start, trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
   stand: newStand(member.node, primary, []), serving: false, muted: false, job: undefined, chore: undefined, mends: [], waitlist: [], compiling: new Map(), spare: new Map(),
-<<<<<<< HEAD
-  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, noted: start, due: undefined,
-=======
-  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, due: undefined, listed: noSeq,
->>>>>>> scale
+  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, noted: start, due: undefined, listed: noSeq,
   watches: new Map(), seen: new Map(), opened: undefined, diskFull: undefined, shunned: start, nextId: 1, dice,
 });
 
