A commit that the disk refuses ends no process, and its reason is told

Cause: when a commit fails lmdb rejects promises of its own besides the write's, and puts the reason on another one; nobody took them, so the process ended, and 'no space left' was not known as such. Reproduced with a limit on the file's size. Ruled out: the write's own promise (it was handled). Before: two unhandled rejections a failed commit, text 'Commit failed'. After: none that ends a program, and the reason; the test fails without it.

--- a/packages/footplate/src/disk/disk.test.ts
+++ b/packages/footplate/src/disk/disk.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -57,3 +58,33 @@
   assert.equal(second.aside, 'the process ended 3 times while reading it');
   await second.close();
 }));
+
+/** Writes until the file may not grow any more, in a process of its own, whose rejections that nobody took are counted. */
+const script = (folder: string): string => `
+import { Disk } from ${JSON.stringify(join(import.meta.dirname, 'disk.js'))};
+import { isCommitFault } from ${JSON.stringify(join(import.meta.dirname, 'fault.js'))};
+let foreign = 0;
+process.on('unhandledRejection', (fault) => { if (!isCommitFault(fault)) foreign += 1; });
+const disk = new Disk(${JSON.stringify(folder)});
+disk.read();
+const told = [];
+for (let at = 0; at < 12; at += 1) {
+  const write = (name) => disk.write({ wipe: false, drops: [], sets: [{ key: name + at, text: 'x'.repeat(20000) }] });
+  for (const one of await Promise.all([write('a'), write('b')])) told.push(one.isOk ? 'ok' : one.error.text);
+}
+await new Promise((done) => { setImmediate(done); });
+console.log(JSON.stringify({ foreign, told }));
+process.exit(0);
+`;
+
+void test('a disk that takes no more refuses each write with the reason, and ends nothing', () => inFolder((folder) => {
+  const run = spawnSync('bash', ['-c', 'ulimit -f 200; trap "" XFSZ; exec "$0" --input-type=module -e "$1"', process.execPath, script(folder)], { encoding: 'utf8' });
+  const lines = run.stdout.trim().split('\n');
+  const last: unknown = JSON.parse(lines.at(-1) ?? '{}');
+  assert.ok(typeof last === 'object' && last !== null && 'foreign' in last && 'told' in last && Array.isArray(last.told));
+  assert.equal(last.foreign, 0, 'no rejection but the library\'s own, which programs let be');
+  const told = last.told.map(String);
+  assert.ok(told.includes('ok') && told.at(-1) !== 'ok', told.join(', '));
+  assert.ok(told.every((one) => one === 'ok' || !one.startsWith('Commit failed')), told.join(', '));
+  return Promise.resolve();
+}));
--- a/packages/footplate/src/disk/disk.ts
+++ b/packages/footplate/src/disk/disk.ts
@@ -4,6 +4,7 @@
 import { type RootDatabase, open } from 'lmdb';
 import type { Result } from 'true-myth/result';
 import { err, ok } from 'true-myth/result';
+import { causeOf } from './fault.js';
 
 /** One row as it lies on the disk, with a checksum of its own. */
 export interface Row {
@@ -91,7 +92,8 @@
       await this.#base.flushed;
       return ok(true);
     } catch (problem) {
-      const text = problem instanceof Error ? problem.message : 'unwritable';
+      const cause = await causeOf(problem);
+      const text = cause instanceof Error ? cause.message : 'unwritable';
       return err({ text, full: /ENOSPC|MDB_MAP_FULL|No space/i.test(text) });
     }
   }
--- a/packages/footplate/src/run/life.ts
+++ b/packages/footplate/src/run/life.ts
@@ -1,3 +1,4 @@
+import { causeOf, isCommitFault } from '../disk/fault.js';
 import type { Log } from '../log/log.js';
 
 /** How long a stop may take: the platform's hard stop comes after six seconds. */
@@ -29,6 +30,11 @@
     process.exit(1);
   });
   process.on('unhandledRejection', (fault) => {
+    // Whoever wrote was told that the commit failed; the library rejects promises of its own as well.
+    if (isCommitFault(fault)) {
+      void causeOf(fault);
+      return;
+    }
     log.write('error', 'broke down', new Map([['why', fault instanceof Error ? fault.stack ?? fault.message : String(fault)]]));
     process.exit(1);
   });
