--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,8 +13,11 @@
       '@typescript-eslint/no-non-null-assertion': 'error',
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
       '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
-      '@typescript-eslint/no-unnecessary-condition': ['error', { allowConstantLoopConditions: true }],
-      'eqeqeq': 'error',
+      '@typescript-eslint/no-unnecessary-condition': [
+        'error',
+        { allowConstantLoopConditions: true },
+      ],
+      eqeqeq: 'error',
       'prefer-const': 'error',
     },
   },
--- a/packages/coupling/src/channel/channel.test.ts
+++ b/packages/coupling/src/channel/channel.test.ts
@@ -8,29 +8,49 @@
 import { Channel, protocol } from './channel.js';
 import { Cutter, wrap } from './cutter.js';
 
-const me = (name: string): ConstructorParameters<typeof Channel>[1] => ({ node: toNodeId(name), address: toAddress('127.0.0.1:1'), incarnation: toIncarnation(1) });
+const me = (name: string): ConstructorParameters<typeof Channel>[1] => ({
+  node: toNodeId(name),
+  address: toAddress('127.0.0.1:1'),
+  incarnation: toIncarnation(1),
+});
 
 /** A pair of sockets, joined. */
-const pair = async (): Promise<{ readonly near: Socket; readonly far: Socket; readonly end: () => void }> => {
+const pair = async (): Promise<{
+  readonly near: Socket;
+  readonly far: Socket;
+  readonly end: () => void;
+}> => {
   const server = createServer();
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const spot = server.address();
   assert.ok(spot !== null && typeof spot === 'object');
   const near = createConnection(spot.port, '127.0.0.1');
-  const far = await new Promise<Socket>((done) => { server.once('connection', done); });
-  return { near, far, end: () => {
-    near.destroy();
-    far.destroy();
-    server.close();
-  } };
+  const far = await new Promise<Socket>((done) => {
+    server.once('connection', done);
+  });
+  return {
+    near,
+    far,
+    end: () => {
+      near.destroy();
+      far.destroy();
+      server.close();
+    },
+  };
 };
 
-const closed = (channel: Channel): Promise<string> => new Promise((done) => { channel.on('closed', done); });
+const closed = (channel: Channel): Promise<string> =>
+  new Promise((done) => {
+    channel.on('closed', done);
+  });
 
 void test('a hello each way, then frames in their order', async () => {
   const { near, far, end } = await pair();
-  const [one, two] = [new Channel(near, me('one'), 'control'), new Channel(far, me('two'), 'control')];
+  const [one, two] = [
+    new Channel(near, me('one'), 'control'),
+    new Channel(far, me('two'), 'control'),
+  ];
   const got: string[] = [];
   const both = new Promise<void>((done) => {
     two.on('frame', (frame) => {
@@ -38,7 +58,10 @@
       if (got.length === 3) done();
     });
   });
-  one.on('up', () => { for (const data of ['a', 'b', 'c']) one.send({ kind: 'piece', hash: toHash('0'.repeat(64)), data }); });
+  one.on('up', () => {
+    for (const data of ['a', 'b', 'c'])
+      one.send({ kind: 'piece', hash: toHash('0'.repeat(64)), data });
+  });
   await both;
   assert.deepEqual([got, two.who?.node], [['a', 'b', 'c'], 'one']);
   end();
@@ -73,16 +96,26 @@
 });
 
 void test('frames come out as they went in, however the bytes are cut', () => {
-  fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 300 }), { maxLength: 8 }), fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }), (bodies, cuts) => {
-    const whole = Buffer.concat(bodies.map(wrap));
-    const cutter = new Cutter();
-    const out: Uint8Array[] = [];
-    let at = 0;
-    for (let turn = 0; at < whole.length; turn += 1) {
-      const size = cuts[turn % cuts.length] ?? 1;
-      out.push(...cutter.feed(whole.subarray(at, at + size)).unwrapOr([]));
-      at += size;
-    }
-    assert.deepEqual(out.map((one) => Buffer.from(one).toString('hex')), bodies.map((one) => Buffer.from(one).toString('hex')));
-  }), { seed: 3, numRuns: 200 });
+  fc.assert(
+    fc.property(
+      fc.array(fc.uint8Array({ maxLength: 300 }), { maxLength: 8 }),
+      fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }),
+      (bodies, cuts) => {
+        const whole = Buffer.concat(bodies.map(wrap));
+        const cutter = new Cutter();
+        const out: Uint8Array[] = [];
+        let at = 0;
+        for (let turn = 0; at < whole.length; turn += 1) {
+          const size = cuts[turn % cuts.length] ?? 1;
+          out.push(...cutter.feed(whole.subarray(at, at + size)).unwrapOr([]));
+          at += size;
+        }
+        assert.deepEqual(
+          out.map((one) => Buffer.from(one).toString('hex')),
+          bodies.map((one) => Buffer.from(one).toString('hex')),
+        );
+      },
+    ),
+    { seed: 3, numRuns: 200 },
+  );
 });
--- a/packages/coupling/src/channel/channel.ts
+++ b/packages/coupling/src/channel/channel.ts
@@ -14,8 +14,12 @@
 export const silentSpan = 2000;
 const beat = wrap(new Uint8Array());
 const hello = v.object({
-  switchwheel: v.literal('hello'), protocol: v.number(), lane: v.picklist(['control', 'data']),
-  node: g.nodeId, address: g.address, incarnation: g.incarnation,
+  switchwheel: v.literal('hello'),
+  protocol: v.number(),
+  lane: v.picklist(['control', 'data']),
+  node: g.nodeId,
+  address: g.address,
+  incarnation: g.incarnation,
 });
 type Hello = v.InferOutput<typeof hello>;
 export type Lane = Hello['lane'];
@@ -48,7 +52,9 @@
     const timer = setInterval(() => this.#look(), beatSpan);
     timer.unref();
     socket.on('drain', () => this.emit('drain'));
-    socket.on('error', (fault) => { this.#why = fault.message; });
+    socket.on('error', (fault) => {
+      this.#why = fault.message;
+    });
     socket.on('close', () => {
       clearInterval(timer);
       if (this.#over) return;
--- a/packages/coupling/src/channel/wire.ts
+++ b/packages/coupling/src/channel/wire.ts
@@ -11,14 +11,27 @@
 /** What reaches a machine from the outside, each with the time it is acted on. */
 export type WireEvent =
   | { readonly kind: 'tick'; readonly now: Moment }
-  | { readonly kind: 'frame'; readonly now: Moment; readonly from: Colleague; readonly frame: Frame }
+  | {
+      readonly kind: 'frame';
+      readonly now: Moment;
+      readonly from: Colleague;
+      readonly frame: Frame;
+    }
   | { readonly kind: 'gone'; readonly now: Moment; readonly address: Address };
 
 /** What every machine may ask of its shell. */
 export type WireEffect =
   | { readonly kind: 'send'; readonly to: Address; readonly frame: Frame }
-  | { readonly kind: 'log'; readonly level: 'info' | 'warn' | 'error'; readonly text: string; readonly facts?: ReadonlyMap<string, string | number | boolean> };
+  | {
+      readonly kind: 'log';
+      readonly level: 'info' | 'warn' | 'error';
+      readonly text: string;
+      readonly facts?: ReadonlyMap<string, string | number | boolean>;
+    };
 
 export const send = (to: Address, frame: Frame): WireEffect => ({ kind: 'send', to, frame });
-export const log = (level: 'info' | 'warn' | 'error', text: string, ...facts: readonly (readonly [string, string | number | boolean])[]): WireEffect =>
-  ({ kind: 'log', level, text, facts: new Map(facts) });
+export const log = (
+  level: 'info' | 'warn' | 'error',
+  text: string,
+  ...facts: readonly (readonly [string, string | number | boolean])[]
+): WireEffect => ({ kind: 'log', level, text, facts: new Map(facts) });
--- a/packages/coupling/src/channel/yard.ts
+++ b/packages/coupling/src/channel/yard.ts
@@ -15,7 +15,10 @@
 /** Splits an address into what sockets take. */
 export const parts = (address: Address): { readonly host: string; readonly port: number } => {
   const cut = address.lastIndexOf(':');
-  return { host: address.slice(0, cut).replace(/^\[|\]$/g, ''), port: Number(address.slice(cut + 1)) };
+  return {
+    host: address.slice(0, cut).replace(/^\[|\]$/g, ''),
+    port: Number(address.slice(cut + 1)),
+  };
 };
 
 const maxBacklog = 32 * 1024 * 1024;
@@ -102,7 +105,9 @@
 
   #greet(socket: Socket): void {
     const channel = new Channel(socket, this.#me, 'control');
-    const late = setTimeout(() => { if (channel.who === undefined) channel.hang('no hello in time'); }, dialSpan);
+    const late = setTimeout(() => {
+      if (channel.who === undefined) channel.hang('no hello in time');
+    }, dialSpan);
     this.#watch(channel);
     channel.on('closed', () => clearTimeout(late));
     channel.on('up', (who: Colleague, lane: Lane) => {
@@ -122,7 +127,9 @@
 
   #watch(channel: Channel): void {
     this.#all.add(channel);
-    channel.on('frame', (frame: Frame) => { if (channel.who !== undefined) this.emit('frame', channel.who, frame, channel); });
+    channel.on('frame', (frame: Frame) => {
+      if (channel.who !== undefined) this.emit('frame', channel.who, frame, channel);
+    });
     channel.on('closed', (why: string) => {
       this.#all.delete(channel);
       if (why.startsWith('foreign')) {
@@ -132,4 +139,3 @@
     });
   }
 }
-
--- a/packages/coupling/src/frame/control.ts
+++ b/packages/coupling/src/frame/control.ts
@@ -1,6 +1,18 @@
 import * as v from 'valibot';
 import * as g from '@switchwheel/gauge';
-import { electorate, holder, member, offer, origin, purge, releaseState, report, session, tallyRow, verdict } from './member.js';
+import {
+  electorate,
+  holder,
+  member,
+  offer,
+  origin,
+  purge,
+  releaseState,
+  report,
+  session,
+  tallyRow,
+  verdict,
+} from './member.js';
 
 const kind = <K extends string>(name: K): v.LiteralSchema<K, undefined> => v.literal(name);
 
@@ -22,25 +34,51 @@
 });
 export type Charter = v.InferOutput<typeof charter>;
 
-export const memory = v.object({ duty: g.duty, epoch: g.epoch, node: g.nodeId, insync: v.array(g.nodeId) });
+export const memory = v.object({
+  duty: g.duty,
+  epoch: g.epoch,
+  node: g.nodeId,
+  insync: v.array(g.nodeId),
+});
 export type Memory = v.InferOutput<typeof memory>;
 
-const hint = v.object({ kind: kind('hint'), node: g.nodeId, address: g.address, epoch: g.epoch, fleet: g.fleetId, offer, origins: v.array(origin) });
+const hint = v.object({
+  kind: kind('hint'),
+  node: g.nodeId,
+  address: g.address,
+  epoch: g.epoch,
+  fleet: g.fleetId,
+  offer,
+  origins: v.array(origin),
+});
 
 export const controlFrames = [
   v.object({
-    kind: kind('hail'), member, seq: g.seq, at: g.moment, report, bye: v.boolean(), held: v.array(holder), purged: g.seq,
+    kind: kind('hail'),
+    member,
+    seq: g.seq,
+    at: g.moment,
+    report,
+    bye: v.boolean(),
+    held: v.array(holder),
+    purged: g.seq,
     /** A digest of the records of releases that the node knows: those that are settled are told only if it differs. */
     releases: v.optional(v.string()),
   }),
   v.object({
-    kind: kind('heard'), at: g.moment, registry: g.nodeId, incarnation: g.incarnation,
+    kind: kind('heard'),
+    at: g.moment,
+    registry: g.nodeId,
+    incarnation: g.incarnation,
     /** How old this registry's word of the primary is; absent when it has none that counts. */
     age: v.optional(g.span),
     epoch: g.epoch,
     offer: v.optional(offer),
-    purges: v.array(purge), floor: g.seq, top: g.seq,
-    verdicts: v.array(verdict), releases: v.array(releaseState),
+    purges: v.array(purge),
+    floor: g.seq,
+    top: g.seq,
+    verdicts: v.array(verdict),
+    releases: v.array(releaseState),
     /** Duties whose lease this registry, as a witness, knows to be over. */
     vacant: v.array(g.duty),
     electorate: v.optional(electorate),
@@ -49,56 +87,185 @@
   v.object({ kind: kind('handover'), duty: g.duty, epoch: g.epoch }),
   /** An origin leaves or is gone: a registry tells its colleagues, and each answers that it took the word. */
   v.object({ kind: kind('news'), origin }),
-  v.object({ kind: kind('noted'), node: g.nodeId, instance: g.instanceId, state: origin.entries.state }),
-  v.object({ kind: kind('roster'), members: v.array(member), origins: v.array(origin), holders: v.array(holder) }),
   v.object({
-    kind: kind('gossip'), from: member, full: v.boolean(), sessions: v.array(session), origins: v.array(origin), holders: v.array(holder),
-    memories: v.array(memory), blank: v.boolean(), at: g.moment, hint: v.optional(hint),
+    kind: kind('noted'),
+    node: g.nodeId,
+    instance: g.instanceId,
+    state: origin.entries.state,
   }),
   v.object({
-    kind: kind('ballot'), fleet: g.fleetId, electorate, duty: g.duty, epoch: g.epoch, node: g.nodeId, at: g.moment, lease: g.span,
+    kind: kind('roster'),
+    members: v.array(member),
+    origins: v.array(origin),
+    holders: v.array(holder),
+  }),
+  v.object({
+    kind: kind('gossip'),
+    from: member,
+    full: v.boolean(),
+    sessions: v.array(session),
+    origins: v.array(origin),
+    holders: v.array(holder),
+    memories: v.array(memory),
+    blank: v.boolean(),
+    at: g.moment,
+    hint: v.optional(hint),
+  }),
+  v.object({
+    kind: kind('ballot'),
+    fleet: g.fleetId,
+    electorate,
+    duty: g.duty,
+    epoch: g.epoch,
+    node: g.nodeId,
+    at: g.moment,
+    lease: g.span,
     /** A sounding: asks what the vote would be and changes nothing. */
     sound: v.boolean(),
-    renew: v.boolean(), insync: v.array(g.nodeId), held: v.optional(holder), lay: v.boolean(),
+    renew: v.boolean(),
+    insync: v.array(g.nodeId),
+    held: v.optional(holder),
+    lay: v.boolean(),
   }),
   v.object({
-    kind: kind('vote'), duty: g.duty, epoch: g.epoch, witness: g.nodeId, at: g.moment, sound: v.boolean(), granted: v.boolean(), blank: v.boolean(),
-    highest: g.epoch, electorate: v.optional(electorate),
+    kind: kind('vote'),
+    duty: g.duty,
+    epoch: g.epoch,
+    witness: g.nodeId,
+    at: g.moment,
+    sound: v.boolean(),
+    granted: v.boolean(),
+    blank: v.boolean(),
+    highest: g.epoch,
+    electorate: v.optional(electorate),
     /** How long the lease that stands in the way still lasts. */
     left: v.optional(g.span),
   }),
-  v.object({ kind: kind('found'), id: g.callId, fleet: g.fleetId, stores: v.array(v.object({ node: g.nodeId, address: g.address })), electorate }),
-  v.object({ kind: kind('founded'), id: g.callId, node: g.nodeId, ok: v.boolean(), text: v.string() }),
+  v.object({
+    kind: kind('found'),
+    id: g.callId,
+    fleet: g.fleetId,
+    stores: v.array(v.object({ node: g.nodeId, address: g.address })),
+    electorate,
+  }),
+  v.object({
+    kind: kind('founded'),
+    id: g.callId,
+    node: g.nodeId,
+    ok: v.boolean(),
+    text: v.string(),
+  }),
   v.object({ kind: kind('copy'), charter, stamp, prior: stamp, puts: v.array(put) }),
-  v.object({ kind: kind('copied'), node: g.nodeId, epoch: g.epoch, seq: g.seq, ok: v.boolean(), text: v.string() }),
-  v.object({ kind: kind('greet'), node: g.nodeId, charter: v.optional(charter), stamp, primary: v.boolean(), full: v.boolean(), digests: v.array(v.string()), at: g.moment }),
-  v.object({ kind: kind('listing'), epoch: g.epoch, stamp, range: v.number(), keys: v.array(v.object({ key: v.string(), stamp })) }),
+  v.object({
+    kind: kind('copied'),
+    node: g.nodeId,
+    epoch: g.epoch,
+    seq: g.seq,
+    ok: v.boolean(),
+    text: v.string(),
+  }),
+  v.object({
+    kind: kind('greet'),
+    node: g.nodeId,
+    charter: v.optional(charter),
+    stamp,
+    primary: v.boolean(),
+    full: v.boolean(),
+    digests: v.array(v.string()),
+    at: g.moment,
+  }),
+  v.object({
+    kind: kind('listing'),
+    epoch: g.epoch,
+    stamp,
+    range: v.number(),
+    keys: v.array(v.object({ key: v.string(), stamp })),
+  }),
   v.object({ kind: kind('fetch'), node: g.nodeId, epoch: g.epoch, keys: v.array(v.string()) }),
-  v.object({ kind: kind('mend'), epoch: g.epoch, charter, settled: v.optional(stamp), entries: v.array(v.object({ key: v.string(), stamp, data: v.string() })) }),
   v.object({
-    kind: kind('tune'), registry: member, at: g.moment, epoch: g.epoch, serial: g.seq, purged: g.seq,
-    reports: v.array(v.object({ node: g.nodeId, role: v.string(), incarnation: g.incarnation, open: v.boolean(), report })),
+    kind: kind('mend'),
+    epoch: g.epoch,
+    charter,
+    settled: v.optional(stamp),
+    entries: v.array(v.object({ key: v.string(), stamp, data: v.string() })),
+  }),
+  v.object({
+    kind: kind('tune'),
+    registry: member,
+    at: g.moment,
+    epoch: g.epoch,
+    serial: g.seq,
+    purged: g.seq,
+    reports: v.array(
+      v.object({
+        node: g.nodeId,
+        role: v.string(),
+        incarnation: g.incarnation,
+        open: v.boolean(),
+        report,
+      }),
+    ),
   }),
   v.object({
-    kind: kind('feed'), at: g.moment, epoch: g.epoch, serial: g.seq,
-    desired: v.optional(v.array(v.object({ node: g.nodeId, generation: g.generation, hash: g.hash, failed: v.optional(g.hash) }))),
-    offers: v.array(offer), current: v.optional(offer),
-    purges: v.array(purge), floor: g.seq, top: g.seq,
-    verdicts: v.array(verdict), releases: v.array(releaseState), electorate: v.optional(electorate), fleet: g.fleetId,
+    kind: kind('feed'),
+    at: g.moment,
+    epoch: g.epoch,
+    serial: g.seq,
+    desired: v.optional(
+      v.array(
+        v.object({
+          node: g.nodeId,
+          generation: g.generation,
+          hash: g.hash,
+          failed: v.optional(g.hash),
+        }),
+      ),
+    ),
+    offers: v.array(offer),
+    current: v.optional(offer),
+    purges: v.array(purge),
+    floor: g.seq,
+    top: g.seq,
+    verdicts: v.array(verdict),
+    releases: v.array(releaseState),
+    electorate: v.optional(electorate),
+    fleet: g.fleetId,
   }),
   /** What a store has on its disk while no primary is heard of. */
   hint,
   v.object({ kind: kind('want'), node: g.nodeId, hashes: v.array(g.hash) }),
   v.object({ kind: kind('piece'), hash: g.hash, data: v.string() }),
-  v.object({ kind: kind('call'), id: g.callId, verb: v.picklist(['apply', 'purge', 'ask', 'view', 'electorate', 'release']), body: v.string(), base: v.optional(g.generation) }),
+  v.object({
+    kind: kind('call'),
+    id: g.callId,
+    verb: v.picklist(['apply', 'purge', 'ask', 'view', 'electorate', 'release']),
+    body: v.string(),
+    base: v.optional(g.generation),
+  }),
   v.object({ kind: kind('called'), id: g.callId, status: v.number(), body: v.string() }),
-  v.object({ kind: kind('trial'), service: g.serviceName, release: g.release, spent: v.number(), bad: v.number(), good: v.number(), seen: v.number(), state: v.picklist(['trial', 'good', 'bad']), at: g.moment, node: g.nodeId }),
+  v.object({
+    kind: kind('trial'),
+    service: g.serviceName,
+    release: g.release,
+    spent: v.number(),
+    bad: v.number(),
+    good: v.number(),
+    seen: v.number(),
+    state: v.picklist(['trial', 'good', 'bad']),
+    at: g.moment,
+    node: g.nodeId,
+  }),
   v.object({ kind: kind('tried'), verdict, at: g.moment }),
   /** Cumulative counts of an edge's life since it heard of the order; sent while one stands and its term is not over. */
   v.object({
-    kind: kind('tally'), node: g.nodeId, incarnation: g.incarnation, service: g.serviceName,
+    kind: kind('tally'),
+    node: g.nodeId,
+    incarnation: g.incarnation,
+    service: g.serviceName,
     /** The order that is counted for, and the state that the edge acts on. */
-    order: g.seq, serial: g.seq, rows: v.array(tallyRow),
+    order: g.seq,
+    serial: g.seq,
+    rows: v.array(tallyRow),
     /** Requests under way at origins of other releases than the target. */
     inFlightOld: v.pipe(v.number(), v.integer(), v.minValue(0)),
     /** How much of the order's span is over by this edge's own clock; lets a new primary go on in time. */
--- a/packages/coupling/src/frame/data.ts
+++ b/packages/coupling/src/frame/data.ts
@@ -10,13 +10,25 @@
 
 /** A request on its way from an edge to a keeper. */
 export const ask = v.object({
-  kind: kind('ask'), id: g.askId, service: g.serviceName, generation: g.generation, route: g.routeName, group: g.className, epoch: g.epoch,
-  method: v.string(), host: v.string(), path: v.string(), fields, body: bytes,
-  repeatable: v.boolean(), storable: v.boolean(),
+  kind: kind('ask'),
+  id: g.askId,
+  service: g.serviceName,
+  generation: g.generation,
+  route: g.routeName,
+  group: g.className,
+  epoch: g.epoch,
+  method: v.string(),
+  host: v.string(),
+  path: v.string(),
+  fields,
+  body: bytes,
+  repeatable: v.boolean(),
+  storable: v.boolean(),
   /** Whether an earlier leg of it may have run: then it is never told as refused. */
   again: v.boolean(),
   /** Whether an earlier leg of it is known to have begun: this one counts as extra. */
-  extra: v.boolean(), left: g.span,
+  extra: v.boolean(),
+  left: g.span,
   /** The last purge the asking edge heard: nothing older may be told it. */
   purged: g.seq,
 });
@@ -25,14 +37,30 @@
 export const dataFrames = [
   ask,
   v.object({
-    kind: kind('result'), id: g.askId, status: v.number(), fields, length: v.optional(v.number()), age: g.span,
-    instance: v.optional(g.instanceId), release: v.optional(g.release), from: v.picklist(['origin', 'cache']), purged: g.seq, streamed: v.boolean(),
+    kind: kind('result'),
+    id: g.askId,
+    status: v.number(),
+    fields,
+    length: v.optional(v.number()),
+    age: g.span,
+    instance: v.optional(g.instanceId),
+    release: v.optional(g.release),
+    from: v.picklist(['origin', 'cache']),
+    purged: g.seq,
+    streamed: v.boolean(),
   }),
   /** The first leg of it goes out now. */
   v.object({ kind: kind('begun'), id: g.askId }),
   v.object({ kind: kind('chunk'), id: g.askId, bytes }),
   v.object({ kind: kind('done'), id: g.askId, digest: v.string(), length: v.number() }),
-  v.object({ kind: kind('bounce'), id: g.askId, breakdown: v.picklist(g.kinds), text: v.string(), retryAfter: v.number(), moved: v.boolean() }),
+  v.object({
+    kind: kind('bounce'),
+    id: g.askId,
+    breakdown: v.picklist(g.kinds),
+    text: v.string(),
+    retryAfter: v.number(),
+    moved: v.boolean(),
+  }),
   v.object({ kind: kind('quit'), id: g.askId }),
   v.object({ kind: kind('credit'), id: g.askId, bytes: v.number() }),
 ] as const;
--- a/packages/coupling/src/frame/member.ts
+++ b/packages/coupling/src/frame/member.ts
@@ -70,11 +70,20 @@
 export type Origin = v.InferOutput<typeof origin>;
 
 /** Who holds a duty, by its own word after it won. */
-export const holder = v.object({ duty: g.duty, epoch: g.epoch, node: g.nodeId, address: g.address, door: v.optional(g.address) });
+export const holder = v.object({
+  duty: g.duty,
+  epoch: g.epoch,
+  node: g.nodeId,
+  address: g.address,
+  door: v.optional(g.address),
+});
 export type Holder = v.InferOutput<typeof holder>;
 
 /** The witnesses that may grant duties; changed by one member at a time. */
-export const electorate = v.object({ serial: g.seq, members: v.array(v.object({ node: g.nodeId, address: g.address })) });
+export const electorate = v.object({
+  serial: g.seq,
+  members: v.array(v.object({ node: g.nodeId, address: g.address })),
+});
 export type Electorate = v.InferOutput<typeof electorate>;
 
 /** What a purge aims at. */
@@ -133,5 +142,13 @@
 export type ReleaseState = v.InferOutput<typeof releaseState>;
 
 /** What an edge sent to a release on behalf of a class, and what became of it. */
-export const tallyRow = v.object({ release: g.release, group: v.string(), sent: count, good: count, bad: count, slow: count, sumMs: v.pipe(v.number(), v.minValue(0)) });
+export const tallyRow = v.object({
+  release: g.release,
+  group: v.string(),
+  sent: count,
+  good: count,
+  bad: count,
+  slow: count,
+  sumMs: v.pipe(v.number(), v.minValue(0)),
+});
 export type TallyRow = v.InferOutput<typeof tallyRow>;
--- a/packages/depot/src/boot.ts
+++ b/packages/depot/src/boot.ts
@@ -19,7 +19,23 @@
   ...common,
   data: v.pipe(v.string('a folder'), v.minLength(1, 'a folder')),
   admin: address,
-  copies: v.optional(v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(1, 'at least 1'), v.maxValue(15, 'at most 15')), 2),
-  tolerate: v.optional(v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(0, 'at least 0'), v.maxValue(14, 'at most 14')), 1),
+  copies: v.optional(
+    v.pipe(
+      v.number('a number'),
+      v.integer('a whole number'),
+      v.minValue(1, 'at least 1'),
+      v.maxValue(15, 'at most 15'),
+    ),
+    2,
+  ),
+  tolerate: v.optional(
+    v.pipe(
+      v.number('a number'),
+      v.integer('a whole number'),
+      v.minValue(0, 'at least 0'),
+      v.maxValue(14, 'at most 14'),
+    ),
+    1,
+  ),
   electorate: v.optional(v.picklist(['fixed', 'follows'], 'fixed or follows'), 'fixed'),
 });
--- a/packages/depot/src/rows.ts
+++ b/packages/depot/src/rows.ts
@@ -6,13 +6,20 @@
 const headKey = '!head';
 const head = v.object({ format: v.literal(1), charter: charterSchema, stamp: stampSchema });
 
-const entryRow = (one: KeyedEntry): Row => ({ key: `=${one.key}`, text: `${one.stamp.epoch} ${one.stamp.seq} ${one.data}` });
+const entryRow = (one: KeyedEntry): Row => ({
+  key: `=${one.key}`,
+  text: `${one.stamp.epoch} ${one.stamp.seq} ${one.data}`,
+});
 
 const readRow = (row: Row): KeyedEntry | undefined => {
   const [epoch, seq] = row.text.split(' ', 2);
   const read = v.safeParse(stampSchema, { epoch: Number(epoch), seq: Number(seq) });
   if (!row.key.startsWith('=') || !read.success) return undefined;
-  return { key: row.key.slice(1), stamp: read.output, data: row.text.slice(`${epoch ?? ''} ${seq ?? ''} `.length) };
+  return {
+    key: row.key.slice(1),
+    stamp: read.output,
+    data: row.text.slice(`${epoch ?? ''} ${seq ?? ''} `.length),
+  };
 };
 
 /** What a data folder holds: nothing, a whole record, or something that can't be trusted. */
@@ -33,7 +40,8 @@
   for (const row of read.value) {
     if (row.key === headKey) continue;
     const entry = readRow(row);
-    if (entry === undefined) return { found: 'damaged', text: `the entry ${row.key} can not be read` };
+    if (entry === undefined)
+      return { found: 'damaged', text: `the entry ${row.key} can not be read` };
     entries.push(entry);
   }
   return { found: 'whole', charter: told.charter, stamp: told.stamp, entries };
@@ -43,5 +51,11 @@
 export const changeOf = (write: DiskWrite): Parameters<Disk['write']>[0] => ({
   wipe: write.wipe,
   drops: write.drops.map((key) => `=${key}`),
-  sets: [...write.sets.map(entryRow), { key: headKey, text: JSON.stringify({ format: 1, charter: write.charter, stamp: write.stamp }) }],
+  sets: [
+    ...write.sets.map(entryRow),
+    {
+      key: headKey,
+      text: JSON.stringify({ format: 1, charter: write.charter, stamp: write.stamp }),
+    },
+  ],
 });
--- a/packages/depot/src/run.ts
+++ b/packages/depot/src/run.ts
@@ -1,8 +1,33 @@
 import { type Address, type AreaName, type NodeId, toGeneration } from '@switchwheel/gauge';
 import { type WireEffect, Yard } from '@switchwheel/coupling';
-import { type Limits, type Store, type StoreEffect, type StoreEvent, inSync, isPrimary, newStore, pair, storeStep } from '@switchwheel/ledger';
+import {
+  type Limits,
+  type Store,
+  type StoreEffect,
+  type StoreEvent,
+  inSync,
+  isPrimary,
+  newStore,
+  pair,
+  storeStep,
+} from '@switchwheel/ledger';
 import { build } from '@switchwheel/timetable';
-import { Disk, type Log, type Reading, type Running, adminApp, inSlices, isWireEffect, newDice, newIncarnation, now, openDoor, plainReading as plain, runLoop, wait } from '@switchwheel/footplate';
+import {
+  Disk,
+  type Log,
+  type Reading,
+  type Running,
+  adminApp,
+  inSlices,
+  isWireEffect,
+  newDice,
+  newIncarnation,
+  now,
+  openDoor,
+  plainReading as plain,
+  runLoop,
+  wait,
+} from '@switchwheel/footplate';
 import { changeOf, findOn } from './rows.js';
 
 /** What a store needs to know of its place. */
@@ -26,8 +51,19 @@
 
 /** Starts a store. */
 export const startStore = async (boot: StoreBoot, log: Log, disk: Disk): Promise<Running> => {
-  const member = { node: boot.node, role: 'store' as const, area: boot.area, address: boot.listen, ...(boot.admin === undefined ? {} : { admin: boot.admin }), incarnation: newIncarnation() };
-  const yard = new Yard({ node: member.node, address: member.address, incarnation: member.incarnation });
+  const member = {
+    node: boot.node,
+    role: 'store' as const,
+    area: boot.area,
+    address: boot.listen,
+    ...(boot.admin === undefined ? {} : { admin: boot.admin }),
+    incarnation: newIncarnation(),
+  };
+  const yard = new Yard({
+    node: member.node,
+    address: member.address,
+    incarnation: member.incarnation,
+  });
 
   type OwnEffect = Exclude<StoreEffect, WireEffect>;
   let stopped: () => void = () => undefined;
@@ -35,13 +71,26 @@
     switch (effect.kind) {
       case 'sync': {
         const id = effect.write.id;
-        void disk.write(changeOf(effect.write)).then((done) => loop.tell((at) => done.isOk
-          ? { kind: 'synced', now: at, id }
-          : { kind: 'unsynced', now: at, id, text: done.error.text, full: done.error.full }));
+        void disk
+          .write(changeOf(effect.write))
+          .then((done) =>
+            loop.tell((at) =>
+              done.isOk
+                ? { kind: 'synced', now: at, id }
+                : { kind: 'unsynced', now: at, id, text: done.error.text, full: done.error.full },
+            ),
+          );
         break;
       }
       case 'compile':
-        void inSlices(build(effect.texts, toGeneration(0), effect.hash)).then((built) => loop.tell((at) => ({ kind: 'compiled', now: at, hash: effect.hash, faults: built.isOk ? [] : built.error })));
+        void inSlices(build(effect.texts, toGeneration(0), effect.hash)).then((built) =>
+          loop.tell((at) => ({
+            kind: 'compiled',
+            now: at,
+            hash: effect.hash,
+            faults: built.isOk ? [] : built.error,
+          })),
+        );
         break;
       case 'stopped':
         stopped();
@@ -49,7 +98,15 @@
     }
   };
   const isOwnWire = (effect: StoreEffect): effect is WireEffect => isWireEffect(effect);
-  const loop = runLoop<Store, StoreEvent, OwnEffect>(storeStep, newStore(member, boot.seeds, newDice(), boot.limits ?? pair, boot.foundable ?? true), yard, log, run, isOwnWire, boot.tickMs);
+  const loop = runLoop<Store, StoreEvent, OwnEffect>(
+    storeStep,
+    newStore(member, boot.seeds, newDice(), boot.limits ?? pair, boot.foundable ?? true),
+    yard,
+    log,
+    run,
+    isOwnWire,
+    boot.tickMs,
+  );
   const state = loop.store.state;
 
   let worstLag = 0;
@@ -57,21 +114,38 @@
     const one = state();
     worstLag = Math.max(worstLag, loop.lag());
     return [
-      plain('primary', isPrimary(one, now()) ? 1 : 0), plain('in_sync', inSync(one) ? 1 : 0), plain('entries', one.table.size), plain('epoch', one.charter?.epoch ?? 0),
-      plain('writes_waiting', one.waitlist.length), plain('disk_full', one.diskFull === undefined ? 0 : 1), plain('loop_lag_worst_ms', worstLag),
-      plain('foreign_channels_total', yard.foreign), plain('memory_bytes', process.memoryUsage.rss()),
+      plain('primary', isPrimary(one, now()) ? 1 : 0),
+      plain('in_sync', inSync(one) ? 1 : 0),
+      plain('entries', one.table.size),
+      plain('epoch', one.charter?.epoch ?? 0),
+      plain('writes_waiting', one.waitlist.length),
+      plain('disk_full', one.diskFull === undefined ? 0 : 1),
+      plain('loop_lag_worst_ms', worstLag),
+      plain('foreign_channels_total', yard.foreign),
+      plain('memory_bytes', process.memoryUsage.rss()),
     ];
   };
-  const ready = (): boolean => state().phase === 'member' && (isPrimary(state(), now()) || inSync(state()));
-  const admin = boot.admin === undefined ? undefined : await openDoor(adminApp(ready, readings), boot.admin);
+  const ready = (): boolean =>
+    state().phase === 'member' && (isPrimary(state(), now()) || inSync(state()));
+  const admin =
+    boot.admin === undefined ? undefined : await openDoor(adminApp(ready, readings), boot.admin);
   await yard.listen();
   const found = findOn(disk);
   loop.tell((at) => ({ kind: 'read', now: at, found }));
-  log.write('info', 'started', new Map<string, string>([['listen', boot.listen], ['data', boot.data]]));
+  log.write(
+    'info',
+    'started',
+    new Map<string, string>([
+      ['listen', boot.listen],
+      ['data', boot.data],
+    ]),
+  );
 
   return {
     stop: async () => {
-      const over = new Promise<void>((done) => { stopped = done; });
+      const over = new Promise<void>((done) => {
+        stopped = done;
+      });
       loop.tell((at) => ({ kind: 'stop', now: at }));
       await over;
       // Last words leave before the channels close.
--- a/packages/footplate/src/boot/boot.ts
+++ b/packages/footplate/src/boot/boot.ts
@@ -10,7 +10,10 @@
   area: g.areaName,
   listen: g.address,
   seeds: v.pipe(v.array(g.address), v.maxLength(3, 'three seeds at most')),
-  log: v.optional(v.picklist(['debug', 'info', 'warn', 'error'], 'one of debug, info, warn, error'), 'info'),
+  log: v.optional(
+    v.picklist(['debug', 'info', 'warn', 'error'], 'one of debug, info, warn, error'),
+    'info',
+  ),
 };
 
 /** How a setting is given on the command line. */
@@ -24,7 +27,11 @@
   { name: 'node', type: 'text', help: 'the name of this node, its own in the fleet' },
   { name: 'area', type: 'text', help: 'the area this machine stands in' },
   { name: 'listen', type: 'text', help: 'IP:port for the other processes' },
-  { name: 'seeds', type: 'list', help: 'IP:port of up to three registries, to find the fleet; repeat the flag or part by commas' },
+  {
+    name: 'seeds',
+    type: 'list',
+    help: 'IP:port of up to three registries, to find the fleet; repeat the flag or part by commas',
+  },
   { name: 'log', type: 'text', help: 'debug, info, warn or error (info)' },
 ];
 
@@ -35,7 +42,8 @@
   readonly settings: readonly Setting[];
 }
 
-const isObject = (raw: unknown): raw is object => typeof raw === 'object' && raw !== null && !Array.isArray(raw);
+const isObject = (raw: unknown): raw is object =>
+  typeof raw === 'object' && raw !== null && !Array.isArray(raw);
 
 const fromFile = (file: string): Result<ReadonlyMap<string, unknown>, string> => {
   let text: string;
@@ -46,15 +54,21 @@
   }
   try {
     const raw: unknown = JSON.parse(text);
-    return isObject(raw) ? ok(new Map<string, unknown>(Object.entries(raw))) : err(`boot: ${file} does not hold a JSON object`);
+    return isObject(raw)
+      ? ok(new Map<string, unknown>(Object.entries(raw)))
+      : err(`boot: ${file} does not hold a JSON object`);
   } catch (problem) {
-    return err(`boot: ${file} is not JSON: ${problem instanceof Error ? problem.message : 'unreadable'}`);
+    return err(
+      `boot: ${file} is not JSON: ${problem instanceof Error ? problem.message : 'unreadable'}`,
+    );
   }
 };
 
 const helpOf = (program: Program): string => {
-  const rows = [...program.settings, { name: 'boot', type: 'text', help: 'a JSON file with these settings; flags go before it' }]
-    .map((one) => `    --${one.name.padEnd(10)} ${one.help}`);
+  const rows = [
+    ...program.settings,
+    { name: 'boot', type: 'text', help: 'a JSON file with these settings; flags go before it' },
+  ].map((one) => `    --${one.name.padEnd(10)} ${one.help}`);
   return `
   Usage
     $ ${program.name} [--boot FILE] [flags]
@@ -68,21 +82,41 @@
 };
 
 const flagValue = (setting: Setting, raw: unknown): unknown => {
-  if (setting.type === 'list' && Array.isArray(raw)) return raw.flatMap((one) => String(one).split(',')).map((one) => one.trim()).filter((one) => one !== '');
+  if (setting.type === 'list' && Array.isArray(raw))
+    return raw
+      .flatMap((one) => String(one).split(','))
+      .map((one) => one.trim())
+      .filter((one) => one !== '');
   if (setting.type === 'number') return raw === '' ? raw : Number(raw);
   return raw;
 };
 
 /** Reads settings from file and flags; every fault is told, each in one line. */
-export const readBoot = <T>(program: Program, schema: v.GenericSchema<unknown, T>, argv: readonly string[]): Result<T, readonly string[]> => {
-  const flags = Object.fromEntries([...program.settings, { name: 'boot', type: 'text', help: '' } as const].map((one) => [
-    one.name, one.type === 'list' ? { type: 'string' as const, isMultiple: true as const } : { type: 'string' as const },
-  ]));
-  const read = meow(helpOf(program), { importMeta: import.meta, argv: [...argv], flags, description: program.about, version: '0.1.0' });
+export const readBoot = <T>(
+  program: Program,
+  schema: v.GenericSchema<unknown, T>,
+  argv: readonly string[],
+): Result<T, readonly string[]> => {
+  const flags = Object.fromEntries(
+    [...program.settings, { name: 'boot', type: 'text', help: '' } as const].map((one) => [
+      one.name,
+      one.type === 'list'
+        ? { type: 'string' as const, isMultiple: true as const }
+        : { type: 'string' as const },
+    ]),
+  );
+  const read = meow(helpOf(program), {
+    importMeta: import.meta,
+    argv: [...argv],
+    flags,
+    description: program.about,
+    version: '0.1.0',
+  });
   const given = new Map<string, unknown>(Object.entries(read.flags));
   const faults: string[] = read.input.map((one) => `${one}: not a flag`);
   for (const name of given.keys()) {
-    if (name !== 'boot' && !program.settings.some((one) => one.name === name)) faults.push(`${name}: no such setting`);
+    if (name !== 'boot' && !program.settings.some((one) => one.name === name))
+      faults.push(`${name}: no such setting`);
   }
   const merged = new Map<string, unknown>();
   const file = given.get('boot');
@@ -98,7 +132,9 @@
   }
   const checked = v.safeParse(schema, Object.fromEntries(merged));
   if (checked.success && faults.length === 0) return ok(checked.output);
-  const issues = checked.success ? [] : checked.issues.map((issue) => `${v.getDotPath(issue) ?? 'settings'}: ${issue.message}`);
+  const issues = checked.success
+    ? []
+    : checked.issues.map((issue) => `${v.getDotPath(issue) ?? 'settings'}: ${issue.message}`);
   return err([...new Set([...faults, ...issues])]);
 };
 
--- a/packages/footplate/src/disk/disk.test.ts
+++ b/packages/footplate/src/disk/disk.test.ts
@@ -17,47 +17,74 @@
 
 const filled = async (folder: string): Promise<void> => {
   const disk = new Disk(folder);
-  const done = await disk.write({ sets: [{ key: 'one', text: 'first' }, { key: 'two', text: 'second'.repeat(50) }], drops: [], wipe: false });
+  const done = await disk.write({
+    sets: [
+      { key: 'one', text: 'first' },
+      { key: 'two', text: 'second'.repeat(50) },
+    ],
+    drops: [],
+    wipe: false,
+  });
   assert.ok(done.isOk);
   await disk.close();
 };
 
-void test('what was written is read again, changes and wipes as a whole', () => inFolder(async (folder) => {
-  await filled(folder);
-  const disk = new Disk(folder);
-  assert.deepEqual(disk.read().unwrapOr([]).map((row) => row.key), ['one', 'two']);
-  await disk.write({ sets: [{ key: 'three', text: 'third' }], drops: ['one'], wipe: false });
-  assert.deepEqual(disk.read().unwrapOr([]).map((row) => row.key), ['three', 'two']);
-  await disk.write({ sets: [{ key: 'four', text: 'fourth' }], drops: [], wipe: true });
-  assert.deepEqual(disk.read().unwrapOr([]), [{ key: 'four', text: 'fourth' }]);
-  await disk.close();
-}));
+void test('what was written is read again, changes and wipes as a whole', () =>
+  inFolder(async (folder) => {
+    await filled(folder);
+    const disk = new Disk(folder);
+    assert.deepEqual(
+      disk
+        .read()
+        .unwrapOr([])
+        .map((row) => row.key),
+      ['one', 'two'],
+    );
+    await disk.write({ sets: [{ key: 'three', text: 'third' }], drops: ['one'], wipe: false });
+    assert.deepEqual(
+      disk
+        .read()
+        .unwrapOr([])
+        .map((row) => row.key),
+      ['three', 'two'],
+    );
+    await disk.write({ sets: [{ key: 'four', text: 'fourth' }], drops: [], wipe: true });
+    assert.deepEqual(disk.read().unwrapOr([]), [{ key: 'four', text: 'fourth' }]);
+    await disk.close();
+  }));
 
-void test('a changed byte in an entry makes the disk damaged, in plain words', () => inFolder(async (folder) => {
-  await filled(folder);
-  const file = join(folder, 'table.lmdb');
-  const bytes = readFileSync(file);
-  for (let at = bytes.indexOf('secondsecond'); at >= 0; at = bytes.indexOf('secondsecond', at + 1)) bytes[at] = 0x53;
-  writeFileSync(file, bytes);
-  const disk = new Disk(folder);
-  const read = disk.read();
-  assert.ok(read.isErr && read.error.includes('two does not fit its checksum'));
-  await disk.close();
-}));
+void test('a changed byte in an entry makes the disk damaged, in plain words', () =>
+  inFolder(async (folder) => {
+    await filled(folder);
+    const file = join(folder, 'table.lmdb');
+    const bytes = readFileSync(file);
+    for (
+      let at = bytes.indexOf('secondsecond');
+      at >= 0;
+      at = bytes.indexOf('secondsecond', at + 1)
+    )
+      bytes[at] = 0x53;
+    writeFileSync(file, bytes);
+    const disk = new Disk(folder);
+    const read = disk.read();
+    assert.ok(read.isErr && read.error.includes('two does not fit its checksum'));
+    await disk.close();
+  }));
 
-void test('a file that does not begin as it must is set aside, and so is one that ended the process three times', () => inFolder(async (folder) => {
-  await filled(folder);
-  writeFileSync(join(folder, 'table.lmdb'), Buffer.alloc(8192, 7));
-  const first = new Disk(folder);
-  assert.equal(first.aside, 'the file does not begin as it must');
-  assert.deepEqual(first.read().unwrapOr([]), []);
-  await first.close();
-  await filled(folder);
-  writeFileSync(join(folder, 'opening'), '3');
-  const second = new Disk(folder);
-  assert.equal(second.aside, 'the process ended 3 times while reading it');
-  await second.close();
-}));
+void test('a file that does not begin as it must is set aside, and so is one that ended the process three times', () =>
+  inFolder(async (folder) => {
+    await filled(folder);
+    writeFileSync(join(folder, 'table.lmdb'), Buffer.alloc(8192, 7));
+    const first = new Disk(folder);
+    assert.equal(first.aside, 'the file does not begin as it must');
+    assert.deepEqual(first.read().unwrapOr([]), []);
+    await first.close();
+    await filled(folder);
+    writeFileSync(join(folder, 'opening'), '3');
+    const second = new Disk(folder);
+    assert.equal(second.aside, 'the process ended 3 times while reading it');
+    await second.close();
+  }));
 
 /** Writes until the file may not grow any more, in a process of its own, whose rejections that nobody took are counted. */
 const script = (folder: string): string => `
@@ -77,14 +104,33 @@
 process.exit(0);
 `;
 
-void test('a disk that takes no more refuses each write with the reason, and ends nothing', () => inFolder((folder) => {
-  const run = spawnSync('bash', ['-c', 'ulimit -f 200; trap "" XFSZ; exec "$0" --input-type=module -e "$1"', process.execPath, script(folder)], { encoding: 'utf8' });
-  const lines = run.stdout.trim().split('\n');
-  const last: unknown = JSON.parse(lines.at(-1) ?? '{}');
-  assert.ok(typeof last === 'object' && last !== null && 'foreign' in last && 'told' in last && Array.isArray(last.told));
-  assert.equal(last.foreign, 0, 'no rejection but the library\'s own, which programs let be');
-  const told = last.told.map(String);
-  assert.ok(told.includes('ok') && told.at(-1) !== 'ok', told.join(', '));
-  assert.ok(told.every((one) => one === 'ok' || !one.startsWith('Commit failed')), told.join(', '));
-  return Promise.resolve();
-}));
+void test('a disk that takes no more refuses each write with the reason, and ends nothing', () =>
+  inFolder((folder) => {
+    const run = spawnSync(
+      'bash',
+      [
+        '-c',
+        'ulimit -f 200; trap "" XFSZ; exec "$0" --input-type=module -e "$1"',
+        process.execPath,
+        script(folder),
+      ],
+      { encoding: 'utf8' },
+    );
+    const lines = run.stdout.trim().split('\n');
+    const last: unknown = JSON.parse(lines.at(-1) ?? '{}');
+    assert.ok(
+      typeof last === 'object' &&
+        last !== null &&
+        'foreign' in last &&
+        'told' in last &&
+        Array.isArray(last.told),
+    );
+    assert.equal(last.foreign, 0, "no rejection but the library's own, which programs let be");
+    const told = last.told.map(String);
+    assert.ok(told.includes('ok') && told.at(-1) !== 'ok', told.join(', '));
+    assert.ok(
+      told.every((one) => one === 'ok' || !one.startsWith('Commit failed')),
+      told.join(', '),
+    );
+    return Promise.resolve();
+  }));
--- a/packages/footplate/src/disk/disk.ts
+++ b/packages/footplate/src/disk/disk.ts
@@ -1,5 +1,15 @@
 import { createHash } from 'node:crypto';
-import { closeSync, existsSync, mkdirSync, openSync, readFileSync, readSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import {
+  closeSync,
+  existsSync,
+  mkdirSync,
+  openSync,
+  readFileSync,
+  readSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import { join } from 'node:path';
 import { type RootDatabase, open } from 'lmdb';
 import type { Result } from 'true-myth/result';
@@ -19,7 +29,8 @@
   readonly wipe: boolean;
 }
 
-const sum = (key: string, text: string): string => createHash('sha256').update(key).update('\0').update(text).digest('hex').slice(0, 32);
+const sum = (key: string, text: string): string =>
+  createHash('sha256').update(key).update('\0').update(text).digest('hex').slice(0, 32);
 
 const mostTries = 3;
 
@@ -46,7 +57,13 @@
     this.#mark = join(folder, 'opening');
     // A file damaged in the wrong place ends the process while it is read: after some such starts it is set aside.
     const tries = existsSync(this.#mark) ? Number(readFileSync(this.#mark, 'utf8')) || 0 : 0;
-    const damaged = !existsSync(file) ? undefined : !looksWhole(file) ? 'the file does not begin as it must' : tries >= mostTries ? `the process ended ${tries} times while reading it` : undefined;
+    const damaged = !existsSync(file)
+      ? undefined
+      : !looksWhole(file)
+        ? 'the file does not begin as it must'
+        : tries >= mostTries
+          ? `the process ended ${tries} times while reading it`
+          : undefined;
     if (damaged !== undefined) {
       renameSync(file, `${file}.damaged-${Date.now()}`);
       rmSync(`${file}-lock`, { force: true });
@@ -59,8 +76,14 @@
   static #open(folder: string): RootDatabase<string, string> {
     // Overlapping sync would let a commit be told before it lasts: it is turned off, so that a commit waits for the real sync.
     return open<string, string>({
-      path: join(folder, 'table.lmdb'), encoding: 'string', overlappingSync: false, noMemInit: false, mapSize: 1024 * 1024 * 1024,
-      compression: false, cache: false, maxReaders: 4,
+      path: join(folder, 'table.lmdb'),
+      encoding: 'string',
+      overlappingSync: false,
+      noMemInit: false,
+      mapSize: 1024 * 1024 * 1024,
+      compression: false,
+      cache: false,
+      maxReaders: 4,
     });
   }
 
@@ -71,7 +94,8 @@
       for (const { key, value } of this.#base.getRange()) {
         const cut = value.indexOf(' ');
         const text = value.slice(cut + 1);
-        if (cut < 0 || sum(key, text) !== value.slice(0, cut)) return err(`the entry ${key} does not fit its checksum`);
+        if (cut < 0 || sum(key, text) !== value.slice(0, cut))
+          return err(`the entry ${key} does not fit its checksum`);
         rows.push({ key, text });
       }
     } catch (problem) {
@@ -82,12 +106,15 @@
   }
 
   /** Writes a change; settles once it is synced. */
-  async write(change: Change): Promise<Result<true, { readonly text: string; readonly full: boolean }>> {
+  async write(
+    change: Change,
+  ): Promise<Result<true, { readonly text: string; readonly full: boolean }>> {
     try {
       await this.#base.transaction(() => {
         if (change.wipe) this.#base.clearSync();
         for (const key of change.drops) this.#base.removeSync(key);
-        for (const row of change.sets) this.#base.putSync(row.key, `${sum(row.key, row.text)} ${row.text}`);
+        for (const row of change.sets)
+          this.#base.putSync(row.key, `${sum(row.key, row.text)} ${row.text}`);
       });
       await this.#base.flushed;
       return ok(true);
--- a/packages/footplate/src/http/admin.ts
+++ b/packages/footplate/src/http/admin.ts
@@ -13,11 +13,20 @@
 };
 
 /** Readings as scrapers take them. */
-export const metricsText = (readings: readonly Reading[]): string => `${readings.map(line).join('\n')}\n`;
-export const plainReading = (name: string, value: number): Reading => ({ name, labels: new Map(), value });
+export const metricsText = (readings: readonly Reading[]): string =>
+  `${readings.map(line).join('\n')}\n`;
+export const plainReading = (name: string, value: number): Reading => ({
+  name,
+  labels: new Map(),
+  value,
+});
 
 /** The door for whoever runs the machine: live, ready, metrics and the state as it stands. */
-export const adminApp = (ready: () => boolean, readings: () => readonly Reading[], state?: () => object): Koa => {
+export const adminApp = (
+  ready: () => boolean,
+  readings: () => readonly Reading[],
+  state?: () => object,
+): Koa => {
   const app = new Koa();
   app.silent = true;
   app.use((ctx) => {
@@ -39,7 +48,10 @@
           return;
         }
         ctx.status = 404;
-        ctx.body = { kind: 'absent', text: `live, ready${state === undefined ? ' or metrics' : ', metrics or state'}` };
+        ctx.body = {
+          kind: 'absent',
+          text: `live, ready${state === undefined ? ' or metrics' : ', metrics or state'}`,
+        };
     }
   });
   return app;
--- a/packages/footplate/src/http/body.ts
+++ b/packages/footplate/src/http/body.ts
@@ -3,7 +3,10 @@
 import { type Breakdown, breakdown } from '@switchwheel/gauge';
 
 /** Reads a whole body, up to a size. */
-export const readBody = async (request: IncomingMessage, limit: number): Promise<Result<Buffer, Breakdown>> => {
+export const readBody = async (
+  request: IncomingMessage,
+  limit: number,
+): Promise<Result<Buffer, Breakdown>> => {
   const told = Number(request.headers['content-length'] ?? 0);
   if (told > limit) return err(breakdown('oversized', `a body of at most ${limit} bytes`));
   const parts: Buffer[] = [];
--- a/packages/footplate/src/http/door.ts
+++ b/packages/footplate/src/http/door.ts
@@ -23,14 +23,31 @@
 /** Opens a door: slow, oversized and ambiguous requests get their 4xx and a closed channel from the HTTP library itself. */
 export const openDoor = (app: Koa, at: Address, rules: DoorRules = plainRules): Promise<Door> => {
   const handle = app.callback();
-  const server = createServer({
-    maxHeaderSize: rules.headerBytes, headersTimeout: rules.headersMs, requestTimeout: rules.requestMs,
-    connectionsCheckingInterval: 1000, keepAliveTimeout: 10_000, insecureHTTPParser: false, requireHostHeader: true,
-  }, (request, response) => { void handle(request, response); });
+  const server = createServer(
+    {
+      maxHeaderSize: rules.headerBytes,
+      headersTimeout: rules.headersMs,
+      requestTimeout: rules.requestMs,
+      connectionsCheckingInterval: 1000,
+      keepAliveTimeout: 10_000,
+      insecureHTTPParser: false,
+      requireHostHeader: true,
+    },
+    (request, response) => {
+      void handle(request, response);
+    },
+  );
   server.on('clientError', (fault: Error & { code?: string }, socket) => {
-    const status = fault.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large'
-      : fault.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
-    if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\n\r\n{"kind":"malformed"}\n`);
+    const status =
+      fault.code === 'HPE_HEADER_OVERFLOW'
+        ? '431 Request Header Fields Too Large'
+        : fault.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+          ? '408 Request Timeout'
+          : '400 Bad Request';
+    if (socket.writable)
+      socket.end(
+        `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\n\r\n{"kind":"malformed"}\n`,
+      );
     else socket.destroy();
   });
   return new Promise((done, fail) => {
--- a/packages/footplate/src/run/life.ts
+++ b/packages/footplate/src/run/life.ts
@@ -35,7 +35,11 @@
       void causeOf(fault);
       return;
     }
-    log.write('error', 'broke down', new Map([['why', fault instanceof Error ? fault.stack ?? fault.message : String(fault)]]));
+    log.write(
+      'error',
+      'broke down',
+      new Map([['why', fault instanceof Error ? (fault.stack ?? fault.message) : String(fault)]]),
+    );
     process.exit(1);
   });
 };
--- a/packages/footplate/src/run/loop.ts
+++ b/packages/footplate/src/run/loop.ts
@@ -47,7 +47,8 @@
     also();
   }, span);
   return {
-    store, tell,
+    store,
+    tell,
     end: () => clearInterval(timer),
     lag: () => {
       const held = worst;
@@ -57,4 +58,5 @@
   };
 };
 
-export const isWireEffect = (effect: { readonly kind: string }): effect is WireEffect => effect.kind === 'send' || effect.kind === 'log';
+export const isWireEffect = (effect: { readonly kind: string }): effect is WireEffect =>
+  effect.kind === 'send' || effect.kind === 'log';
--- a/packages/footplate/src/run/running.ts
+++ b/packages/footplate/src/run/running.ts
@@ -4,4 +4,7 @@
 }
 
 /** Lets time pass, in milliseconds. */
-export const wait = (ms: number): Promise<void> => new Promise((done) => { setTimeout(done, ms); });
+export const wait = (ms: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, ms);
+  });
--- a/packages/gauge/src/breakdown/kind.ts
+++ b/packages/gauge/src/breakdown/kind.ts
@@ -1,7 +1,19 @@
 /** The closed list of what can go wrong, each with the answer it turns into. */
 export const kinds = [
-  'bounced', 'unknown', 'malformed', 'oversized', 'slow', 'lost', 'denied', 'invalid', 'stale', 'absent',
-  'unready', 'damaged', 'foreign', 'broken',
+  'bounced',
+  'unknown',
+  'malformed',
+  'oversized',
+  'slow',
+  'lost',
+  'denied',
+  'invalid',
+  'stale',
+  'absent',
+  'unready',
+  'damaged',
+  'foreign',
+  'broken',
 ] as const;
 export type Kind = (typeof kinds)[number];
 
--- a/packages/gauge/src/id/name.ts
+++ b/packages/gauge/src/id/name.ts
@@ -52,27 +52,56 @@
   if (typeof raw !== 'string' || !spot.test(raw)) return false;
   const port = Number(raw.slice(raw.lastIndexOf(':') + 1));
   if (port > 65535) return false;
-  return raw.startsWith('[') || raw.slice(0, raw.lastIndexOf(':')).split('.').every((part) => Number(part) <= 255);
+  return (
+    raw.startsWith('[') ||
+    raw
+      .slice(0, raw.lastIndexOf(':'))
+      .split('.')
+      .every((part) => Number(part) <= 255)
+  );
 };
 
-export const nodeId = v.custom<NodeId>(isNodeId, 'a node name: letters, digits, dot, dash, at most 64');
-export const areaName = v.custom<AreaName>(isAreaName, 'an area name: letters, digits, dot, dash, at most 64');
-export const serviceName = v.custom<ServiceName>(isServiceName, 'a service name: letters, digits, dot, dash, at most 64');
-export const className = v.custom<ClassName>(isClassName, 'a class name: letters, digits, dot, dash, at most 64');
-export const routeName = v.custom<RouteName>(isRouteName, 'a route name: letters, digits, dot, dash, at most 64');
-export const instanceId = v.custom<InstanceId>(isInstanceId, 'an instance id of at most 128 plain signs');
+export const nodeId = v.custom<NodeId>(
+  isNodeId,
+  'a node name: letters, digits, dot, dash, at most 64',
+);
+export const areaName = v.custom<AreaName>(
+  isAreaName,
+  'an area name: letters, digits, dot, dash, at most 64',
+);
+export const serviceName = v.custom<ServiceName>(
+  isServiceName,
+  'a service name: letters, digits, dot, dash, at most 64',
+);
+export const className = v.custom<ClassName>(
+  isClassName,
+  'a class name: letters, digits, dot, dash, at most 64',
+);
+export const routeName = v.custom<RouteName>(
+  isRouteName,
+  'a route name: letters, digits, dot, dash, at most 64',
+);
+export const instanceId = v.custom<InstanceId>(
+  isInstanceId,
+  'an instance id of at most 128 plain signs',
+);
 export const fleetId = v.custom<FleetId>(isFleetId, 'a fleet id of at most 128 plain signs');
 export const duty = v.custom<Duty>(isDuty, 'a duty');
 export const callId = v.custom<CallId>(isCallId, 'a call id of at most 128 plain signs');
 export const release = v.custom<Release>(isRelease, 'a release of at most 128 plain signs');
 export const askId = v.custom<AskId>(isAskId, 'an ask id');
 export const hash = v.custom<Hash>(isHash, 'a SHA-256 in hex');
-export const address = v.custom<Address>(isAddress, 'an IP number and a port, such as 10.0.0.1:7000');
+export const address = v.custom<Address>(
+  isAddress,
+  'an IP number and a port, such as 10.0.0.1:7000',
+);
 
-const need = <T extends string>(guard: (raw: unknown) => raw is T, what: string) => (raw: string): T => {
-  if (guard(raw)) return raw;
-  throw new TypeError(`not ${what}: ${raw}`);
-};
+const need =
+  <T extends string>(guard: (raw: unknown) => raw is T, what: string) =>
+  (raw: string): T => {
+    if (guard(raw)) return raw;
+    throw new TypeError(`not ${what}: ${raw}`);
+  };
 
 /** For names the program itself makes; throws on a bad one, which is a mistake of the program. */
 export const toNodeId = need(isNodeId, 'a node name');
--- a/packages/gauge/src/table/map.ts
+++ b/packages/gauge/src/table/map.ts
@@ -19,7 +19,10 @@
 };
 
 /** A copy of a table with only the entries that pass; the table itself if all do. */
-export const sift = <K, V>(table: ReadonlyMap<K, V>, keep: (value: V, key: K) => boolean): ReadonlyMap<K, V> => {
+export const sift = <K, V>(
+  table: ReadonlyMap<K, V>,
+  keep: (value: V, key: K) => boolean,
+): ReadonlyMap<K, V> => {
   const kept = [...table].filter(([key, value]) => keep(value, key));
   return kept.length === table.size ? table : new Map(kept);
 };
--- a/packages/interchange/src/nginx/carry.test.ts
+++ b/packages/interchange/src/nginx/carry.test.ts
@@ -42,29 +42,53 @@
 `;
 
 void test('upstreams, servers, locations and cache settings become a description that passes the check; the rest is listed with lines', () => {
-  inFolder(new Map([['nginx.conf', main], ['parts.conf', part]]), (file) => {
-    const read = readNginx(file);
-    assert.ok(read.isOk);
-    const { description, left } = carry(read.value);
-    const bundle = finish(cut(description)).unwrapOrElse((faults) => assert.fail(JSON.stringify(faults)));
-    const table = finish(build(bundle.order.map((hash) => bundle.pieces.get(hash) ?? ''), noGeneration, bundle.hash)).unwrapOrElse((faults) => assert.fail(JSON.stringify(faults)));
-    assert.deepEqual([...table.services.keys()], ['shop']);
-    const kept = [...table.tracks.values()].filter((one) => one.cache !== undefined);
-    assert.equal(kept.length, 4, 'two hosts, path and prefix');
-    assert.ok(kept.every((one) => one.cache?.lifetimeMs === 600_000 && !one.methods.has('POST')));
-    assert.ok([...table.tracks.values()].some((one) => one.timeoutMs === 3000));
-    const told = left.map((one) => `${one.file.slice(one.file.lastIndexOf('/') + 1)}:${one.line} ${one.name}`);
-    for (const line of ['nginx.conf:4 server 10.0.0.1:80', 'nginx.conf:5 proxy_cache_path /var/cache keys_zone=one:10m', 'nginx.conf:12 location ~ \\.php$', 'parts.conf:5 add_header X-Cache hit']) {
-      assert.ok(told.includes(line), `${line} in ${told.join('; ')}`);
-    }
-  });
+  inFolder(
+    new Map([
+      ['nginx.conf', main],
+      ['parts.conf', part],
+    ]),
+    (file) => {
+      const read = readNginx(file);
+      assert.ok(read.isOk);
+      const { description, left } = carry(read.value);
+      const bundle = finish(cut(description)).unwrapOrElse((faults) =>
+        assert.fail(JSON.stringify(faults)),
+      );
+      const table = finish(
+        build(
+          bundle.order.map((hash) => bundle.pieces.get(hash) ?? ''),
+          noGeneration,
+          bundle.hash,
+        ),
+      ).unwrapOrElse((faults) => assert.fail(JSON.stringify(faults)));
+      assert.deepEqual([...table.services.keys()], ['shop']);
+      const kept = [...table.tracks.values()].filter((one) => one.cache !== undefined);
+      assert.equal(kept.length, 4, 'two hosts, path and prefix');
+      assert.ok(kept.every((one) => one.cache?.lifetimeMs === 600_000 && !one.methods.has('POST')));
+      assert.ok([...table.tracks.values()].some((one) => one.timeoutMs === 3000));
+      const told = left.map(
+        (one) => `${one.file.slice(one.file.lastIndexOf('/') + 1)}:${one.line} ${one.name}`,
+      );
+      for (const line of [
+        'nginx.conf:4 server 10.0.0.1:80',
+        'nginx.conf:5 proxy_cache_path /var/cache keys_zone=one:10m',
+        'nginx.conf:12 location ~ \\.php$',
+        'parts.conf:5 add_header X-Cache hit',
+      ]) {
+        assert.ok(told.includes(line), `${line} in ${told.join('; ')}`);
+      }
+    },
+  );
 });
 
 void test('broken input and missing includes are told with file, line and reason', () => {
   inFolder(new Map([['nginx.conf', 'http {\n  server {\n    listen 80;\n']]), (file) => {
     const read = readNginx(file);
     assert.ok(read.isErr);
-    assert.deepEqual([read.error.file, read.error.line, read.error.text], [file, 4, 'a block is not closed']);
+    assert.deepEqual(
+      [read.error.file, read.error.line, read.error.text],
+      [file, 4, 'a block is not closed'],
+    );
   });
   inFolder(new Map([['nginx.conf', 'http {\n}\n}\nuser x;\n']]), (file) => {
     const read = readNginx(file);
--- a/packages/interchange/src/nginx/carry.ts
+++ b/packages/interchange/src/nginx/carry.ts
@@ -14,16 +14,38 @@
   readonly left: readonly Left[];
 }
 
-const units: ReadonlyMap<string, number> = new Map([['', 1000], ['ms', 1], ['s', 1000], ['m', 60_000], ['h', 3_600_000], ['d', 86_400_000]]);
+const units: ReadonlyMap<string, number> = new Map([
+  ['', 1000],
+  ['ms', 1],
+  ['s', 1000],
+  ['m', 60_000],
+  ['h', 3_600_000],
+  ['d', 86_400_000],
+]);
 const spanOf = (raw: string | undefined): number | undefined => {
   const found = /^(\d+)(ms|s|m|h|d)?$/.exec(raw ?? '');
   return found === null ? undefined : Number(found[1]) * (units.get(found[2] ?? '') ?? 1000);
 };
-const nameOf = (raw: string): string => raw.replace(/[^A-Za-z0-9._-]+/g, '-').replace(/^[^A-Za-z0-9]+/, '').slice(0, 60) || 'unnamed';
+const nameOf = (raw: string): string =>
+  raw
+    .replace(/[^A-Za-z0-9._-]+/g, '-')
+    .replace(/^[^A-Za-z0-9]+/, '')
+    .slice(0, 60) || 'unnamed';
 
 const reading = ['GET', 'HEAD'] as const;
 const writing = ['POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'] as const;
-const quiet: ReadonlySet<string> = new Set(['events', 'worker_processes', 'user', 'pid', 'http', 'server', 'listen', 'server_name', 'location', 'upstream']);
+const quiet: ReadonlySet<string> = new Set([
+  'events',
+  'worker_processes',
+  'user',
+  'pid',
+  'http',
+  'server',
+  'listen',
+  'server_name',
+  'location',
+  'upstream',
+]);
 
 interface Scope {
   readonly cache: boolean;
@@ -39,7 +61,12 @@
   readonly #names = new Map<string, number>();
 
   leave(one: Directive, why: string): void {
-    this.left.push({ file: one.file, line: one.line, name: [one.name, ...one.args].join(' '), why });
+    this.left.push({
+      file: one.file,
+      line: one.line,
+      name: [one.name, ...one.args].join(' '),
+      why,
+    });
   }
 
   #unique(name: string): string {
@@ -53,13 +80,15 @@
     let scope = outer;
     for (const one of list) {
       if (one.name === 'proxy_cache') scope = { ...scope, cache: one.args[0] !== 'off' };
-      else if (one.name === 'proxy_read_timeout') scope = { ...scope, timeoutMs: spanOf(one.args[0]) ?? scope.timeoutMs };
+      else if (one.name === 'proxy_read_timeout')
+        scope = { ...scope, timeoutMs: spanOf(one.args[0]) ?? scope.timeoutMs };
       else if (one.name === 'proxy_cache_valid') {
         const good = one.args.length === 1 || one.args.includes('200') || one.args.includes('any');
         if (good) scope = { ...scope, lifetimeMs: spanOf(one.args.at(-1)) ?? scope.lifetimeMs };
         else this.leave(one, 'one lifetime holds for all kept results');
       } else if (one.name === 'proxy_cache_key') {
-        if (/\$(request_uri|args|is_args|query_string)/.test(one.args.join(''))) scope = { ...scope, query: true };
+        if (/\$(request_uri|args|is_args|query_string)/.test(one.args.join('')))
+          scope = { ...scope, query: true };
         else if (/\$uri/.test(one.args.join(''))) scope = { ...scope, query: false };
         else this.leave(one, 'keys are made of route, host, path and query');
       }
@@ -68,7 +97,10 @@
   }
 
   http(list: readonly Directive[]): void {
-    const scope = this.#scope({ cache: false, lifetimeMs: undefined, timeoutMs: undefined, query: true }, list);
+    const scope = this.#scope(
+      { cache: false, lifetimeMs: undefined, timeoutMs: undefined, query: true },
+      list,
+    );
     for (const one of list) {
       if (one.name === 'upstream') this.#upstream(one);
       else if (one.name === 'server') this.#server(one, scope);
@@ -77,14 +109,30 @@
   }
 
   #other(one: Directive): void {
-    if (['proxy_cache', 'proxy_read_timeout', 'proxy_cache_valid', 'proxy_cache_key', 'proxy_pass', 'limit_except'].includes(one.name)) return;
+    if (
+      [
+        'proxy_cache',
+        'proxy_read_timeout',
+        'proxy_cache_valid',
+        'proxy_cache_key',
+        'proxy_pass',
+        'limit_except',
+      ].includes(one.name)
+    )
+      return;
     if (quiet.has(one.name) && one.block === undefined) return;
     this.leave(one, 'has no counterpart here');
   }
 
   #upstream(one: Directive): void {
     this.services.add(nameOf(one.args[0] ?? ''));
-    for (const row of one.block ?? []) this.leave(row, row.name === 'server' ? 'origins announce themselves; start them with their own announcements' : 'origins are elected by fitness and free slots');
+    for (const row of one.block ?? [])
+      this.leave(
+        row,
+        row.name === 'server'
+          ? 'origins announce themselves; start them with their own announcements'
+          : 'origins are elected by fitness and free slots',
+      );
   }
 
   #server(one: Directive, outer: Scope): void {
@@ -94,10 +142,14 @@
     const hosts = names.filter((name) => /^[a-z0-9.-]+$/.test(name));
     for (const row of list) {
       if (row.name === 'server_name') {
-        for (const name of row.args) if (name !== '_' && !/^[a-z0-9.-]+$/.test(name)) this.leave(row, `the host ${name} is a pattern; name the hosts`);
+        for (const name of row.args)
+          if (name !== '_' && !/^[a-z0-9.-]+$/.test(name))
+            this.leave(row, `the host ${name} is a pattern; name the hosts`);
       } else if (row.name === 'listen') {
-        if (row.args.includes('ssl')) this.leave(row, 'callers are spoken to over HTTP/1.1 without TLS');
-      } else if (row.name === 'location') this.#location(row, scope, hosts.length === 0 ? [undefined] : hosts);
+        if (row.args.includes('ssl'))
+          this.leave(row, 'callers are spoken to over HTTP/1.1 without TLS');
+      } else if (row.name === 'location')
+        this.#location(row, scope, hosts.length === 0 ? [undefined] : hosts);
       else this.#other(row);
     }
   }
@@ -107,7 +159,10 @@
     const [sign, given] = one.args.length > 1 ? [one.args[0], one.args[1]] : ['', one.args[0]];
     const place = given ?? '';
     if (sign === '~' || sign === '~*' || place.startsWith('@') || !place.startsWith('/')) {
-      this.leave(one, 'patterns and named locations have no counterpart; routes go by path or prefix');
+      this.leave(
+        one,
+        'patterns and named locations have no counterpart; routes go by path or prefix',
+      );
       return;
     }
     const scope = this.#scope(outer, list);
@@ -125,24 +180,57 @@
       this.leave(pass, 'the target is not a fixed one');
       return;
     }
-    if (target[2] !== undefined && target[2] !== place) this.leave(pass, 'paths are handed on as they are; the change of path is left out');
+    if (target[2] !== undefined && target[2] !== place)
+      this.leave(pass, 'paths are handed on as they are; the change of path is left out');
     const service = nameOf(target[1] ?? '');
     this.services.add(service);
     const only = list.find((row) => row.name === 'limit_except');
-    const methods = only === undefined ? [...reading, ...writing] : [...new Set(only.args.flatMap((name) => (name === 'GET' ? [...reading] : [name])))];
-    const places = sign === '=' ? [{ path: place }] : place.endsWith('/') ? [{ prefix: place }] : [{ path: place }, { prefix: `${place}/` }];
-    for (const host of hosts) for (const spot of places) this.#route(spot, host, service, methods, scope, place);
+    const methods =
+      only === undefined
+        ? [...reading, ...writing]
+        : [...new Set(only.args.flatMap((name) => (name === 'GET' ? [...reading] : [name])))];
+    const places =
+      sign === '='
+        ? [{ path: place }]
+        : place.endsWith('/')
+          ? [{ prefix: place }]
+          : [{ path: place }, { prefix: `${place}/` }];
+    for (const host of hosts)
+      for (const spot of places) this.#route(spot, host, service, methods, scope, place);
   }
 
-  #route(spot: object, host: string | undefined, service: string, methods: readonly string[], scope: Scope, place: string): void {
-    const base = { ...spot, ...(host === undefined ? {} : { host }), service, class: 'imported', ...(scope.timeoutMs === undefined ? {} : { timeoutMs: Math.max(10, Math.min(600_000, scope.timeoutMs)) }) };
+  #route(
+    spot: object,
+    host: string | undefined,
+    service: string,
+    methods: readonly string[],
+    scope: Scope,
+    place: string,
+  ): void {
+    const base = {
+      ...spot,
+      ...(host === undefined ? {} : { host }),
+      service,
+      class: 'imported',
+      ...(scope.timeoutMs === undefined
+        ? {}
+        : { timeoutMs: Math.max(10, Math.min(600_000, scope.timeoutMs)) }),
+    };
     const name = (): string => this.#unique(nameOf(`${host ?? 'any'}${place}`));
     const keeps = scope.cache && methods.some((one) => one === 'GET' || one === 'HEAD');
     if (!keeps) {
       this.routes.push({ name: name(), ...base, methods });
       return;
     }
-    this.routes.push({ name: name(), ...base, methods: methods.filter((one) => one === 'GET' || one === 'HEAD'), cache: { ...(scope.lifetimeMs === undefined ? {} : { lifetimeMs: scope.lifetimeMs }), query: scope.query } });
+    this.routes.push({
+      name: name(),
+      ...base,
+      methods: methods.filter((one) => one === 'GET' || one === 'HEAD'),
+      cache: {
+        ...(scope.lifetimeMs === undefined ? {} : { lifetimeMs: scope.lifetimeMs }),
+        query: scope.query,
+      },
+    });
     const rest = methods.filter((one) => one !== 'GET' && one !== 'HEAD');
     if (rest.length > 0) this.routes.push({ name: name(), ...base, methods: rest });
   }
@@ -157,8 +245,13 @@
   }
   return {
     description: {
-      format: 1, classes: [{ name: 'imported', share: 1 }], services: [...carrier.services].map((name) => ({ name })), routes: carrier.routes,
+      format: 1,
+      classes: [{ name: 'imported', share: 1 }],
+      services: [...carrier.services].map((name) => ({ name })),
+      routes: carrier.routes,
     },
-    left: [...carrier.left].sort((one, two) => (one.file === two.file ? one.line - two.line : one.file < two.file ? -1 : 1)),
+    left: [...carrier.left].sort((one, two) =>
+      one.file === two.file ? one.line - two.line : one.file < two.file ? -1 : 1,
+    ),
   };
 };
--- a/packages/interchange/src/nginx/read.ts
+++ b/packages/interchange/src/nginx/read.ts
@@ -74,7 +74,8 @@
   }
 }
 
-const argsOf = (value: string): readonly string[] => [...value.matchAll(/"([^"]*)"|'([^']*)'|\S+/g)].map((found) => found[1] ?? found[2] ?? found[0]);
+const argsOf = (value: string): readonly string[] =>
+  [...value.matchAll(/"([^"]*)"|'([^']*)'|\S+/g)].map((found) => found[1] ?? found[2] ?? found[0]);
 
 const endsTooEarly = (text: string): boolean => {
   try {
@@ -87,26 +88,34 @@
 
 const parse = (file: string, text: string): Result<readonly Directive[], Unread> => {
   const parser = new PlacedParser(text);
-  const fail = (line: number, why: string): Result<readonly Directive[], Unread> => err({ file, line, text: why });
+  const fail = (line: number, why: string): Result<readonly Directive[], Unread> =>
+    err({ file, line, text: why });
   let result: Result<readonly Directive[], Unread> = err({ file, line: 1, text: 'nothing in it' });
   try {
     // The library does not mind a block that is left open: where all are closed, one more closing brace is one too many.
     if (!endsTooEarly(text)) return fail(text.split('\n').length, 'a block is not closed');
     parser.parse(text, (fault, tree) => {
-    if (fault !== null || tree === undefined) {
-      const line = fault !== null && 'line' in fault && typeof fault.line === 'number' ? fault.line : 1;
-      result = err({ file, line, text: fault?.message ?? 'unreadable' });
-      return;
-    }
-    let at = 0;
-    const walk = (node: Tree): Directive => {
-      while (at < parser.words.length && parser.words[at]?.text !== node.name.trim()) at += 1;
-      const line = parser.words[at]?.line ?? 1;
-      const args = argsOf(node.value);
-      at += 1 + args.length;
-      return { name: node.name, args, file, line, block: node.isBlock ? (node.children ?? []).map(walk) : undefined };
-    };
-    result = ok((tree.children ?? []).map(walk));
+      if (fault !== null || tree === undefined) {
+        const line =
+          fault !== null && 'line' in fault && typeof fault.line === 'number' ? fault.line : 1;
+        result = err({ file, line, text: fault?.message ?? 'unreadable' });
+        return;
+      }
+      let at = 0;
+      const walk = (node: Tree): Directive => {
+        while (at < parser.words.length && parser.words[at]?.text !== node.name.trim()) at += 1;
+        const line = parser.words[at]?.line ?? 1;
+        const args = argsOf(node.value);
+        at += 1 + args.length;
+        return {
+          name: node.name,
+          args,
+          file,
+          line,
+          block: node.isBlock ? (node.children ?? []).map(walk) : undefined,
+        };
+      };
+      result = ok((tree.children ?? []).map(walk));
     });
   } catch {
     return fail(parser.line, 'a closing brace too many');
@@ -117,28 +126,47 @@
 const filesOf = (base: string, pattern: string): readonly string[] => {
   const full = isAbsolute(pattern) ? pattern : join(dirname(base), pattern);
   if (!pattern.includes('*')) return [full];
-  const name = new RegExp(`^${full.slice(full.lastIndexOf('/') + 1).split('*').map((one) => one.replace(/[.+?^${}()|[\]\\]/g, '\\$&')).join('.*')}$`);
+  const name = new RegExp(
+    `^${full
+      .slice(full.lastIndexOf('/') + 1)
+      .split('*')
+      .map((one) => one.replace(/[.+?^${}()|[\]\\]/g, '\\$&'))
+      .join('.*')}$`,
+  );
   try {
-    return readdirSync(dirname(full)).filter((one) => name.test(one)).sort().map((one) => join(dirname(full), one));
+    return readdirSync(dirname(full))
+      .filter((one) => name.test(one))
+      .sort()
+      .map((one) => join(dirname(full), one));
   } catch {
     return [];
   }
 };
 
 /** Reads a file with all that it includes. */
-export const readNginx = (file: string, from: Pick<Directive, 'file' | 'line'> = { file, line: 1 }, depth = 0): Result<readonly Directive[], Unread> => {
+export const readNginx = (
+  file: string,
+  from: Pick<Directive, 'file' | 'line'> = { file, line: 1 },
+  depth = 0,
+): Result<readonly Directive[], Unread> => {
   if (depth > maxDepth) return err({ ...from, text: 'includes go too deep' });
   let text: string;
   try {
     text = readFileSync(file, 'utf8');
   } catch {
-    return err({ ...from, text: depth === 0 ? 'the file can\'t be read' : `the included file ${file} can't be read` });
+    return err({
+      ...from,
+      text: depth === 0 ? "the file can't be read" : `the included file ${file} can't be read`,
+    });
   }
   const parsed = parse(file, text);
   return parsed.isErr ? parsed : expand(parsed.value, depth);
 };
 
-const expand = (list: readonly Directive[], depth: number): Result<readonly Directive[], Unread> => {
+const expand = (
+  list: readonly Directive[],
+  depth: number,
+): Result<readonly Directive[], Unread> => {
   const out: Directive[] = [];
   for (const one of list) {
     if (one.name === 'include') {
--- a/packages/ledger/src/command/calls.ts
+++ b/packages/ledger/src/command/calls.ts
@@ -1,5 +1,20 @@
 import * as v from 'valibot';
-import { type Hash, type Moment, type Step, drop, generation as generationSchema, hash as hashSchema, join, nextSeq, nodeId, address, put, release, serviceName, step } from '@switchwheel/gauge';
+import {
+  type Hash,
+  type Moment,
+  type Step,
+  drop,
+  generation as generationSchema,
+  hash as hashSchema,
+  join,
+  nextSeq,
+  nodeId,
+  address,
+  put,
+  release,
+  serviceName,
+  step,
+} from '@switchwheel/gauge';
 import { type Colleague, type Electorate, type FrameOf, aim, send } from '@switchwheel/coupling';
 import { bundleHash, hashOf } from '@switchwheel/timetable';
 import { isPrimary } from '../duty/poll.js';
@@ -15,11 +30,22 @@
 const askSpan = 300;
 const wantMost = 64;
 
-const applyBody = v.object({ hash: hashSchema, order: v.array(hashSchema), number: v.optional(generationSchema) });
+const applyBody = v.object({
+  hash: hashSchema,
+  order: v.array(hashSchema),
+  number: v.optional(generationSchema),
+});
 const aimsBody = v.pipe(v.array(aim), v.minLength(1), v.maxLength(10_000));
-const electorateBody = v.object({ add: v.optional(v.object({ node: nodeId, address })), remove: v.optional(nodeId) });
+const electorateBody = v.object({
+  add: v.optional(v.object({ node: nodeId, address })),
+  remove: v.optional(nodeId),
+});
 
-const releaseBody = v.object({ service: serviceName, target: release, spanMs: v.pipe(v.number(), v.minValue(1000), v.maxValue(86_400_000)) });
+const releaseBody = v.object({
+  service: serviceName,
+  target: release,
+  spanMs: v.pipe(v.number(), v.minValue(1000), v.maxValue(86_400_000)),
+});
 
 const parse = <T>(schema: v.GenericSchema<unknown, T>, text: string): T | undefined => {
   try {
@@ -34,44 +60,78 @@
 export const queue = (state: Store, command: Command, now: Moment): Done => {
   if (state.waitlist.length >= maxWaiting) {
     return 'asker' in command
-      ? step(state, tellCall({ ...command.asker, status: 503, body: JSON.stringify({ kind: 'bounced', id: command.asker.id, text: 'too many writes wait', retryAfterMs: 1000 }) }))
+      ? step(
+          state,
+          tellCall({
+            ...command.asker,
+            status: 503,
+            body: JSON.stringify({
+              kind: 'bounced',
+              id: command.asker.id,
+              text: 'too many writes wait',
+              retryAfterMs: 1000,
+            }),
+          }),
+        )
       : step(state);
   }
   return startJob({ ...state, waitlist: [...state.waitlist, command] }, now);
 };
 
-const lacks = (state: Store, order: readonly Hash[]): readonly Hash[] => order.filter((one) => !state.control.pieces.has(one) && !state.spare.has(one));
+const lacks = (state: Store, order: readonly Hash[]): readonly Hash[] =>
+  order.filter((one) => !state.control.pieces.has(one) && !state.spare.has(one));
 
 /** Has the description compiled with the nodes' own code once all its pieces are here. */
 const ready = (state: Store, command: ApplyCommand): Done => {
   const others = state.compiling.get(command.hash) ?? [];
   const next = { ...state, compiling: put(state.compiling, command.hash, [...others, command]) };
   if (others.length > 0) return step(next);
-  const texts = command.order.map((one) => state.control.pieces.get(one) ?? state.spare.get(one) ?? '');
+  const texts = command.order.map(
+    (one) => state.control.pieces.get(one) ?? state.spare.get(one) ?? '',
+  );
   return step(next, { kind: 'compile', hash: command.hash, texts });
 };
 
 type Lacking = NonNullable<ReturnType<Store['lacking']['get']>>;
 
 /** Asks for some of the pieces that lack: the next ones when these are here. */
-const askPieces = (state: Store, one: Pick<Lacking, 'command' | 'since'>, missing: readonly Hash[], now: Moment): Done => {
+const askPieces = (
+  state: Store,
+  one: Pick<Lacking, 'command' | 'since'>,
+  missing: readonly Hash[],
+  now: Moment,
+): Done => {
   const hashes = missing.slice(0, wantMost);
-  const lacking = put(state.lacking, one.command.asker.id, { ...one, asked: now, awaited: hashes.length });
-  return step({ ...state, lacking }, send(one.command.asker.to, { kind: 'want', node: me(state), hashes: [...hashes] }));
+  const lacking = put(state.lacking, one.command.asker.id, {
+    ...one,
+    asked: now,
+    awaited: hashes.length,
+  });
+  return step(
+    { ...state, lacking },
+    send(one.command.asker.to, { kind: 'want', node: me(state), hashes: [...hashes] }),
+  );
 };
 
 const onApply = (state: Store, command: ApplyCommand, now: Moment): Done => {
-  const open = state.lacking.has(command.asker.id) || [...state.compiling.values()].flat().some((one) => one.asker.id === command.asker.id)
-    || state.waitlist.some((one) => one.kind === 'apply' && one.asker.id === command.asker.id)
-    || (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
+  const open =
+    state.lacking.has(command.asker.id) ||
+    [...state.compiling.values()].flat().some((one) => one.asker.id === command.asker.id) ||
+    state.waitlist.some((one) => one.kind === 'apply' && one.asker.id === command.asker.id) ||
+    (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
   if (open) return step(state);
   const missing = lacks(state, command.order);
   if (missing.length === 0) return ready(state, command);
   return askPieces(state, { command, since: now }, missing, now);
 };
 
-const changed = (old: Electorate, body: v.InferOutput<typeof electorateBody>): Electorate | undefined => {
-  const without = old.members.filter((one) => one.node !== body.remove && one.node !== body.add?.node);
+const changed = (
+  old: Electorate,
+  body: v.InferOutput<typeof electorateBody>,
+): Electorate | undefined => {
+  const without = old.members.filter(
+    (one) => one.node !== body.remove && one.node !== body.add?.node,
+  );
   const members = body.add === undefined ? without : [...without, body.add];
   const delta = members.length - old.members.length;
   const moved = body.add !== undefined && delta === 0;
@@ -83,17 +143,51 @@
   // A store without the duty stays silent: the registry asks the holder as soon as it knows it.
   if (!isPrimary(state, now)) return step(state);
   const asker = { to: from.address, id: word.id };
-  const bad = (text: string): Done => step(state, tellCall({ ...asker, status: 422, body: JSON.stringify({ kind: 'invalid', id: word.id, text }) }));
+  const bad = (text: string): Done =>
+    step(
+      state,
+      tellCall({
+        ...asker,
+        status: 422,
+        body: JSON.stringify({ kind: 'invalid', id: word.id, text }),
+      }),
+    );
   const before = state.control.calls.get(word.id);
-  if (before !== undefined) return step(state, tellCall({ ...asker, status: before.status, body: before.body }));
+  if (before !== undefined)
+    return step(state, tellCall({ ...asker, status: before.status, body: before.body }));
   if (state.muted && word.verb !== 'ask' && word.verb !== 'view') {
-    return step(state, tellCall({ ...asker, status: 503, body: JSON.stringify({ kind: 'bounced', id: word.id, text: 'the disk is full: nothing can be written', retryAfterMs: 2000 }) }));
+    return step(
+      state,
+      tellCall({
+        ...asker,
+        status: 503,
+        body: JSON.stringify({
+          kind: 'bounced',
+          id: word.id,
+          text: 'the disk is full: nothing can be written',
+          retryAfterMs: 2000,
+        }),
+      }),
+    );
   }
   switch (word.verb) {
     case 'apply': {
       const body = parse(applyBody, word.body);
-      if (body === undefined || bundleHash(body.order) !== body.hash) return bad('not a description in pieces');
-      return onApply(state, { kind: 'apply', asker, hash: body.hash, order: body.order, base: word.base, number: body.number, faults: [] }, now);
+      if (body === undefined || bundleHash(body.order) !== body.hash)
+        return bad('not a description in pieces');
+      return onApply(
+        state,
+        {
+          kind: 'apply',
+          asker,
+          hash: body.hash,
+          order: body.order,
+          base: word.base,
+          number: body.number,
+          faults: [],
+        },
+        now,
+      );
     }
     case 'purge': {
       const aims = parse(aimsBody, word.body);
@@ -102,13 +196,17 @@
     }
     case 'electorate': {
       const body = parse(electorateBody, word.body);
-      const next = body === undefined || state.charter === undefined ? undefined : changed(state.charter.electorate, body);
+      const next =
+        body === undefined || state.charter === undefined
+          ? undefined
+          : changed(state.charter.electorate, body);
       if (next === undefined) return bad('that would not change the electorate by one');
       return queueOnce(state, { kind: 'electorate', asker, electorate: next }, now);
     }
     case 'release': {
       const body = parse(releaseBody, word.body);
-      if (body === undefined) return bad('an order names a service, a release, and a span of 1 s to a day');
+      if (body === undefined)
+        return bad('an order names a service, a release, and a span of 1 s to a day');
       return queueOnce(state, { kind: 'order', asker, ...body }, now);
     }
     case 'ask':
@@ -118,24 +216,43 @@
   }
 };
 
-const queueOnce = (state: Store, command: Extract<Command, { kind: 'purge' | 'electorate' | 'order' }>, now: Moment): Done => {
-  const open = state.waitlist.some((one) => 'asker' in one && one.asker.id === command.asker.id)
-    || (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
+const queueOnce = (
+  state: Store,
+  command: Extract<Command, { kind: 'purge' | 'electorate' | 'order' }>,
+  now: Moment,
+): Done => {
+  const open =
+    state.waitlist.some((one) => 'asker' in one && one.asker.id === command.asker.id) ||
+    (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
   return open ? step(state) : queue(state, command, now);
 };
 
-const viewed = (state: Store, what: string, now: Moment): { readonly status: number; readonly body: string } => {
-  if (!what.startsWith('release/')) return { status: 200, body: JSON.stringify(view(state, what, now)) };
+const viewed = (
+  state: Store,
+  what: string,
+  now: Moment,
+): { readonly status: number; readonly body: string } => {
+  if (!what.startsWith('release/'))
+    return { status: 200, body: JSON.stringify(view(state, what, now)) };
   const found = viewRelease(state, what.slice('release/'.length), now);
   return found === undefined
-    ? { status: 404, body: JSON.stringify({ kind: 'absent', text: 'no order of a release for this service' }) }
+    ? {
+        status: 404,
+        body: JSON.stringify({ kind: 'absent', text: 'no order of a release for this service' }),
+      }
     : { status: 200, body: JSON.stringify(found) };
 };
 
 const asked = (state: Store, id: string): { readonly status: number; readonly body: string } => {
   const found = [...state.control.calls].find(([one]) => one === id);
   if (found !== undefined) return { status: found[1].status, body: found[1].body };
-  return { status: 404, body: JSON.stringify({ kind: 'absent', text: `no write with the id ${id} took effect; sending it again with this id is safe` }) };
+  return {
+    status: 404,
+    body: JSON.stringify({
+      kind: 'absent',
+      text: `no write with the id ${id} took effect; sending it again with this id is safe`,
+    }),
+  };
 };
 
 /** A piece of a description came in. */
@@ -145,11 +262,18 @@
   const effects: StoreEffect[] = [];
   for (const [id, one] of state.lacking) {
     if (one.awaited > 1 || !one.command.order.includes(word.hash)) {
-      if (one.command.order.includes(word.hash)) next = { ...next, lacking: put(next.lacking, id, { ...one, awaited: one.awaited - 1, asked: now }) };
+      if (one.command.order.includes(word.hash))
+        next = {
+          ...next,
+          lacking: put(next.lacking, id, { ...one, awaited: one.awaited - 1, asked: now }),
+        };
       continue;
     }
     const missing = lacks(next, one.command.order);
-    const done = missing.length > 0 ? askPieces(next, one, missing, now) : ready({ ...next, lacking: drop(next.lacking, id) }, one.command);
+    const done =
+      missing.length > 0
+        ? askPieces(next, one, missing, now)
+        : ready({ ...next, lacking: drop(next.lacking, id) }, one.command);
     next = done.state;
     effects.push(...done.effects);
   }
@@ -157,9 +281,15 @@
 };
 
 /** The compile of a description ended. */
-export const onCompiled = (state: Store, hash: Hash, faults: ApplyCommand['faults'], now: Moment): Done => {
+export const onCompiled = (
+  state: Store,
+  hash: Hash,
+  faults: ApplyCommand['faults'],
+  now: Moment,
+): Done => {
   let next: Done = step({ ...state, compiling: drop(state.compiling, hash) });
-  for (const command of state.compiling.get(hash) ?? []) next = join(next.effects, queue(next.state, { ...command, faults }, now));
+  for (const command of state.compiling.get(hash) ?? [])
+    next = join(next.effects, queue(next.state, { ...command, faults }, now));
   return next;
 };
 
@@ -168,17 +298,36 @@
   let next: Done = step(state);
   for (const [id, one] of state.lacking) {
     if (now - one.since > lackSpan) {
-      const told = tellCall({ ...one.command.asker, status: 503, body: JSON.stringify({ kind: 'bounced', id, text: 'not all pieces came in time', retryAfterMs: 1000 }) });
-      next = join(next.effects, step({ ...next.state, lacking: drop(next.state.lacking, id) }, told));
+      const told = tellCall({
+        ...one.command.asker,
+        status: 503,
+        body: JSON.stringify({
+          kind: 'bounced',
+          id,
+          text: 'not all pieces came in time',
+          retryAfterMs: 1000,
+        }),
+      });
+      next = join(
+        next.effects,
+        step({ ...next.state, lacking: drop(next.state.lacking, id) }, told),
+      );
     } else if (now - one.asked > askSpan) {
-      next = join(next.effects, askPieces(next.state, one, lacks(next.state, one.command.order), now));
+      next = join(
+        next.effects,
+        askPieces(next.state, one, lacks(next.state, one.command.order), now),
+      );
     }
   }
   return next;
 };
 
 /** A registry lacks pieces of the description in force. */
-export const onWant = (state: Store, from: Colleague, word: FrameOf<'want'>): Done => step(state, ...word.hashes.flatMap((one): readonly StoreEffect[] => {
-  const data = state.control.pieces.get(one);
-  return data === undefined ? [] : [send(from.address, { kind: 'piece', hash: one, data })];
-}));
+export const onWant = (state: Store, from: Colleague, word: FrameOf<'want'>): Done =>
+  step(
+    state,
+    ...word.hashes.flatMap((one): readonly StoreEffect[] => {
+      const data = state.control.pieces.get(one);
+      return data === undefined ? [] : [send(from.address, { kind: 'piece', hash: one, data })];
+    }),
+  );
--- a/packages/ledger/src/command/decide.ts
+++ b/packages/ledger/src/command/decide.ts
@@ -1,7 +1,18 @@
 import { type Seq, alike, nextGeneration, nextSeq, noGeneration } from '@switchwheel/gauge';
 import type { Electorate, Purge, Put } from '@switchwheel/coupling';
 import {
-  type Control, type NodeRow, erase, keptCalls, keptPurges, keyOf, plan, policy as policySchema, topPurge, turn, write, head as headSchema,
+  type Control,
+  type NodeRow,
+  erase,
+  keptCalls,
+  keptPurges,
+  keyOf,
+  plan,
+  policy as policySchema,
+  topPurge,
+  turn,
+  write,
+  head as headSchema,
 } from '@switchwheel/timetable';
 import * as v from 'valibot';
 import { decideOrder, decideRelease } from './order.js';
@@ -18,32 +29,77 @@
 }
 const nothing: Decision = { puts: [], results: [], bounces: [] };
 
-const told = (command: Extract<Command, { asker: unknown }>, status: number, body: object): CallResult =>
-  ({ ...command.asker, status, body: JSON.stringify({ ...body, id: command.asker.id }) });
+const told = (
+  command: Extract<Command, { asker: unknown }>,
+  status: number,
+  body: object,
+): CallResult => ({
+  ...command.asker,
+  status,
+  body: JSON.stringify({ ...body, id: command.asker.id }),
+});
 
 /** Keeps the answer with the write it belongs to, and lets the oldest go. */
 const kept = (control: Control, result: CallResult, seq: Seq): readonly Put[] => {
-  const old = control.calls.size < keptCalls ? [] : [...control.calls].sort(([, one], [, two]) => one.seq - two.seq).slice(0, control.calls.size - keptCalls + 1);
-  return [write(keyOf.call(result.id), { status: result.status, body: result.body, seq }), ...old.map(([id]) => erase(keyOf.call(id)))];
+  const old =
+    control.calls.size < keptCalls
+      ? []
+      : [...control.calls]
+          .sort(([, one], [, two]) => one.seq - two.seq)
+          .slice(0, control.calls.size - keptCalls + 1);
+  return [
+    write(keyOf.call(result.id), { status: result.status, body: result.body, seq }),
+    ...old.map(([id]) => erase(keyOf.call(id))),
+  ];
 };
 
-const repeated = (control: Control, command: Extract<Command, { asker: unknown }>): Decision | undefined => {
+const repeated = (
+  control: Control,
+  command: Extract<Command, { asker: unknown }>,
+): Decision | undefined => {
   const before = control.calls.get(command.asker.id);
-  return before === undefined ? undefined : { ...nothing, bounces: [{ ...command.asker, status: before.status, body: before.body }] };
+  return before === undefined
+    ? undefined
+    : { ...nothing, bounces: [{ ...command.asker, status: before.status, body: before.body }] };
 };
 
-const decideApply = (state: Store, control: Control, command: Extract<Command, { kind: 'apply' }>, seq: Seq): Decision => {
+const decideApply = (
+  state: Store,
+  control: Control,
+  command: Extract<Command, { kind: 'apply' }>,
+  seq: Seq,
+): Decision => {
   const again = repeated(control, command);
   if (again !== undefined) return again;
   const current = control.stored?.offer;
   const now = current?.generation ?? noGeneration;
   if (command.base !== undefined && command.base !== now) {
-    return { ...nothing, bounces: [told(command, 409, { kind: 'stale', text: `the base is generation ${command.base}, in force is ${now}`, generation: now })] };
+    return {
+      ...nothing,
+      bounces: [
+        told(command, 409, {
+          kind: 'stale',
+          text: `the base is generation ${command.base}, in force is ${now}`,
+          generation: now,
+        }),
+      ],
+    };
   }
-  if (command.faults.length > 0) return { ...nothing, bounces: [told(command, 422, { kind: 'invalid', text: 'the description is refused whole', faults: command.faults })] };
+  if (command.faults.length > 0)
+    return {
+      ...nothing,
+      bounces: [
+        told(command, 422, {
+          kind: 'invalid',
+          text: 'the description is refused whole',
+          faults: command.faults,
+        }),
+      ],
+    };
   // Where the operator numbers the descriptions the highest holds, whatever order they come in.
   // It is told once this write lasts, and with it the higher one that may be in the same batch.
-  if (command.number !== undefined && command.number <= now) return { ...nothing, results: [told(command, 200, { kind: 'held', generation: now })] };
+  if (command.number !== undefined && command.number <= now)
+    return { ...nothing, results: [told(command, 200, { kind: 'held', generation: now })] };
   const generation = command.number ?? nextGeneration(now);
   const offer = { generation, hash: command.hash, pieces: [...command.order] };
   const result = told(command, 200, { kind: 'accepted', generation, hash: command.hash });
@@ -51,16 +107,24 @@
   const puts: Put[] = [];
   for (const hash of command.order) {
     const data = state.spare.get(hash);
-    if (!control.pieces.has(hash) && data !== undefined) puts.push({ key: keyOf.piece(hash), data });
+    if (!control.pieces.has(hash) && data !== undefined)
+      puts.push({ key: keyOf.piece(hash), data });
   }
-  for (const hash of control.pieces.keys()) if (!keep.has(hash)) puts.push(erase(keyOf.piece(hash)));
-  for (const [key, target] of control.targets) if (target.generation + 8 < generation) puts.push(erase(key));
-  for (const one of control.rollouts.keys()) if (one + 8 < generation) puts.push(erase(keyOf.rollout(one)));
+  for (const hash of control.pieces.keys())
+    if (!keep.has(hash)) puts.push(erase(keyOf.piece(hash)));
+  for (const [key, target] of control.targets)
+    if (target.generation + 8 < generation) puts.push(erase(key));
+  for (const one of control.rollouts.keys())
+    if (one + 8 < generation) puts.push(erase(keyOf.rollout(one)));
   puts.push(write(keyOf.stored, { offer, call: command.asker.id }), ...kept(control, result, seq));
   return { ...nothing, puts, results: [result] };
 };
 
-const decidePurge = (control: Control, command: Extract<Command, { kind: 'purge' }>, seq: Seq): Decision => {
+const decidePurge = (
+  control: Control,
+  command: Extract<Command, { kind: 'purge' }>,
+  seq: Seq,
+): Decision => {
   const again = repeated(control, command);
   if (again !== undefined) return again;
   const number = nextSeq(topPurge(control));
@@ -68,8 +132,13 @@
   const result = told(command, 200, { kind: 'accepted', purge: number, aims: command.aims.length });
   const old = control.purges.slice(0, Math.max(0, control.purges.length + 1 - keptPurges));
   return {
-    ...nothing, results: [result],
-    puts: [write(keyOf.purge(number), batch), ...old.map((one) => erase(keyOf.purge(one.seq))), ...kept(control, result, seq)],
+    ...nothing,
+    results: [result],
+    puts: [
+      write(keyOf.purge(number), batch),
+      ...old.map((one) => erase(keyOf.purge(one.seq))),
+      ...kept(control, result, seq),
+    ],
   };
 };
 
@@ -79,8 +148,12 @@
   if (known !== undefined && known.incarnation > incarnation) return nothing;
   const fresh = known?.incarnation !== incarnation;
   const row: NodeRow = {
-    role, incarnation, online, reported: report,
-    assigned: known?.assigned, desired: known?.desired,
+    role,
+    incarnation,
+    online,
+    reported: report,
+    assigned: known?.assigned,
+    desired: known?.desired,
     // A new run of a node starts without a mark; a mark ends when the node runs what it was for.
     failed: report.failed?.hash ?? (fresh || report.phase === 'applied' ? undefined : known.failed),
   };
@@ -94,10 +167,26 @@
   const known = control.verdicts.get(key);
   // Counts only grow, and a bad verdict stays.
   const next = {
-    service, release, spent: Math.max(spent, known?.spent ?? 0), bad: Math.max(bad, known?.bad ?? 0), good: Math.max(good, known?.good ?? 0), seen: Math.max(seen, known?.seen ?? 0),
-    state: known?.state === 'bad' ? 'bad' as const : state === 'trial' && known?.state === 'good' ? 'good' as const : state,
+    service,
+    release,
+    spent: Math.max(spent, known?.spent ?? 0),
+    bad: Math.max(bad, known?.bad ?? 0),
+    good: Math.max(good, known?.good ?? 0),
+    seen: Math.max(seen, known?.seen ?? 0),
+    state:
+      known?.state === 'bad'
+        ? ('bad' as const)
+        : state === 'trial' && known?.state === 'good'
+          ? ('good' as const)
+          : state,
   };
-  if (known !== undefined && known.spent === next.spent && known.bad === next.bad && known.state === next.state) return nothing;
+  if (
+    known !== undefined &&
+    known.spent === next.spent &&
+    known.bad === next.bad &&
+    known.state === next.state
+  )
+    return nothing;
   return { ...nothing, puts: [write(key, next)] };
 };
 
@@ -109,17 +198,30 @@
 };
 
 /** Compare-and-set: a change of a rollout or a target counts only on the revision it was made from. */
-export const guard = (control: Control, puts: readonly Put[]): readonly Put[] => puts.filter(({ key, data }) => {
-  if (data === null) return true;
-  const old = key.startsWith('target/') ? control.targets.get(key)
-    : key.startsWith('rollout/') ? [...control.rollouts.values()].find((one) => keyOf.rollout(one.generation) === key) : undefined;
-  if (old === undefined) return true;
-  const read = v.safeParse(v.object({ rev: v.number() }), JSON.parse(data));
-  return read.success && (read.output.rev === old.rev + 1 || (key.startsWith('rollout/') && read.output.rev === 0));
-});
+export const guard = (control: Control, puts: readonly Put[]): readonly Put[] =>
+  puts.filter(({ key, data }) => {
+    if (data === null) return true;
+    const old = key.startsWith('target/')
+      ? control.targets.get(key)
+      : key.startsWith('rollout/')
+        ? [...control.rollouts.values()].find((one) => keyOf.rollout(one.generation) === key)
+        : undefined;
+    if (old === undefined) return true;
+    const read = v.safeParse(v.object({ rev: v.number() }), JSON.parse(data));
+    return (
+      read.success &&
+      (read.output.rev === old.rev + 1 || (key.startsWith('rollout/') && read.output.rev === 0))
+    );
+  });
 
 /** What one command changes, seen from the control state as it will be after those before it. */
-export const decide = (state: Store, control: Control, command: Command, seq: Seq, now: Store['turned']): Decision & { readonly seen?: Store['seen']; readonly opened?: Store['opened'] } => {
+export const decide = (
+  state: Store,
+  control: Control,
+  command: Command,
+  seq: Seq,
+  now: Store['turned'],
+): Decision & { readonly seen?: Store['seen']; readonly opened?: Store['opened'] } => {
   switch (command.kind) {
     case 'apply':
       return decideApply(state, control, command, seq);
@@ -128,18 +230,36 @@
     case 'electorate': {
       const again = repeated(control, command);
       if (again !== undefined) return again;
-      if (state.charter !== undefined && command.electorate.serial <= state.charter.electorate.serial) {
-        return { ...nothing, bounces: [told(command, 409, { kind: 'stale', text: 'the electorate changed meanwhile; ask again with a new id' })] };
+      if (
+        state.charter !== undefined &&
+        command.electorate.serial <= state.charter.electorate.serial
+      ) {
+        return {
+          ...nothing,
+          bounces: [
+            told(command, 409, {
+              kind: 'stale',
+              text: 'the electorate changed meanwhile; ask again with a new id',
+            }),
+          ],
+        };
       }
       const result = told(command, 200, { kind: 'accepted', electorate: command.electorate });
-      return { ...nothing, results: [result], puts: kept(control, result, seq), electorate: command.electorate };
+      return {
+        ...nothing,
+        results: [result],
+        puts: kept(control, result, seq),
+        electorate: command.electorate,
+      };
     }
     case 'seats':
       return { ...nothing, electorate: command.electorate };
     case 'node':
       return decideNode(control, command);
     case 'forget':
-      return control.nodes.get(command.node)?.online === false ? { ...nothing, puts: [erase(keyOf.node(command.node))] } : nothing;
+      return control.nodes.get(command.node)?.online === false
+        ? { ...nothing, puts: [erase(keyOf.node(command.node))] }
+        : nothing;
     case 'trial':
       return decideTrial(control, command);
     case 'order': {
@@ -148,18 +268,29 @@
       const ordered = decideOrder(state, control, command, now);
       const result = told(command, ordered.status, ordered.body);
       if (ordered.status !== 200) return { ...nothing, bounces: [result] };
-      return { ...nothing, results: [result], puts: [...ordered.puts, ...kept(control, result, seq)] };
+      return {
+        ...nothing,
+        results: [result],
+        puts: [...ordered.puts, ...kept(control, result, seq)],
+      };
     }
     case 'release':
       return { ...nothing, puts: decideRelease(control, command.next) };
     case 'origins':
-      return { ...nothing, puts: originPuts(control.origins, state.berth.origins, command.sure, now) };
+      return {
+        ...nothing,
+        puts: originPuts(control.origins, state.berth.origins, command.sure, now),
+      };
     case 'plan':
       return { ...nothing, puts: guard(control, plan(control, policyOf(control))) };
     case 'turn': {
       const result = turn(control, state.seen, state.opened, now);
-      return { ...nothing, puts: guard(control, result.puts), seen: result.seen, opened: result.opened };
+      return {
+        ...nothing,
+        puts: guard(control, result.puts),
+        seen: result.seen,
+        opened: result.opened,
+      };
     }
   }
 };
-
--- a/packages/ledger/src/command/order.ts
+++ b/packages/ledger/src/command/order.ts
@@ -1,6 +1,13 @@
 import type { Moment, Release, ServiceName } from '@switchwheel/gauge';
 import type { Put } from '@switchwheel/coupling';
-import { type Control, type ReleaseOrder, keyOf, order, settledOn, write } from '@switchwheel/timetable';
+import {
+  type Control,
+  type ReleaseOrder,
+  keyOf,
+  order,
+  settledOn,
+  write,
+} from '@switchwheel/timetable';
 import { mostStanding, spentOf, standingOf } from '../release/release.js';
 import type { Command, Store } from '../state/state.js';
 
@@ -12,33 +19,64 @@
 }
 
 /** The release to go back to: the settled one, unless none of it stands any more and another does. */
-const settledFor = (state: Store, known: ReleaseOrder, service: ServiceName, target: Release): Release | undefined => {
+const settledFor = (
+  state: Store,
+  known: ReleaseOrder,
+  service: ServiceName,
+  target: Release,
+): Release | undefined => {
   const standing = standingOf(state, service);
-  if (known.settled !== undefined && (known.settled === target || standing.has(known.settled))) return known.settled;
+  if (known.settled !== undefined && (known.settled === target || standing.has(known.settled)))
+    return known.settled;
   return mostStanding(standing, target) ?? known.settled;
 };
 
 /** Opens an order to move a service to a release, unless it stands already or another one is under way. */
-export const decideOrder = (state: Store, control: Control, command: Extract<Command, { kind: 'order' }>, now: Moment): OrderDecision => {
+export const decideOrder = (
+  state: Store,
+  control: Control,
+  command: Extract<Command, { kind: 'order' }>,
+  now: Moment,
+): OrderDecision => {
   const { service, target, spanMs } = command;
   const known = control.releases.get(service) ?? settledOn(service, undefined);
-  const ordered = order(known, settledFor(state, known, service, target), target, spanMs, spentOf(state, known, now));
+  const ordered = order(
+    known,
+    settledFor(state, known, service, target),
+    target,
+    spanMs,
+    spentOf(state, known, now),
+  );
   const accepted = { kind: 'accepted', service, target };
   switch (ordered.kind) {
     case 'busy':
-      return { status: 409, body: { kind: 'stale', text: `the order to ${ordered.target ?? 'another release'} is under way` }, puts: [] };
+      return {
+        status: 409,
+        body: {
+          kind: 'stale',
+          text: `the order to ${ordered.target ?? 'another release'} is under way`,
+        },
+        puts: [],
+      };
     case 'stands':
       return { status: 200, body: { ...accepted, order: known.order }, puts: [] };
     case 'opened':
-      return { status: 200, body: { ...accepted, order: ordered.order.order }, puts: [write(keyOf.release(service), ordered.order)] };
+      return {
+        status: 200,
+        body: { ...accepted, order: ordered.order.order },
+        puts: [write(keyOf.release(service), ordered.order)],
+      };
   }
 };
 
 /** Compare-and-set: a change counts only on the record that it was made from. */
 export const decideRelease = (control: Control, next: ReleaseOrder): readonly Put[] => {
   const known = control.releases.get(next.service);
-  const fits = known === undefined
-    ? next.phase === 'none'
-    : known.order === next.order && (next.serial === known.serial + 1 || (next.serial === known.serial && next.spentMs > known.spentMs));
+  const fits =
+    known === undefined
+      ? next.phase === 'none'
+      : known.order === next.order &&
+        (next.serial === known.serial + 1 ||
+          (next.serial === known.serial && next.spentMs > known.spentMs));
   return fits ? [write(keyOf.release(next.service), next)] : [];
 };
--- a/packages/ledger/src/command/view.ts
+++ b/packages/ledger/src/command/view.ts
@@ -5,7 +5,10 @@
 import { type Store, me } from '../state/state.js';
 
 const about = (state: Store): object => ({
-  store: me(state), epoch: heldEpoch(state.stand), stamp: state.stamp, generation: state.control.stored?.offer.generation ?? noGeneration,
+  store: me(state),
+  epoch: heldEpoch(state.stand),
+  stamp: state.stamp,
+  generation: state.control.stored?.offer.generation ?? noGeneration,
 });
 
 /** The last order of a service, or nothing if there was none. */
@@ -13,7 +16,16 @@
   const found = [...state.control.releases.values()].find((one) => one.service === service);
   if (found?.target === undefined) return undefined;
   const { target, phase, settled, share, spanMs, text } = found;
-  return { service: found.service, target, phase, settled: settled ?? null, share, spanMs, spentMs: Math.round(spentOf(state, found, now)), text };
+  return {
+    service: found.service,
+    target,
+    phase,
+    settled: settled ?? null,
+    share,
+    spanMs,
+    spentMs: Math.round(spentOf(state, found, now)),
+    text,
+  };
 };
 
 /** What operators may ask of the stored state. */
@@ -23,18 +35,29 @@
     case 'description': {
       const offer = control.stored?.offer;
       const texts = offer?.pieces.map((one) => control.pieces.get(one) ?? '') ?? [];
-      return { ...about(state), hash: offer?.hash ?? null, description: offer === undefined ? null : whole(texts) };
+      return {
+        ...about(state),
+        hash: offer?.hash ?? null,
+        description: offer === undefined ? null : whole(texts),
+      };
     }
     case 'rollouts':
       return {
         ...about(state),
-        rollouts: [...control.rollouts.values()].sort((one, two) => two.generation - one.generation).map((one) => ({
-          ...one,
-          targets: [...control.targets.values()].filter((row) => row.generation === one.generation),
-        })),
+        rollouts: [...control.rollouts.values()]
+          .sort((one, two) => two.generation - one.generation)
+          .map((one) => ({
+            ...one,
+            targets: [...control.targets.values()].filter(
+              (row) => row.generation === one.generation,
+            ),
+          })),
       };
     case 'nodes':
-      return { ...about(state), nodes: [...control.nodes].map(([node, row]) => ({ node, ...row })) };
+      return {
+        ...about(state),
+        nodes: [...control.nodes].map(([node, row]) => ({ node, ...row })),
+      };
     case 'purges':
       return { ...about(state), purges: control.purges };
     case 'verdicts':
@@ -43,9 +66,17 @@
       return { ...about(state), releases: [...control.releases.values()] };
     default:
       return {
-        ...about(state), charter: state.charter ?? null, entries: state.table.size, waitlist: state.waitlist.length,
+        ...about(state),
+        charter: state.charter ?? null,
+        entries: state.table.size,
+        waitlist: state.waitlist.length,
         diskFullMs: state.diskFull === undefined ? null : Math.round(now - state.diskFull),
-        colleagues: [...state.colleagues.values()].map((one) => ({ node: one.node, stamp: one.stamp, epoch: one.charter?.epoch ?? null, ageMs: Math.round(now - one.at) })),
+        colleagues: [...state.colleagues.values()].map((one) => ({
+          node: one.node,
+          stamp: one.stamp,
+          epoch: one.charter?.epoch ?? null,
+          ageMs: Math.round(now - one.at),
+        })),
       };
   }
 };
--- a/packages/ledger/src/duty/seats.ts
+++ b/packages/ledger/src/duty/seats.ts
@@ -16,14 +16,36 @@
 export const nextElectorate = (state: Store, now: Moment): Electorate | undefined => {
   const set = state.charter?.electorate;
   const own = state.stand.phase;
-  if (set === undefined || own.phase !== 'holding' || now - Math.max(own.won, state.seated) < restSpan) return undefined;
-  const near = (node: Electorate['members'][number]['node']): boolean => now - (state.tuned.get(node)?.at ?? -Infinity) < nearSpan;
-  const lost = set.members.filter((one) => now - Math.max(state.tuned.get(one.node)?.at ?? 0, own.won) >= lostSpan);
+  if (
+    set === undefined ||
+    own.phase !== 'holding' ||
+    now - Math.max(own.won, state.seated) < restSpan
+  )
+    return undefined;
+  const near = (node: Electorate['members'][number]['node']): boolean =>
+    now - (state.tuned.get(node)?.at ?? -Infinity) < nearSpan;
+  const lost = set.members.filter(
+    (one) => now - Math.max(state.tuned.get(one.node)?.at ?? 0, own.won) >= lostSpan,
+  );
   // An even electorate bears no more losses than one with a seat less; with more than one lost each seat less helps.
-  const spare = set.members.length > fewest && (set.members.length % 2 === 0 || lost.length > 1) ? lost[0] : undefined;
-  const fresh = [...state.tuned].find(([node, one]) => near(node) && now - one.since >= steadySpan && !set.members.some((row) => row.node === node));
-  const members = spare !== undefined ? set.members.filter((one) => one !== spare)
-    : fresh !== undefined ? [...set.members, { node: fresh[0], address: fresh[1].address }] : undefined;
-  if (members === undefined || members.filter((one) => near(one.node)).length < majority(members.length)) return undefined;
+  const spare =
+    set.members.length > fewest && (set.members.length % 2 === 0 || lost.length > 1)
+      ? lost[0]
+      : undefined;
+  const fresh = [...state.tuned].find(
+    ([node, one]) =>
+      near(node) && now - one.since >= steadySpan && !set.members.some((row) => row.node === node),
+  );
+  const members =
+    spare !== undefined
+      ? set.members.filter((one) => one !== spare)
+      : fresh !== undefined
+        ? [...set.members, { node: fresh[0], address: fresh[1].address }]
+        : undefined;
+  if (
+    members === undefined ||
+    members.filter((one) => near(one.node)).length < majority(members.length)
+  )
+    return undefined;
   return { serial: nextSeq(set.serial), members };
 };
--- a/packages/ledger/src/feed/feed.ts
+++ b/packages/ledger/src/feed/feed.ts
@@ -24,21 +24,37 @@
   });
   const current = state.control.stored?.offer;
   return {
-    kind: 'feed', at, epoch: heldEpoch(state.stand), serial: state.stamp.seq, fleet: charter.fleet, electorate: charter.electorate,
+    kind: 'feed',
+    at,
+    epoch: heldEpoch(state.stand),
+    serial: state.stamp.seq,
+    fleet: charter.fleet,
+    electorate: charter.electorate,
     ...(behind ? { desired: rows } : {}),
     offers: behind ? [...offersOf(state)] : [],
     ...(behind && current !== undefined ? { current } : {}),
-    purges: state.control.purges.filter((one) => one.seq > to.purged), floor: floorPurge(state.control), top: topPurge(state.control),
+    purges: state.control.purges.filter((one) => one.seq > to.purged),
+    floor: floorPurge(state.control),
+    top: topPurge(state.control),
     verdicts: [...state.control.verdicts.values()],
-    releases: [...state.control.releases.values()].map((one) => releaseStateOf(one, spentOf(state, one, now))),
+    releases: [...state.control.releases.values()].map((one) =>
+      releaseStateOf(one, spentOf(state, one, now)),
+    ),
   };
 };
 
-export const feedOne = (state: Store, to: Tuned, at: Moment, now: Moment): readonly StoreEffect[] => {
+export const feedOne = (
+  state: Store,
+  to: Tuned,
+  at: Moment,
+  now: Moment,
+): readonly StoreEffect[] => {
   const word = feed(state, to, at, now);
   return word === undefined ? [] : [send(to.address, word)];
 };
 
 /** Pushes news to every registry that listens; the time it bears renews nothing. */
 export const feedAll = (state: Store, now: Moment): readonly StoreEffect[] =>
-  [...state.tuned.values()].filter((one) => now - one.at < tunedSpan).flatMap((one) => feedOne(state, one, start, now));
+  [...state.tuned.values()]
+    .filter((one) => now - one.at < tunedSpan)
+    .flatMap((one) => feedOne(state, one, start, now));
--- a/packages/ledger/src/mend/found.test.ts
+++ b/packages/ledger/src/mend/found.test.ts
@@ -1,20 +1,48 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type Moment, noSeq, toAddress, toAreaName, toCallId, toEpoch, toFleetId, toIncarnation, toMoment, toNodeId } from '@switchwheel/gauge';
+import {
+  type Moment,
+  noSeq,
+  toAddress,
+  toAreaName,
+  toCallId,
+  toEpoch,
+  toFleetId,
+  toIncarnation,
+  toMoment,
+  toNodeId,
+} from '@switchwheel/gauge';
 import type { Charter, Colleague, FrameOf, Member } from '@switchwheel/coupling';
 import { storeStep } from '../machine.js';
 import type { Found, StoreEffect } from '../state/event.js';
 import { type Store, newStore, pair } from '../state/state.js';
 
 const fleet = toFleetId('f1');
-const member = (node: string, port: number): Member =>
-  ({ node: toNodeId(node), role: 'store', area: toAreaName('a'), address: toAddress(`10.0.0.1:${port}`), incarnation: toIncarnation(1) });
+const member = (node: string, port: number): Member => ({
+  node: toNodeId(node),
+  role: 'store',
+  area: toAreaName('a'),
+  address: toAddress(`10.0.0.1:${port}`),
+  incarnation: toIncarnation(1),
+});
 const stores = [member('s1', 1), member('s2', 2), member('s3', 3)];
-const registry = (number: number): Colleague => ({ node: toNodeId(`r${number}`), address: toAddress(`10.0.0.2:${number}`), incarnation: toIncarnation(1) });
-const electorate: Charter['electorate'] = { serial: noSeq, members: [1, 2, 3].map(registry).map(({ node, address }) => ({ node, address })) };
-const proposal = (by: number, other = fleet): FrameOf<'found'> =>
-  ({ kind: 'found', id: toCallId(`${other}.r${by}`), fleet: other, stores: stores.map(({ node, address }) => ({ node, address })), electorate });
+const registry = (number: number): Colleague => ({
+  node: toNodeId(`r${number}`),
+  address: toAddress(`10.0.0.2:${number}`),
+  incarnation: toIncarnation(1),
+});
+const electorate: Charter['electorate'] = {
+  serial: noSeq,
+  members: [1, 2, 3].map(registry).map(({ node, address }) => ({ node, address })),
+};
+const proposal = (by: number, other = fleet): FrameOf<'found'> => ({
+  kind: 'found',
+  id: toCallId(`${other}.r${by}`),
+  fleet: other,
+  stores: stores.map(({ node, address }) => ({ node, address })),
+  electorate,
+});
 
 /** A store whose disk takes each write at once, or not at all until it is let. */
 class Bench {
@@ -34,11 +62,14 @@
   }
 
   sync(): void {
-    for (const id of this.#pending.splice(0)) this.#take(storeStep(this.state, { kind: 'synced', now: this.now, id }));
+    for (const id of this.#pending.splice(0))
+      this.#take(storeStep(this.state, { kind: 'synced', now: this.now, id }));
   }
 
   answers(): readonly boolean[] {
-    return this.effects.flatMap((one) => (one.kind === 'send' && one.frame.kind === 'founded' ? [one.frame.ok] : []));
+    return this.effects.flatMap((one) =>
+      one.kind === 'send' && one.frame.kind === 'founded' ? [one.frame.ok] : [],
+    );
   }
 
   #take(done: { readonly state: Store; readonly effects: readonly StoreEffect[] }): void {
@@ -49,35 +80,65 @@
 }
 
 void test('whoever proposes the fleet, however often and in whatever order, a store comes to one charter', () => {
-  fc.assert(fc.property(fc.array(fc.oneof(fc.integer({ min: 1, max: 3 }), fc.constant('sync' as const)), { minLength: 1, maxLength: 20 }), (moves) => {
-    const bench = new Bench();
-    for (const move of moves) {
-      if (move === 'sync') bench.sync();
-      else bench.hear(registry(move), proposal(move));
-    }
-    bench.hear(registry(1), proposal(1));
-    bench.sync();
-    const { charter } = bench.state;
-    assert.ok(charter !== undefined);
-    assert.deepEqual([charter.fleet, charter.epoch, charter.insync, bench.state.phase], [fleet, toEpoch(0), stores.map((one) => one.node), 'member']);
-    bench.hear(registry(2), proposal(2));
-    assert.equal(bench.answers().at(-1), true, 'asked again it agrees again');
-    bench.hear(registry(3), proposal(3, toFleetId('f2')));
-    const after = bench.state.charter;
-    assert.equal(after?.fleet, fleet, 'another fleet changes nothing once something was written');
-  }), { seed: 8 });
+  fc.assert(
+    fc.property(
+      fc.array(fc.oneof(fc.integer({ min: 1, max: 3 }), fc.constant('sync' as const)), {
+        minLength: 1,
+        maxLength: 20,
+      }),
+      (moves) => {
+        const bench = new Bench();
+        for (const move of moves) {
+          if (move === 'sync') bench.sync();
+          else bench.hear(registry(move), proposal(move));
+        }
+        bench.hear(registry(1), proposal(1));
+        bench.sync();
+        const { charter } = bench.state;
+        assert.ok(charter !== undefined);
+        assert.deepEqual(
+          [charter.fleet, charter.epoch, charter.insync, bench.state.phase],
+          [fleet, toEpoch(0), stores.map((one) => one.node), 'member'],
+        );
+        bench.hear(registry(2), proposal(2));
+        assert.equal(bench.answers().at(-1), true, 'asked again it agrees again');
+        bench.hear(registry(3), proposal(3, toFleetId('f2')));
+        const after = bench.state.charter;
+        assert.equal(
+          after?.fleet,
+          fleet,
+          'another fleet changes nothing once something was written',
+        );
+      },
+    ),
+    { seed: 8 },
+  );
 });
 
 void test('a store that came back with an empty disk is not founded anew', () => {
   const bench = new Bench(false);
   bench.hear(registry(1), proposal(1));
   bench.sync();
-  assert.deepEqual([bench.answers(), bench.state.charter, bench.state.phase], [[false], undefined, 'blank']);
+  assert.deepEqual(
+    [bench.answers(), bench.state.charter, bench.state.phase],
+    [[false], undefined, 'blank'],
+  );
 });
 
 void test('a store of a fleet that has begun its work keeps its charter', () => {
-  const charter: Charter = { fleet, epoch: toEpoch(4), insync: [toNodeId('s1')], stores: proposal(1).stores, electorate };
-  const bench = new Bench(true, { found: 'whole', charter, stamp: { epoch: toEpoch(4), seq: noSeq }, entries: [] });
+  const charter: Charter = {
+    fleet,
+    epoch: toEpoch(4),
+    insync: [toNodeId('s1')],
+    stores: proposal(1).stores,
+    electorate,
+  };
+  const bench = new Bench(true, {
+    found: 'whole',
+    charter,
+    stamp: { epoch: toEpoch(4), seq: noSeq },
+    entries: [],
+  });
   bench.hear(registry(1), proposal(1, toFleetId('f2')));
   bench.hear(registry(1), proposal(1));
   assert.deepEqual([bench.answers(), bench.state.charter], [[false, true], charter]);
--- a/packages/ledger/src/origins/origins.test.ts
+++ b/packages/ledger/src/origins/origins.test.ts
@@ -1,7 +1,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type InstanceId, type Moment, earlier, toAddress, toInstanceId, toMoment, toRelease, toServiceName } from '@switchwheel/gauge';
+import {
+  type InstanceId,
+  type Moment,
+  earlier,
+  toAddress,
+  toInstanceId,
+  toMoment,
+  toRelease,
+  toServiceName,
+} from '@switchwheel/gauge';
 import type { Origin } from '@switchwheel/coupling';
 import type { Seen } from '@switchwheel/roster';
 import { absorbAll, noControl } from '@switchwheel/timetable';
@@ -9,21 +18,59 @@
 
 const now: Moment = toMoment(100_000);
 const seen = (number: number, state: Seen['state'], silentMs: number): Seen => ({
-  service: toServiceName('clips'), instance: toInstanceId(`o${number}`), address: toAddress(`10.0.0.${number}:80`), release: toRelease('r1'), slots: 4, state, at: earlier(now, silentMs),
+  service: toServiceName('clips'),
+  instance: toInstanceId(`o${number}`),
+  address: toAddress(`10.0.0.${number}:80`),
+  release: toRelease('r1'),
+  slots: 4,
+  state,
+  at: earlier(now, silentMs),
 });
-const list = fc.array(fc.record({ number: fc.integer({ min: 1, max: 9 }), state: fc.constantFrom<Seen['state']>('up', 'leaving', 'gone'), silentMs: fc.constantFrom(0, 900, 11_000) }));
-const mapOf = (rows: readonly { readonly number: number; readonly state: Seen['state']; readonly silentMs: number }[]): ReadonlyMap<InstanceId, Seen> =>
-  new Map(rows.map((one) => [toInstanceId(`o${one.number}`), seen(one.number, one.state, one.silentMs)]));
+const list = fc.array(
+  fc.record({
+    number: fc.integer({ min: 1, max: 9 }),
+    state: fc.constantFrom<Seen['state']>('up', 'leaving', 'gone'),
+    silentMs: fc.constantFrom(0, 900, 11_000),
+  }),
+);
+const mapOf = (
+  rows: readonly {
+    readonly number: number;
+    readonly state: Seen['state'];
+    readonly silentMs: number;
+  }[],
+): ReadonlyMap<InstanceId, Seen> =>
+  new Map(
+    rows.map((one) => [toInstanceId(`o${one.number}`), seen(one.number, one.state, one.silentMs)]),
+  );
 const record = (rows: readonly Seen[]): ReadonlyMap<InstanceId, Origin> =>
-  absorbAll(noControl, originPuts(new Map(), new Map(rows.map((one) => [one.instance, one])), false, now)).origins;
+  absorbAll(
+    noControl,
+    originPuts(new Map(), new Map(rows.map((one) => [one.instance, one])), false, now),
+  ).origins;
 
 void test('the record holds just the origins that stand; one that was never heard of stays until that is sure', () => {
-  fc.assert(fc.property(list, list, fc.boolean(), (before, after, sure) => {
-    const known = record([...mapOf(before).values()]);
-    const heard = mapOf(after);
-    const control = absorbAll({ ...noControl, origins: known }, originPuts(known, heard, sure, now));
-    for (const one of heard.values()) assert.equal(control.origins.has(one.instance), one.state === 'up' && now - one.at < 10_000);
-    for (const instance of known.keys()) if (!heard.has(instance)) assert.equal(control.origins.has(instance), !sure);
-    assert.deepEqual(originPuts(control.origins, heard, sure, now), [], 'and then nothing is written');
-  }), { seed: 3 });
+  fc.assert(
+    fc.property(list, list, fc.boolean(), (before, after, sure) => {
+      const known = record([...mapOf(before).values()]);
+      const heard = mapOf(after);
+      const control = absorbAll(
+        { ...noControl, origins: known },
+        originPuts(known, heard, sure, now),
+      );
+      for (const one of heard.values())
+        assert.equal(
+          control.origins.has(one.instance),
+          one.state === 'up' && now - one.at < 10_000,
+        );
+      for (const instance of known.keys())
+        if (!heard.has(instance)) assert.equal(control.origins.has(instance), !sure);
+      assert.deepEqual(
+        originPuts(control.origins, heard, sure, now),
+        [],
+        'and then nothing is written',
+      );
+    }),
+    { seed: 3 },
+  );
 });
--- a/packages/ledger/src/origins/origins.ts
+++ b/packages/ledger/src/origins/origins.ts
@@ -13,38 +13,65 @@
 /** How long one that only a disk tells of may be used until it is heard itself. */
 const provisionalSpan = 2500;
 
-const stored = ({ service, instance, address, release, slots, area }: Seen): Origin =>
-  ({ service, instance, address, release, slots, state: 'up', age: toSpan(0), ...(area === undefined ? {} : { area }) });
+const stored = ({ service, instance, address, release, slots, area }: Seen): Origin => ({
+  service,
+  instance,
+  address,
+  release,
+  slots,
+  state: 'up',
+  age: toSpan(0),
+  ...(area === undefined ? {} : { area }),
+});
 
 const same = (one: Origin, two: Origin): boolean =>
-  one.service === two.service && one.address === two.address && one.release === two.release && one.slots === two.slots && one.area === two.area;
+  one.service === two.service &&
+  one.address === two.address &&
+  one.release === two.release &&
+  one.slots === two.slots &&
+  one.area === two.area;
 
 /** What the record of origins lacks, and what is in it that should not be. */
-export const originPuts = (known: ReadonlyMap<InstanceId, Origin>, heard: Store['berth']['origins'], sure: boolean, now: Moment): readonly Put[] => {
+export const originPuts = (
+  known: ReadonlyMap<InstanceId, Origin>,
+  heard: Store['berth']['origins'],
+  sure: boolean,
+  now: Moment,
+): readonly Put[] => {
   const puts: Put[] = [];
   for (const one of heard.values()) {
     const before = known.get(one.instance);
     if (standing(one, now)) {
       const after = stored(one);
-      if (before === undefined || !same(before, after)) puts.push(write(keyOf.origin(one.instance), after));
+      if (before === undefined || !same(before, after))
+        puts.push(write(keyOf.origin(one.instance), after));
     } else if (before !== undefined) puts.push(erase(keyOf.origin(one.instance)));
   }
   // A primary that has just begun may not have heard of all of them yet.
-  if (sure) for (const instance of known.keys()) if (!heard.has(instance)) puts.push(erase(keyOf.origin(instance)));
+  if (sure)
+    for (const instance of known.keys())
+      if (!heard.has(instance)) puts.push(erase(keyOf.origin(instance)));
   return puts;
 };
 
 /** Keeps a record of the origins that stand, so that a fleet that lost all its processes need not wait until each speaks. */
 export const passOrigins = (state: Store, now: Moment): Done => {
   const own = state.stand.phase;
-  if (!state.limits.origins || own.phase !== 'holding' || now - state.noted < lookSpan) return step(state);
+  if (!state.limits.origins || own.phase !== 'holding' || now - state.noted < lookSpan)
+    return step(state);
   const next: Store = { ...state, noted: now };
   if (state.waitlist.some((one) => one.kind === 'origins')) return step(next);
-  if (originPuts(state.control.origins, state.berth.origins, now - own.won > absentSpan, now).length === 0) return step(next);
+  if (
+    originPuts(state.control.origins, state.berth.origins, now - own.won > absentSpan, now)
+      .length === 0
+  )
+    return step(next);
   return queue(next, { kind: 'origins', sure: now - own.won > absentSpan }, now);
 };
 
 /** The recorded origins as they are told from a disk: for a short time only, as they may be gone. */
 export const recalled = (state: Store): Origin[] =>
-  [...state.control.origins.values()].map((one) => ({ ...one, age: toSpan(silentSpan - provisionalSpan) }));
-
+  [...state.control.origins.values()].map((one) => ({
+    ...one,
+    age: toSpan(silentSpan - provisionalSpan),
+  }));
--- a/packages/ledger/src/release/release.ts
+++ b/packages/ledger/src/release/release.ts
@@ -1,6 +1,24 @@
-import { type Moment, type Release, type ServiceName, type Step, join, put, sift, step } from '@switchwheel/gauge';
+import {
+  type Moment,
+  type Release,
+  type ServiceName,
+  type Step,
+  join,
+  put,
+  sift,
+  step,
+} from '@switchwheel/gauge';
 import { type FrameOf, log } from '@switchwheel/coupling';
-import { type ReleaseOrder, advance, counts, releaseSettings, settledOn, spentAt, takeTally, watch } from '@switchwheel/timetable';
+import {
+  type ReleaseOrder,
+  advance,
+  counts,
+  releaseSettings,
+  settledOn,
+  spentAt,
+  takeTally,
+  watch,
+} from '@switchwheel/timetable';
 import { queue } from '../command/calls.js';
 import type { StoreEffect } from '../state/event.js';
 import type { Store } from '../state/state.js';
@@ -11,14 +29,20 @@
 export const standingOf = (state: Store, service: ServiceName): ReadonlyMap<Release, number> => {
   const standing = new Map<Release, number>();
   for (const one of state.berth.origins.values()) {
-    if (one.service === service && one.state === 'up') standing.set(one.release, (standing.get(one.release) ?? 0) + 1);
+    if (one.service === service && one.state === 'up')
+      standing.set(one.release, (standing.get(one.release) ?? 0) + 1);
   }
   return standing;
 };
 
 /** The release that most origins bear, other than one. */
-export const mostStanding = (standing: ReadonlyMap<Release, number>, except?: Release): Release | undefined =>
-  [...standing].filter(([release]) => release !== except).sort(([one, many], [two, more]) => more - many || (one < two ? -1 : 1))[0]?.[0];
+export const mostStanding = (
+  standing: ReadonlyMap<Release, number>,
+  except?: Release,
+): Release | undefined =>
+  [...standing]
+    .filter(([release]) => release !== except)
+    .sort(([one, many], [two, more]) => more - many || (one < two ? -1 : 1))[0]?.[0];
 
 /** How much of an order's span is over, as far as this store knows. */
 export const spentOf = (state: Store, order: ReleaseOrder, now: Moment): number => {
@@ -39,28 +63,56 @@
 
 /** Whether a change of a service's record is in its turn or being written already. */
 const waits = (state: Store, service: ServiceName): boolean =>
-  state.waitlist.some((one) => (one.kind === 'release' && one.next.service === service) || (one.kind === 'order' && one.service === service))
-  || (state.job?.puts.some((one) => one.key === `release/${service}`) ?? false);
+  state.waitlist.some(
+    (one) =>
+      (one.kind === 'release' && one.next.service === service) ||
+      (one.kind === 'order' && one.service === service),
+  ) ||
+  (state.job?.puts.some((one) => one.key === `release/${service}`) ?? false);
 
 const pass = (state: Store, order: ReleaseOrder, now: Moment): Done => {
   const own = state.watches.get(order.service);
-  if (own === undefined || !counts(order, spentAt(own, now)) || waits(state, order.service)) return step(state);
-  const next = advance(order, own, standingOf(state, order.service), now, state.limits.releases ?? releaseSettings);
+  if (own === undefined || !counts(order, spentAt(own, now)) || waits(state, order.service))
+    return step(state);
+  const next = advance(
+    order,
+    own,
+    standingOf(state, order.service),
+    now,
+    state.limits.releases ?? releaseSettings,
+  );
   if (next === order) return step(state);
-  const told = next.phase === order.phase ? [] : [
-    log('info', 'an order of a release goes on', ['service', order.service], ['target', next.target ?? ''], ['phase', next.phase], ['spent', Math.round(next.spentMs)], ['why', next.text]),
-  ];
+  const told =
+    next.phase === order.phase
+      ? []
+      : [
+          log(
+            'info',
+            'an order of a release goes on',
+            ['service', order.service],
+            ['target', next.target ?? ''],
+            ['phase', next.phase],
+            ['spent', Math.round(next.spentMs)],
+            ['why', next.text],
+          ),
+        ];
   return join(told, queue(state, { kind: 'release', next }, now));
 };
 
 /** Notes on which release each service stands that has no record yet. */
 const settleNew = (state: Store, now: Moment): Done => {
   let next: Done = step(state);
-  const services = new Set([...state.berth.origins.values()].filter((one) => one.state === 'up').map((one) => one.service));
+  const services = new Set(
+    [...state.berth.origins.values()].filter((one) => one.state === 'up').map((one) => one.service),
+  );
   for (const service of services) {
     if (state.control.releases.has(service) || waits(next.state, service)) continue;
     const settled = mostStanding(standingOf(state, service));
-    if (settled !== undefined) next = join(next.effects, queue(next.state, { kind: 'release', next: settledOn(service, settled) }, now));
+    if (settled !== undefined)
+      next = join(
+        next.effects,
+        queue(next.state, { kind: 'release', next: settledOn(service, settled) }, now),
+      );
   }
   return next;
 };
@@ -68,7 +120,8 @@
 /** Lets time pass over the orders of releases. */
 export const passReleases = (state: Store, now: Moment): Done => {
   let next = settleNew(watched(state, now), now);
-  for (const order of state.control.releases.values()) next = join(next.effects, pass(next.state, order, now));
+  for (const order of state.control.releases.values())
+    next = join(next.effects, pass(next.state, order, now));
   return next;
 };
 
--- a/packages/ledger/src/state/event.ts
+++ b/packages/ledger/src/state/event.ts
@@ -7,14 +7,30 @@
 export type Found =
   | { readonly found: 'nothing' }
   | { readonly found: 'damaged'; readonly text: string }
-  | { readonly found: 'whole'; readonly charter: Charter; readonly stamp: Stamp; readonly entries: readonly KeyedEntry[] };
+  | {
+      readonly found: 'whole';
+      readonly charter: Charter;
+      readonly stamp: Stamp;
+      readonly entries: readonly KeyedEntry[];
+    };
 
 export type StoreEvent =
   | WireEvent
   | { readonly kind: 'read'; readonly now: Moment; readonly found: Found }
   | { readonly kind: 'synced'; readonly now: Moment; readonly id: number }
-  | { readonly kind: 'unsynced'; readonly now: Moment; readonly id: number; readonly text: string; readonly full: boolean }
-  | { readonly kind: 'compiled'; readonly now: Moment; readonly hash: Hash; readonly faults: readonly Fault[] }
+  | {
+      readonly kind: 'unsynced';
+      readonly now: Moment;
+      readonly id: number;
+      readonly text: string;
+      readonly full: boolean;
+    }
+  | {
+      readonly kind: 'compiled';
+      readonly now: Moment;
+      readonly hash: Hash;
+      readonly faults: readonly Fault[];
+    }
   | { readonly kind: 'stop'; readonly now: Moment };
 
 /** One write to the disk: all of it lasts, or none. */
--- a/packages/ledger/src/state/state.ts
+++ b/packages/ledger/src/state/state.ts
@@ -1,11 +1,43 @@
 import {
-  type Address, type CallId, type Dice, type Epoch, type Generation, type Hash, type Incarnation, type Moment, type NodeId, type Release, type Seq, type ServiceName,
-  noEpoch, noSeq, primary, start,
+  type Address,
+  type CallId,
+  type Dice,
+  type Epoch,
+  type Generation,
+  type Hash,
+  type Incarnation,
+  type Moment,
+  type NodeId,
+  type Release,
+  type Seq,
+  type ServiceName,
+  noEpoch,
+  noSeq,
+  primary,
+  start,
 } from '@switchwheel/gauge';
-import type { Aim, Charter, Colleague, Electorate, FrameOf, Member, Put, Report, Stamp } from '@switchwheel/coupling';
+import type {
+  Aim,
+  Charter,
+  Colleague,
+  Electorate,
+  FrameOf,
+  Member,
+  Put,
+  Report,
+  Stamp,
+} from '@switchwheel/coupling';
 import { type Stand, newStand } from '@switchwheel/ballot';
 import { type Berth, newBerth } from '@switchwheel/roster';
-import { type Control, type Fault, type ReleaseOrder, type Seen, type Watch, noControl, type ReleaseSettings } from '@switchwheel/timetable';
+import {
+  type Control,
+  type Fault,
+  type ReleaseOrder,
+  type Seen,
+  type Watch,
+  noControl,
+  type ReleaseSettings,
+} from '@switchwheel/timetable';
 import type { Table } from '../table/table.js';
 
 /** Who waits for the answer to a call. */
@@ -16,14 +48,35 @@
 
 /** What is to become one write, in its turn. */
 export type Command =
-  | { readonly kind: 'apply'; readonly asker: Asker; readonly hash: Hash; readonly order: readonly Hash[]; readonly base: Generation | undefined; readonly number: Generation | undefined; readonly faults: readonly Fault[] }
+  | {
+      readonly kind: 'apply';
+      readonly asker: Asker;
+      readonly hash: Hash;
+      readonly order: readonly Hash[];
+      readonly base: Generation | undefined;
+      readonly number: Generation | undefined;
+      readonly faults: readonly Fault[];
+    }
   | { readonly kind: 'purge'; readonly asker: Asker; readonly aims: readonly Aim[] }
   | { readonly kind: 'electorate'; readonly asker: Asker; readonly electorate: Electorate }
   | { readonly kind: 'seats'; readonly electorate: Electorate }
-  | { readonly kind: 'node'; readonly node: NodeId; readonly role: string; readonly incarnation: Incarnation; readonly online: boolean; readonly report: Report }
+  | {
+      readonly kind: 'node';
+      readonly node: NodeId;
+      readonly role: string;
+      readonly incarnation: Incarnation;
+      readonly online: boolean;
+      readonly report: Report;
+    }
   | { readonly kind: 'forget'; readonly node: NodeId }
   | { readonly kind: 'trial'; readonly to: Address; readonly word: TrialWord }
-  | { readonly kind: 'order'; readonly asker: Asker; readonly service: ServiceName; readonly target: Release; readonly spanMs: number }
+  | {
+      readonly kind: 'order';
+      readonly asker: Asker;
+      readonly service: ServiceName;
+      readonly target: Release;
+      readonly spanMs: number;
+    }
   | { readonly kind: 'release'; readonly next: ReleaseOrder }
   | { readonly kind: 'origins'; readonly sure: boolean }
   | { readonly kind: 'plan' }
@@ -147,7 +200,15 @@
   /** Calls whose description is being compiled: several may bring the same one. */
   readonly compiling: ReadonlyMap<Hash, readonly Extract<Command, { kind: 'apply' }>[]>;
   readonly spare: ReadonlyMap<Hash, string>;
-  readonly lacking: ReadonlyMap<CallId, { readonly command: Extract<Command, { kind: 'apply' }>; readonly since: Moment; readonly asked: Moment; readonly awaited: number }>;
+  readonly lacking: ReadonlyMap<
+    CallId,
+    {
+      readonly command: Extract<Command, { kind: 'apply' }>;
+      readonly since: Moment;
+      readonly asked: Moment;
+      readonly awaited: number;
+    }
+  >;
   readonly colleagues: ReadonlyMap<NodeId, ColleagueWord>;
   /** The spare that is being mended, and since when it made no progress. */
   readonly mending: { readonly node: NodeId; readonly since: Moment } | undefined;
@@ -181,11 +242,55 @@
 
 export const noStamp: Stamp = { epoch: noEpoch, seq: noSeq };
 
-export const newStore = (member: Member, seeds: readonly Address[], dice: Dice, limits = pair, foundable = true): Store => ({
-  foundable, berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }), limits, phase: 'reading', born: start, trouble: '', soiled: false, charter: undefined, stamp: noStamp, table: new Map(), control: noControl,
-  stand: newStand(member.node, primary, []), serving: false, muted: false, job: undefined, chore: undefined, mends: [], waitlist: [], compiling: new Map(), spare: new Map(),
-  lacking: new Map(), colleagues: new Map(), mending: undefined, tried: new Set(), tuned: new Map(), touch: new Map(), ousted: noEpoch, led: start, greeted: start, planned: start, turned: start, seated: start, noted: start, due: undefined, listed: noSeq,
-  watches: new Map(), seen: new Map(), opened: undefined, diskFull: undefined, shunned: start, nextId: 1, dice,
+export const newStore = (
+  member: Member,
+  seeds: readonly Address[],
+  dice: Dice,
+  limits = pair,
+  foundable = true,
+): Store => ({
+  foundable,
+  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }),
+  limits,
+  phase: 'reading',
+  born: start,
+  trouble: '',
+  soiled: false,
+  charter: undefined,
+  stamp: noStamp,
+  table: new Map(),
+  control: noControl,
+  stand: newStand(member.node, primary, []),
+  serving: false,
+  muted: false,
+  job: undefined,
+  chore: undefined,
+  mends: [],
+  waitlist: [],
+  compiling: new Map(),
+  spare: new Map(),
+  lacking: new Map(),
+  colleagues: new Map(),
+  mending: undefined,
+  tried: new Set(),
+  tuned: new Map(),
+  touch: new Map(),
+  ousted: noEpoch,
+  led: start,
+  greeted: start,
+  planned: start,
+  turned: start,
+  seated: start,
+  noted: start,
+  due: undefined,
+  listed: noSeq,
+  watches: new Map(),
+  seen: new Map(),
+  opened: undefined,
+  diskFull: undefined,
+  shunned: start,
+  nextId: 1,
+  dice,
 });
 
 export const me = (state: Store): NodeId => state.berth.member.node;
--- a/packages/ledger/src/table/table.ts
+++ b/packages/ledger/src/table/table.ts
@@ -14,11 +14,14 @@
 /** In how many ranges keys are compared. */
 export const rangeCount = 64;
 
-export const rangeOf = (key: string): number => createHash('sha1').update(key).digest().readUInt8(0) % rangeCount;
+export const rangeOf = (key: string): number =>
+  createHash('sha1').update(key).digest().readUInt8(0) % rangeCount;
 
-export const sameStamp = (one: Stamp, two: Stamp): boolean => one.epoch === two.epoch && one.seq === two.seq;
+export const sameStamp = (one: Stamp, two: Stamp): boolean =>
+  one.epoch === two.epoch && one.seq === two.seq;
 /** Which of two stamps is the newer: by epoch, then by number. */
-export const newerStamp = (one: Stamp, two: Stamp): boolean => one.epoch > two.epoch || (one.epoch === two.epoch && one.seq > two.seq);
+export const newerStamp = (one: Stamp, two: Stamp): boolean =>
+  one.epoch > two.epoch || (one.epoch === two.epoch && one.seq > two.seq);
 
 /** A copy of the table with a write in it. */
 export const apply = (table: Table, puts: readonly Put[], stamp: Stamp): Table => {
@@ -38,11 +41,16 @@
   const before = known.get(table);
   if (before !== undefined) return before;
   const rows: string[][] = Array.from({ length: rangeCount }, () => []);
-  for (const [key, entry] of table) rows[rangeOf(key)]?.push(`${key} ${entry.stamp.epoch} ${entry.stamp.seq}`);
-  const result = rows.map((row) => createHash('sha256').update(row.sort().join('\n')).digest('hex').slice(0, 16));
+  for (const [key, entry] of table)
+    rows[rangeOf(key)]?.push(`${key} ${entry.stamp.epoch} ${entry.stamp.seq}`);
+  const result = rows.map((row) =>
+    createHash('sha256').update(row.sort().join('\n')).digest('hex').slice(0, 16),
+  );
   known.set(table, result);
   return result;
 };
 
 export const inRange = (table: Table, range: number): { key: string; stamp: Stamp }[] =>
-  [...table].filter(([key]) => rangeOf(key) === range).map(([key, entry]) => ({ key, stamp: entry.stamp }));
+  [...table]
+    .filter(([key]) => rangeOf(key) === range)
+    .map(([key, entry]) => ({ key, stamp: entry.stamp }));
--- a/packages/roster/src/origins/origins.ts
+++ b/packages/roster/src/origins/origins.ts
@@ -1,4 +1,12 @@
-import { type InstanceId, type Moment, between, earlier, noSeq, put, sift } from '@switchwheel/gauge';
+import {
+  type InstanceId,
+  type Moment,
+  between,
+  earlier,
+  noSeq,
+  put,
+  sift,
+} from '@switchwheel/gauge';
 import type { Origin } from '@switchwheel/coupling';
 
 /** An origin with the time it was last heard, by this process's clock. */
@@ -10,22 +18,35 @@
 /** How long an origin may be silent before nothing more is sent to it. */
 export const silentSpan = 10_000;
 const forgetSpan = 600_000;
-const rank: ReadonlyMap<Origin['state'], number> = new Map([['up', 0], ['leaving', 1], ['gone', 2]]);
+const rank: ReadonlyMap<Origin['state'], number> = new Map([
+  ['up', 0],
+  ['leaving', 1],
+  ['gone', 2],
+]);
 /** How far an origin is on its way out. */
 export const rankOf = (state: Origin['state']): number => rank.get(state) ?? 0;
 
 const same = (one: Seen, two: Seen): boolean =>
-  one.service === two.service && one.address === two.address && one.release === two.release && one.slots === two.slots && one.state === two.state && one.area === two.area;
+  one.service === two.service &&
+  one.address === two.address &&
+  one.release === two.release &&
+  one.slots === two.slots &&
+  one.state === two.state &&
+  one.area === two.area;
 
 /** Takes a word of an origin in. Leaving and gone are final for an instance, whoever says otherwise. */
-export const learn = (origins: Origins, word: Seen): { readonly origins: Origins; readonly news: boolean } => {
+export const learn = (
+  origins: Origins,
+  word: Seen,
+): { readonly origins: Origins; readonly news: boolean } => {
   const known = origins.get(word.instance);
   if (known === undefined) {
     // An address belongs to one instance: whoever had it before is gone.
     let rest = origins;
     if (word.state === 'up') {
       for (const other of origins.values()) {
-        if (other.address === word.address && other.state !== 'gone' && other.at <= word.at) rest = put(rest, other.instance, { ...other, state: 'gone' });
+        if (other.address === word.address && other.state !== 'gone' && other.at <= word.at)
+          rest = put(rest, other.instance, { ...other, state: 'gone' });
       }
     }
     return { origins: put(rest, word.instance, word), news: true };
@@ -35,11 +56,19 @@
   const latest = now > before || (now === before && word.at > known.at) ? word : known;
   const state = rankOf(word.state) > rankOf(known.state) ? word.state : known.state;
   const next: Seen = { ...latest, state, at };
-  if (same(next, known)) return { origins: at - known.at > 200 ? put(origins, word.instance, next) : origins, news: false };
+  if (same(next, known))
+    return {
+      origins: at - known.at > 200 ? put(origins, word.instance, next) : origins,
+      news: false,
+    };
   return { origins: put(origins, word.instance, next), news: true };
 };
 
-export const learnAll = (origins: Origins, words: readonly Origin[], now: Moment): { readonly origins: Origins; readonly news: boolean } => {
+export const learnAll = (
+  origins: Origins,
+  words: readonly Origin[],
+  now: Moment,
+): { readonly origins: Origins; readonly news: boolean } => {
   let result = { origins, news: false };
   for (const { age, ...word } of words) {
     const next = learn(result.origins, { ...word, at: earlier(now, age) });
@@ -48,9 +77,15 @@
   return result;
 };
 
-export const tellOrigin = ({ at, ...word }: Seen, now: Moment): Origin => ({ ...word, age: between(at, now) });
-export const tellOrigins = (origins: Origins, now: Moment): Origin[] => [...origins.values()].map((one) => tellOrigin(one, now));
+export const tellOrigin = ({ at, ...word }: Seen, now: Moment): Origin => ({
+  ...word,
+  age: between(at, now),
+});
+export const tellOrigins = (origins: Origins, now: Moment): Origin[] =>
+  [...origins.values()].map((one) => tellOrigin(one, now));
 
-export const forget = (origins: Origins, now: Moment): Origins => sift(origins, (one) => now - one.at < forgetSpan);
+export const forget = (origins: Origins, now: Moment): Origins =>
+  sift(origins, (one) => now - one.at < forgetSpan);
 /** Whether requests may be sent to it at all. */
-export const standing = (one: Seen, now: Moment): boolean => one.state === 'up' && now - one.at < silentSpan;
+export const standing = (one: Seen, now: Moment): boolean =>
+  one.state === 'up' && now - one.at < silentSpan;
--- a/packages/roster/src/registry/calls.ts
+++ b/packages/roster/src/registry/calls.ts
@@ -1,4 +1,13 @@
-import { type CallId, type Moment, type NodeId, type Step, drop, noSeq, put, step } from '@switchwheel/gauge';
+import {
+  type CallId,
+  type Moment,
+  type NodeId,
+  type Step,
+  drop,
+  noSeq,
+  put,
+  step,
+} from '@switchwheel/gauge';
 import { type FrameOf, send } from '@switchwheel/coupling';
 import { announce } from './announce.js';
 import { type Outside, type RegistryEffect, reply, replyText } from './event.js';
@@ -9,22 +18,66 @@
 const resend = 400;
 const maxPending = 256;
 
-const found = (state: Registry, ref: number, call: Extract<Outside, { verb: 'found' }>, now: Moment): Done => {
+const found = (
+  state: Registry,
+  ref: number,
+  call: Extract<Outside, { verb: 'found' }>,
+  now: Moment,
+): Done => {
   const near = [...state.sessions.values()].filter((one) => alive(one, now));
-  const stores = near.filter((one) => one.member.role === 'store' && (call.stores.length === 0 || call.stores.includes(one.member.node))).map((one) => one.member);
-  const seats = [state.member, ...near.filter((one) => one.member.role === 'registry').map((one) => one.member)]
-    .filter((one) => call.witnesses.length === 0 || call.witnesses.includes(one.node));
-  const lost = [...call.stores.filter((name) => !stores.some((one) => one.node === name)), ...call.witnesses.filter((name) => !seats.some((one) => one.node === name))];
-  if (lost.length > 0) return step(state, reply(ref, 409, { kind: 'unready', text: `not in touch: ${lost.join(', ')}` }));
+  const stores = near
+    .filter(
+      (one) =>
+        one.member.role === 'store' &&
+        (call.stores.length === 0 || call.stores.includes(one.member.node)),
+    )
+    .map((one) => one.member);
+  const seats = [
+    state.member,
+    ...near.filter((one) => one.member.role === 'registry').map((one) => one.member),
+  ].filter((one) => call.witnesses.length === 0 || call.witnesses.includes(one.node));
+  const lost = [
+    ...call.stores.filter((name) => !stores.some((one) => one.node === name)),
+    ...call.witnesses.filter((name) => !seats.some((one) => one.node === name)),
+  ];
+  if (lost.length > 0)
+    return step(
+      state,
+      reply(ref, 409, { kind: 'unready', text: `not in touch: ${lost.join(', ')}` }),
+    );
   if (stores.length < 1) {
-    return step(state, reply(ref, 409, { kind: 'unready', text: 'a fleet is founded on one store at least; in touch: none' }));
+    return step(
+      state,
+      reply(ref, 409, {
+        kind: 'unready',
+        text: 'a fleet is founded on one store at least; in touch: none',
+      }),
+    );
   }
-  if (state.fleet !== undefined) return step(state, reply(ref, 409, { kind: 'stale', text: `the fleet ${state.fleet} stands already` }));
+  if (state.fleet !== undefined)
+    return step(
+      state,
+      reply(ref, 409, { kind: 'stale', text: `the fleet ${state.fleet} stands already` }),
+    );
   const word: FrameOf<'found'> = {
-    kind: 'found', id: call.id, fleet: call.fleet, stores: stores.map((one) => ({ node: one.node, address: one.address })),
-    electorate: { serial: noSeq, members: seats.map((one) => ({ node: one.node, address: one.address })).sort((one, two) => (one.node < two.node ? -1 : 1)) },
+    kind: 'found',
+    id: call.id,
+    fleet: call.fleet,
+    stores: stores.map((one) => ({ node: one.node, address: one.address })),
+    electorate: {
+      serial: noSeq,
+      members: seats
+        .map((one) => ({ node: one.node, address: one.address }))
+        .sort((one, two) => (one.node < two.node ? -1 : 1)),
+    },
   };
-  const founding = put(state.founding, call.id, { ref, since: now, stores: stores.map((one) => one.node), witnesses: word.electorate.members.map((one) => one.node), agreed: new Set<NodeId>() });
+  const founding = put(state.founding, call.id, {
+    ref,
+    since: now,
+    stores: stores.map((one) => one.node),
+    witnesses: word.electorate.members.map((one) => one.node),
+    agreed: new Set<NodeId>(),
+  });
   return step({ ...state, founding }, ...stores.map((one) => send(one.address, word)));
 };
 
@@ -33,14 +86,27 @@
   const open = state.founding.get(word.id);
   if (open === undefined) return step(state);
   const without = { ...state, founding: drop(state.founding, word.id) };
-  if (!word.ok) return step(without, reply(open.ref, 409, { kind: 'stale', text: `${word.node}: ${word.text}` }));
+  if (!word.ok)
+    return step(
+      without,
+      reply(open.ref, 409, { kind: 'stale', text: `${word.node}: ${word.text}` }),
+    );
   const agreed = new Set([...open.agreed, word.node]);
-  if (open.stores.every((one) => agreed.has(one))) return step(without, reply(open.ref, 200, { kind: 'founded', stores: open.stores, witnesses: open.witnesses }));
+  if (open.stores.every((one) => agreed.has(one)))
+    return step(
+      without,
+      reply(open.ref, 200, { kind: 'founded', stores: open.stores, witnesses: open.witnesses }),
+    );
   return step({ ...state, founding: put(state.founding, word.id, { ...open, agreed }) });
 };
 
-const forward = (id: CallId, one: Pending): FrameOf<'call'> =>
-  ({ kind: 'call', id, verb: one.verb, body: one.body, ...(one.base === undefined ? {} : { base: one.base }) });
+const forward = (id: CallId, one: Pending): FrameOf<'call'> => ({
+  kind: 'call',
+  id,
+  verb: one.verb,
+  body: one.body,
+  ...(one.base === undefined ? {} : { base: one.base }),
+});
 
 /** Sends waiting calls on to the primary, and ends those whose time is over. */
 export const chase = (state: Registry, now: Moment): Done => {
@@ -52,9 +118,20 @@
       pending = drop(pending, id);
       // A call that never left this registry certainly did not run.
       const unrun = one.sent === undefined || one.verb === 'ask' || one.verb === 'view';
-      effects.push(unrun
-        ? reply(one.ref, 503, { kind: 'bounced', id, text: 'no primary answers now; nothing was changed', retryAfterMs: 1000 })
-        : reply(one.ref, 504, { kind: 'unknown', id, text: 'the outcome is not known; ask again with this id' }));
+      effects.push(
+        unrun
+          ? reply(one.ref, 503, {
+              kind: 'bounced',
+              id,
+              text: 'no primary answers now; nothing was changed',
+              retryAfterMs: 1000,
+            })
+          : reply(one.ref, 504, {
+              kind: 'unknown',
+              id,
+              text: 'the outcome is not known; ask again with this id',
+            }),
+      );
     } else if (store !== undefined && now - (one.sent ?? -Infinity) > resend) {
       pending = put(pending, id, { ...one, sent: now });
       effects.push(send(store.address, forward(id, one)));
@@ -64,16 +141,52 @@
   for (const [id, one] of state.founding) {
     if (now - one.since < 3000) continue;
     founding = drop(founding, id);
-    effects.push(reply(one.ref, 504, { kind: 'unknown', id, text: 'not every store agreed in time; found again with the same names' }));
+    effects.push(
+      reply(one.ref, 504, {
+        kind: 'unknown',
+        id,
+        text: 'not every store agreed in time; found again with the same names',
+      }),
+    );
   }
-  return step(pending === state.pending && founding === state.founding ? state : { ...state, pending, founding }, ...effects);
+  return step(
+    pending === state.pending && founding === state.founding
+      ? state
+      : { ...state, pending, founding },
+    ...effects,
+  );
 };
 
-const ask = (state: Registry, ref: number, id: CallId, row: Pick<Pending, 'verb' | 'body' | 'span'> & Partial<Pick<Pending, 'base' | 'pieces'>>, now: Moment): Done => {
-  if (state.stopping) return step(state, reply(ref, 503, { kind: 'bounced', id, text: 'this registry is stopping', retryAfterMs: 0 }));
-  if (state.pending.size >= maxPending) return step(state, reply(ref, 503, { kind: 'bounced', id, text: 'too many calls wait', retryAfterMs: 1000 }));
-  if (state.pending.has(id)) return step(state, reply(ref, 409, { kind: 'stale', id, text: 'a call with this id is under way here' }));
-  const one: Pending = { ref, since: now, sent: undefined, base: undefined, pieces: new Map(), ...row };
+const ask = (
+  state: Registry,
+  ref: number,
+  id: CallId,
+  row: Pick<Pending, 'verb' | 'body' | 'span'> & Partial<Pick<Pending, 'base' | 'pieces'>>,
+  now: Moment,
+): Done => {
+  if (state.stopping)
+    return step(
+      state,
+      reply(ref, 503, { kind: 'bounced', id, text: 'this registry is stopping', retryAfterMs: 0 }),
+    );
+  if (state.pending.size >= maxPending)
+    return step(
+      state,
+      reply(ref, 503, { kind: 'bounced', id, text: 'too many calls wait', retryAfterMs: 1000 }),
+    );
+  if (state.pending.has(id))
+    return step(
+      state,
+      reply(ref, 409, { kind: 'stale', id, text: 'a call with this id is under way here' }),
+    );
+  const one: Pending = {
+    ref,
+    since: now,
+    sent: undefined,
+    base: undefined,
+    pieces: new Map(),
+    ...row,
+  };
   return chase({ ...state, pending: put(state.pending, id, one) }, now);
 };
 
@@ -84,12 +197,36 @@
     case 'found':
       return found(state, ref, call, now);
     case 'apply':
-      return ask(state, ref, call.id, { verb: 'apply', body: JSON.stringify({ hash: call.hash, order: call.order, number: call.number }), base: call.base, pieces: call.pieces, span: 8000 }, now);
+      return ask(
+        state,
+        ref,
+        call.id,
+        {
+          verb: 'apply',
+          body: JSON.stringify({ hash: call.hash, order: call.order, number: call.number }),
+          base: call.base,
+          pieces: call.pieces,
+          span: 8000,
+        },
+        now,
+      );
     case 'purge':
-      return ask(state, ref, call.id, { verb: 'purge', body: JSON.stringify(call.aims), span: 4000 }, now);
+      return ask(
+        state,
+        ref,
+        call.id,
+        { verb: 'purge', body: JSON.stringify(call.aims), span: 4000 },
+        now,
+      );
     case 'release': {
       const { service, target, spanMs } = call;
-      return ask(state, ref, call.id, { verb: 'release', body: JSON.stringify({ service, target, spanMs }), span: 4000 }, now);
+      return ask(
+        state,
+        ref,
+        call.id,
+        { verb: 'release', body: JSON.stringify({ service, target, spanMs }), span: 4000 },
+        now,
+      );
     }
     case 'ask':
       return ask(state, ref, call.id, { verb: 'ask', body: call.about, span: 2500 }, now);
@@ -102,15 +239,36 @@
   }
 };
 
-const electorate = (state: Registry, ref: number, call: Extract<Outside, { verb: 'electorate' }>, now: Moment): Done => {
+const electorate = (
+  state: Registry,
+  ref: number,
+  call: Extract<Outside, { verb: 'electorate' }>,
+  now: Moment,
+): Done => {
   const set = state.electorate;
-  if (set === undefined) return step(state, reply(ref, 409, { kind: 'unready', text: 'no fleet stands yet' }));
-  if ((call.add === undefined) === (call.remove === undefined)) return step(state, reply(ref, 422, { kind: 'invalid', text: 'one witness is added or removed at a time' }));
-  const seat = call.add === undefined ? undefined : call.add === state.member.node ? state.member : state.sessions.get(call.add)?.member;
+  if (set === undefined)
+    return step(state, reply(ref, 409, { kind: 'unready', text: 'no fleet stands yet' }));
+  if ((call.add === undefined) === (call.remove === undefined))
+    return step(
+      state,
+      reply(ref, 422, { kind: 'invalid', text: 'one witness is added or removed at a time' }),
+    );
+  const seat =
+    call.add === undefined
+      ? undefined
+      : call.add === state.member.node
+        ? state.member
+        : state.sessions.get(call.add)?.member;
   if (call.add !== undefined && (seat === undefined || seat.role !== 'registry')) {
-    return step(state, reply(ref, 409, { kind: 'unready', text: `no registry named ${call.add} is in touch` }));
+    return step(
+      state,
+      reply(ref, 409, { kind: 'unready', text: `no registry named ${call.add} is in touch` }),
+    );
   }
-  const body = JSON.stringify({ ...(seat === undefined ? {} : { add: { node: seat.node, address: seat.address } }), ...(call.remove === undefined ? {} : { remove: call.remove }) });
+  const body = JSON.stringify({
+    ...(seat === undefined ? {} : { add: { node: seat.node, address: seat.address } }),
+    ...(call.remove === undefined ? {} : { remove: call.remove }),
+  });
   return ask(state, ref, call.id, { verb: 'electorate', body, span: 4000 }, now);
 };
 
@@ -118,11 +276,18 @@
 export const onCalled = (state: Registry, word: FrameOf<'called'>): Done => {
   const open = state.pending.get(word.id);
   if (open === undefined) return step(state);
-  return step({ ...state, pending: drop(state.pending, word.id) }, replyText(open.ref, word.status, word.body));
+  return step(
+    { ...state, pending: drop(state.pending, word.id) },
+    replyText(open.ref, word.status, word.body),
+  );
 };
 
 /** The store lacks pieces of a description that came in here. */
-export const onStoreWant = (state: Registry, word: FrameOf<'want'>, to: Parameters<typeof send>[0]): Done => {
+export const onStoreWant = (
+  state: Registry,
+  word: FrameOf<'want'>,
+  to: Parameters<typeof send>[0],
+): Done => {
   const effects: RegistryEffect[] = [];
   for (const hash of word.hashes) {
     for (const one of state.pending.values()) {
@@ -147,19 +312,50 @@
   electorate: state.electorate ?? null,
   witness: {
     blank: state.witness.blank,
-    grants: [...state.witness.grants].map(([duty, one]) => ({ duty, epoch: one.epoch, node: one.node, insync: one.insync, leftMs: Math.round(one.until - now) })),
+    grants: [...state.witness.grants].map(([duty, one]) => ({
+      duty,
+      epoch: one.epoch,
+      node: one.node,
+      insync: one.insync,
+      leftMs: Math.round(one.until - now),
+    })),
   },
   nodes: [
-    { node: state.member.node, role: state.member.role, area: state.member.area, address: state.member.address, admin: state.member.admin ?? null, registry: state.member.node, open: true, ageMs: 0, incarnation: state.member.incarnation },
+    {
+      node: state.member.node,
+      role: state.member.role,
+      area: state.member.area,
+      address: state.member.address,
+      admin: state.member.admin ?? null,
+      registry: state.member.node,
+      open: true,
+      ageMs: 0,
+      incarnation: state.member.incarnation,
+    },
     ...[...state.sessions.values()].map((one) => ({
-      node: one.member.node, role: one.member.role, area: one.member.area, address: one.member.address, door: one.member.door ?? null, admin: one.member.admin ?? null,
-      registry: one.registry, open: alive(one, now), ageMs: Math.round(now - one.at), incarnation: one.member.incarnation,
-      generation: one.report.generation, hash: one.report.hash ?? null, phase: one.report.phase, ready: one.report.ready,
-      failed: one.report.failed ?? null, fitness: one.report.fitness,
+      node: one.member.node,
+      role: one.member.role,
+      area: one.member.area,
+      address: one.member.address,
+      door: one.member.door ?? null,
+      admin: one.member.admin ?? null,
+      registry: one.registry,
+      open: alive(one, now),
+      ageMs: Math.round(now - one.at),
+      incarnation: one.member.incarnation,
+      generation: one.report.generation,
+      hash: one.report.hash ?? null,
+      phase: one.report.phase,
+      ready: one.report.ready,
+      failed: one.report.failed ?? null,
+      fitness: one.report.fitness,
     })),
   ],
   desired: [...state.feed.desired].map(([node, one]) => ({ node, ...one })),
   holders: [...state.holders.values()],
-  origins: [...state.origins.values()].map(({ at, ...one }) => ({ ...one, ageMs: Math.round(now - at) })),
+  origins: [...state.origins.values()].map(({ at, ...one }) => ({
+    ...one,
+    ageMs: Math.round(now - at),
+  })),
   verdicts: state.feed.verdicts,
 });
--- a/packages/roster/src/registry/event.ts
+++ b/packages/roster/src/registry/event.ts
@@ -1,16 +1,50 @@
-import type { CallId, FleetId, Generation, Hash, Moment, NodeId, Release, ServiceName } from '@switchwheel/gauge';
+import type {
+  CallId,
+  FleetId,
+  Generation,
+  Hash,
+  Moment,
+  NodeId,
+  Release,
+  ServiceName,
+} from '@switchwheel/gauge';
 import type { Aim, Origin, WireEffect, WireEvent } from '@switchwheel/coupling';
 
 /** An outside call, already read and checked for its form. */
 export type Outside =
   | { readonly verb: 'announce'; readonly origin: Omit<Origin, 'age'> }
-  | { readonly verb: 'apply'; readonly id: CallId; readonly base: Generation | undefined; readonly number?: Generation | undefined; readonly hash: Hash; readonly order: readonly Hash[]; readonly pieces: ReadonlyMap<Hash, string> }
+  | {
+      readonly verb: 'apply';
+      readonly id: CallId;
+      readonly base: Generation | undefined;
+      readonly number?: Generation | undefined;
+      readonly hash: Hash;
+      readonly order: readonly Hash[];
+      readonly pieces: ReadonlyMap<Hash, string>;
+    }
   | { readonly verb: 'purge'; readonly id: CallId; readonly aims: readonly Aim[] }
   | { readonly verb: 'ask'; readonly id: CallId; readonly about: CallId }
   | { readonly verb: 'view'; readonly id: CallId; readonly what: string }
-  | { readonly verb: 'electorate'; readonly id: CallId; readonly add: NodeId | undefined; readonly remove: NodeId | undefined }
-  | { readonly verb: 'release'; readonly id: CallId; readonly service: ServiceName; readonly target: Release; readonly spanMs: number }
-  | { readonly verb: 'found'; readonly id: CallId; readonly fleet: FleetId; readonly stores: readonly NodeId[]; readonly witnesses: readonly NodeId[] }
+  | {
+      readonly verb: 'electorate';
+      readonly id: CallId;
+      readonly add: NodeId | undefined;
+      readonly remove: NodeId | undefined;
+    }
+  | {
+      readonly verb: 'release';
+      readonly id: CallId;
+      readonly service: ServiceName;
+      readonly target: Release;
+      readonly spanMs: number;
+    }
+  | {
+      readonly verb: 'found';
+      readonly id: CallId;
+      readonly fleet: FleetId;
+      readonly stores: readonly NodeId[];
+      readonly witnesses: readonly NodeId[];
+    }
   | { readonly verb: 'fleet' };
 
 export type RegistryEvent =
@@ -20,7 +54,22 @@
 
 export type RegistryEffect =
   | WireEffect
-  | { readonly kind: 'reply'; readonly ref: number; readonly status: number; readonly body: string };
+  | {
+      readonly kind: 'reply';
+      readonly ref: number;
+      readonly status: number;
+      readonly body: string;
+    };
 
-export const reply = (ref: number, status: number, body: object): RegistryEffect => ({ kind: 'reply', ref, status, body: JSON.stringify(body) });
-export const replyText = (ref: number, status: number, body: string): RegistryEffect => ({ kind: 'reply', ref, status, body });
+export const reply = (ref: number, status: number, body: object): RegistryEffect => ({
+  kind: 'reply',
+  ref,
+  status,
+  body: JSON.stringify(body),
+});
+export const replyText = (ref: number, status: number, body: string): RegistryEffect => ({
+  kind: 'reply',
+  ref,
+  status,
+  body,
+});
--- a/packages/roster/src/registry/nodes.ts
+++ b/packages/roster/src/registry/nodes.ts
@@ -1,6 +1,25 @@
 import { leaseSpan } from '@switchwheel/ballot';
-import { type Duty, type Hash, type Moment, type Step, drop, join, later, put, start, step, toSpan } from '@switchwheel/gauge';
-import { type Colleague, type FrameOf, type Offer, type ReleaseState, type WireEffect, send } from '@switchwheel/coupling';
+import {
+  type Duty,
+  type Hash,
+  type Moment,
+  type Step,
+  drop,
+  join,
+  later,
+  put,
+  start,
+  step,
+  toSpan,
+} from '@switchwheel/gauge';
+import {
+  type Colleague,
+  type FrameOf,
+  type Offer,
+  type ReleaseState,
+  type WireEffect,
+  send,
+} from '@switchwheel/coupling';
 import { learnHolder } from '../berth/berth.js';
 import { isSettled, releasesDigest } from '../releases/digest.js';
 import type { Known, Registry } from './state.js';
@@ -12,15 +31,23 @@
 const resend = 400;
 
 const newer = (known: Known | undefined, word: Known): boolean =>
-  known === undefined || word.member.incarnation > known.member.incarnation
-  || (word.member.incarnation === known.member.incarnation && word.seq > known.seq);
+  known === undefined ||
+  word.member.incarnation > known.member.incarnation ||
+  (word.member.incarnation === known.member.incarnation && word.seq > known.seq);
 
 /** Takes a word on a session, whoever tells it: the node's own order decides. */
-export const learnSession = (state: Registry, word: Known): { readonly state: Registry; readonly news: boolean } => {
+export const learnSession = (
+  state: Registry,
+  word: Known,
+): { readonly state: Registry; readonly news: boolean } => {
   const known = state.sessions.get(word.member.node);
   if (!newer(known, word)) return { state, news: false };
-  const news = known === undefined || known.open !== word.open || known.member.incarnation !== word.member.incarnation
-    || known.member.address !== word.member.address || known.member.door !== word.member.door;
+  const news =
+    known === undefined ||
+    known.open !== word.open ||
+    known.member.incarnation !== word.member.incarnation ||
+    known.member.address !== word.member.address ||
+    known.member.door !== word.member.door;
   return { state: { ...state, sessions: put(state.sessions, word.member.node, word) }, news };
 };
 
@@ -28,13 +55,18 @@
 const hintSpan = 250;
 
 const hinted = (state: Registry, known: Known, now: Moment): Offer | undefined =>
-  (state.eager && known.report.phase === 'none' && now - state.witness.born > hintSpan ? state.hint?.offer : undefined);
+  state.eager && known.report.phase === 'none' && now - state.witness.born > hintSpan
+    ? state.hint?.offer
+    : undefined;
 
 /** Keeps the newest of what disks are known to hold; the origins that a disk tells of are taken for a short time. */
 export const learnHint = (state: Registry, word: FrameOf<'hint'>): Registry => {
   const known = state.hint;
   if (state.fleet !== undefined && state.fleet !== word.fleet) return state;
-  const newer = known === undefined || word.epoch > known.epoch || (word.epoch === known.epoch && word.offer.generation > known.offer.generation);
+  const newer =
+    known === undefined ||
+    word.epoch > known.epoch ||
+    (word.epoch === known.epoch && word.offer.generation > known.offer.generation);
   return newer ? { ...state, hint: word } : state;
 };
 
@@ -43,26 +75,46 @@
   if (feedAge(state, now) === undefined) return hinted(state, known, now);
   const row = state.feed.desired.get(known.member.node);
   // A node that runs nothing yet gets the newest at once.
-  const offer = row === undefined || known.report.phase === 'none' ? state.feed.current : state.feed.offers.get(row.hash);
+  const offer =
+    row === undefined || known.report.phase === 'none'
+      ? state.feed.current
+      : state.feed.offers.get(row.hash);
   return offer !== undefined && offer.generation >= known.report.generation ? offer : undefined;
 };
 
 /** The reconcile of every message: the offer to send with the answer, if any. */
-const reconcile = (state: Registry, known: Known, now: Moment): { readonly state: Registry; readonly offer: Offer | undefined } => {
+const reconcile = (
+  state: Registry,
+  known: Known,
+  now: Moment,
+): { readonly state: Registry; readonly offer: Offer | undefined } => {
   const node = known.member.node;
   const offer = wantedBy(state, known, now);
   const report = known.report;
   if (offer === undefined) return { state, offer: undefined };
-  if (report.phase === 'applied' && report.generation === offer.generation && report.hash === offer.hash) {
-    return { state: state.offered.has(node) ? { ...state, offered: drop(state.offered, node) } : state, offer: undefined };
+  if (
+    report.phase === 'applied' &&
+    report.generation === offer.generation &&
+    report.hash === offer.hash
+  ) {
+    return {
+      state: state.offered.has(node) ? { ...state, offered: drop(state.offered, node) } : state,
+      offer: undefined,
+    };
   }
   const before = state.offered.get(node);
   const again = before !== undefined && before.hash === offer.hash;
-  const failed = report.failed?.hash === offer.hash && report.failed.generation === offer.generation;
-  const rest = failed ? Math.min(longestRest, firstRest * 2 ** Math.min(10, before?.tries ?? 0)) : resend;
+  const failed =
+    report.failed?.hash === offer.hash && report.failed.generation === offer.generation;
+  const rest = failed
+    ? Math.min(longestRest, firstRest * 2 ** Math.min(10, before?.tries ?? 0))
+    : resend;
   if (again && now < later(before.at, rest)) return { state, offer: undefined };
   const tries = again && failed ? before.tries + 1 : 0;
-  return { state: { ...state, offered: put(state.offered, node, { hash: offer.hash, at: now, tries }) }, offer };
+  return {
+    state: { ...state, offered: put(state.offered, node, { hash: offer.hash, at: now, tries }) },
+    offer,
+  };
 };
 
 /** Duties whose lease is over as far as this witness knows: it would have seen their renewals. */
@@ -78,15 +130,27 @@
   readonly digest: string;
 }
 // A digest holds for a feed's records until one of their spans is over.
-const digests = new WeakMap<readonly ReleaseState[], { readonly digest: string; readonly until: number }>();
+const digests = new WeakMap<
+  readonly ReleaseState[],
+  { readonly digest: string; readonly until: number }
+>();
 
 const records = (state: Registry, now: Moment): Records => {
   const { releases: told, releasesAt } = state.feed;
-  const releases = told.map((one) => ({ ...one, leftMs: toSpan(Math.max(0, one.leftMs - (now - releasesAt))) }));
+  const releases = told.map((one) => ({
+    ...one,
+    leftMs: toSpan(Math.max(0, one.leftMs - (now - releasesAt))),
+  }));
   const before = digests.get(told);
   if (before !== undefined && now < before.until) return { releases, digest: before.digest };
   const digest = releasesDigest(releases);
-  digests.set(told, { digest, until: Math.min(Infinity, ...releases.filter((one) => one.leftMs > 0).map((one) => now + one.leftMs)) });
+  digests.set(told, {
+    digest,
+    until: Math.min(
+      Infinity,
+      ...releases.filter((one) => one.leftMs > 0).map((one) => now + one.leftMs),
+    ),
+  });
   return { releases, digest };
 };
 
@@ -94,14 +158,28 @@
 const untold = (all: Records, known: string | undefined): ReleaseState[] =>
   all.releases.filter((one) => known !== all.digest || !isSettled(one));
 
-const heard = (state: Registry, at: Moment, purged: number, offer: Offer | undefined, releases: ReleaseState[], now: Moment): FrameOf<'heard'> => {
+const heard = (
+  state: Registry,
+  at: Moment,
+  purged: number,
+  offer: Offer | undefined,
+  releases: ReleaseState[],
+  now: Moment,
+): FrameOf<'heard'> => {
   const age = feedAge(state, now);
   return {
-    kind: 'heard', at, registry: state.member.node, incarnation: state.member.incarnation, epoch: state.feed.epoch,
+    kind: 'heard',
+    at,
+    registry: state.member.node,
+    incarnation: state.member.incarnation,
+    epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
-    purges: state.feed.purges.filter((one) => one.seq > purged), floor: state.feed.floor, top: state.feed.top,
-    verdicts: [...state.feed.verdicts], releases,
+    purges: state.feed.purges.filter((one) => one.seq > purged),
+    floor: state.feed.floor,
+    top: state.feed.top,
+    verdicts: [...state.feed.verdicts],
+    releases,
     vacant: vacant(state, now),
     ...(state.electorate === undefined ? {} : { electorate: state.electorate }),
     ...(state.fleet === undefined ? {} : { fleet: state.fleet }),
@@ -109,16 +187,42 @@
 };
 
 /** A node spoke: its session stands, and desired is held against reported. */
-export const onHail = (state: Registry, from: Colleague, word: FrameOf<'hail'>, now: Moment): Done => {
+export const onHail = (
+  state: Registry,
+  from: Colleague,
+  word: FrameOf<'hail'>,
+  now: Moment,
+): Done => {
   const before = state.sessions.get(word.member.node);
-  const known: Known = { member: word.member, report: word.report, registry: state.member.node, seq: word.seq, at: now, open: !word.bye, releases: word.releases };
+  const known: Known = {
+    member: word.member,
+    report: word.report,
+    registry: state.member.node,
+    seq: word.seq,
+    at: now,
+    open: !word.bye,
+    releases: word.releases,
+  };
   const learned = learnSession(state, known);
   const holders = word.held.reduce(learnHolder, learned.state.holders);
   const base = holders === learned.state.holders ? learned.state : { ...learned.state, holders };
   const checked = reconcile(base, known, now);
-  const answer = send(from.address, heard(checked.state, word.at, word.purged, checked.offer, untold(records(checked.state, now), word.releases), now));
+  const answer = send(
+    from.address,
+    heard(
+      checked.state,
+      word.at,
+      word.purged,
+      checked.offer,
+      untold(records(checked.state, now), word.releases),
+      now,
+    ),
+  );
   const news = learned.news || holders !== learned.state.holders;
-  const first = before === undefined || before.registry !== state.member.node || before.member.incarnation !== word.member.incarnation;
+  const first =
+    before === undefined ||
+    before.registry !== state.member.node ||
+    before.member.incarnation !== word.member.incarnation;
   const told = first ? [send(from.address, roster(checked.state, now))] : [];
   return step(checked.state, answer, ...told, ...(news ? spread(checked.state, now) : []));
 };
@@ -128,16 +232,36 @@
   let next: Done = step(state);
   const all = records(state, now);
   for (const known of state.sessions.values()) {
-    if (known.registry !== state.member.node || known.member.role === 'registry' || known.member.role === 'store' || !known.open) continue;
+    if (
+      known.registry !== state.member.node ||
+      known.member.role === 'registry' ||
+      known.member.role === 'store' ||
+      !known.open
+    )
+      continue;
     const checked = reconcile(next.state, known, now);
     // The time echoed is none of the node's own, so the push renews no lease; it bears news only.
-    next = join(next.effects, step(checked.state, send(known.member.address, heard(checked.state, start, purged, checked.offer, untold(all, known.releases), now))));
+    next = join(
+      next.effects,
+      step(
+        checked.state,
+        send(
+          known.member.address,
+          heard(checked.state, start, purged, checked.offer, untold(all, known.releases), now),
+        ),
+      ),
+    );
   }
   return next;
 };
 
 /** A node lacks pieces: those here are sent, the others asked of the primary. */
-export const onWant = (state: Registry, from: Colleague, word: FrameOf<'want'>, now: Moment): Done => {
+export const onWant = (
+  state: Registry,
+  from: Colleague,
+  word: FrameOf<'want'>,
+  now: Moment,
+): Done => {
   const effects: WireEffect[] = [];
   let wanted = state.wanted;
   let asked = state.asked;
@@ -154,15 +278,22 @@
       missing.push(hash);
     }
   }
-  const store = feedAge(state, now) === undefined ? state.hint ?? primaryHolder(state) : primaryHolder(state);
-  if (missing.length > 0 && store !== undefined) effects.push(send(store.address, { kind: 'want', node: state.member.node, hashes: missing }));
+  const store =
+    feedAge(state, now) === undefined ? (state.hint ?? primaryHolder(state)) : primaryHolder(state);
+  if (missing.length > 0 && store !== undefined)
+    effects.push(send(store.address, { kind: 'want', node: state.member.node, hashes: missing }));
   return step({ ...state, wanted, asked }, ...effects);
 };
 
 export const onPiece = (state: Registry, word: FrameOf<'piece'>): Done => {
   const waiting = [...(state.wanted.get(word.hash) ?? [])];
   return step(
-    { ...state, pieces: put(state.pieces, word.hash, word.data), wanted: drop(state.wanted, word.hash), asked: drop(state.asked, word.hash) },
+    {
+      ...state,
+      pieces: put(state.pieces, word.hash, word.data),
+      wanted: drop(state.wanted, word.hash),
+      asked: drop(state.asked, word.hash),
+    },
     ...waiting.map((to) => send(to, word)),
   );
 };
--- a/packages/roster/src/registry/releases.test.ts
+++ b/packages/roster/src/registry/releases.test.ts
@@ -1,27 +1,75 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import {
-  type Moment, noSeq, toAddress, toAreaName, toEpoch, toFleetId, toGeneration, toIncarnation, toMoment, toNodeId, toRelease, toSeq, toServiceName, toSpan,
+  type Moment,
+  noSeq,
+  toAddress,
+  toAreaName,
+  toEpoch,
+  toFleetId,
+  toGeneration,
+  toIncarnation,
+  toMoment,
+  toNodeId,
+  toRelease,
+  toSeq,
+  toServiceName,
+  toSpan,
 } from '@switchwheel/gauge';
 import type { FrameOf, Member, ReleaseState } from '@switchwheel/coupling';
 import { releasesDigest } from '../releases/digest.js';
 import { registryStep } from './machine.js';
 import { type Registry, newRegistry } from './state.js';
 
-const member = (role: Member['role'], node: string, port: number): Member =>
-  ({ node: toNodeId(node), role, area: toAreaName('a'), address: toAddress(`10.0.0.1:${port}`), incarnation: toIncarnation(1) });
+const member = (role: Member['role'], node: string, port: number): Member => ({
+  node: toNodeId(node),
+  role,
+  area: toAreaName('a'),
+  address: toAddress(`10.0.0.1:${port}`),
+  incarnation: toIncarnation(1),
+});
 const edge = member('edge', 'e1', 7001);
 const store = member('store', 's1', 7002);
-const from = ({ node, address, incarnation }: Member): Pick<Member, 'node' | 'address' | 'incarnation'> => ({ node, address, incarnation });
+const from = ({
+  node,
+  address,
+  incarnation,
+}: Member): Pick<Member, 'node' | 'address' | 'incarnation'> => ({ node, address, incarnation });
 
 const record = (service: string, change: Partial<ReleaseState> = {}): ReleaseState => ({
-  service: toServiceName(service), settled: toRelease('r1'), target: undefined, phase: 'none', share: 0, shares: [], leftMs: toSpan(0), order: noSeq, serial: toSeq(1), ...change,
+  service: toServiceName(service),
+  settled: toRelease('r1'),
+  target: undefined,
+  phase: 'none',
+  share: 0,
+  shares: [],
+  leftMs: toSpan(0),
+  order: noSeq,
+  serial: toSeq(1),
+  ...change,
+});
+const moving = record('clips', {
+  target: toRelease('r2'),
+  phase: 'trial',
+  leftMs: toSpan(5000),
+  order: toSeq(1),
+  serial: toSeq(2),
 });
-const moving = record('clips', { target: toRelease('r2'), phase: 'trial', leftMs: toSpan(5000), order: toSeq(1), serial: toSeq(2) });
 const good: ReleaseState = { ...moving, phase: 'good', serial: toSeq(3) };
 
 const feed = (releases: ReleaseState[], serial = 1, top = 0): FrameOf<'feed'> => ({
-  kind: 'feed', at: toMoment(1), epoch: toEpoch(1), serial: toSeq(serial), fleet: toFleetId('f1'), offers: [], desired: [], purges: [], floor: toSeq(0), top: toSeq(top), verdicts: [], releases,
+  kind: 'feed',
+  at: toMoment(1),
+  epoch: toEpoch(1),
+  serial: toSeq(serial),
+  fleet: toFleetId('f1'),
+  offers: [],
+  desired: [],
+  purges: [],
+  floor: toSeq(0),
+  top: toSeq(top),
+  verdicts: [],
+  releases,
 });
 /** A feed of a write that does not touch what nodes are to run. */
 const lean = (releases: ReleaseState[], serial: number, top = 0): FrameOf<'feed'> => {
@@ -29,8 +77,19 @@
   return desired === undefined ? feed(releases, serial, top) : rest;
 };
 const hail = (seq: number, releases?: string): FrameOf<'hail'> => ({
-  kind: 'hail', member: edge, seq: toSeq(seq), at: toMoment(1), bye: false, held: [], purged: noSeq,
-  report: { generation: toGeneration(1), phase: 'applied', ready: true, fitness: { name: 'proxy', fit: true, text: '', parts: [] } },
+  kind: 'hail',
+  member: edge,
+  seq: toSeq(seq),
+  at: toMoment(1),
+  bye: false,
+  held: [],
+  purged: noSeq,
+  report: {
+    generation: toGeneration(1),
+    phase: 'applied',
+    ready: true,
+    fitness: { name: 'proxy', fit: true, text: '', parts: [] },
+  },
   ...(releases === undefined ? {} : { releases }),
 });
 
@@ -39,21 +98,45 @@
   /** The services whose records the edge was told, or undefined if it was told nothing. */
   readonly services: readonly string[] | undefined;
 }
-const act = (state: Registry, by: Member, frame: FrameOf<'hail'> | FrameOf<'feed'>, now: number): Told => {
+const act = (
+  state: Registry,
+  by: Member,
+  frame: FrameOf<'hail'> | FrameOf<'feed'>,
+  now: number,
+): Told => {
   const at: Moment = toMoment(now);
   const done = registryStep(state, { kind: 'frame', now: at, from: from(by), frame });
-  const heard = done.effects.flatMap((one) => (one.kind === 'send' && one.to === edge.address && one.frame.kind === 'heard' ? [one.frame] : []));
+  const heard = done.effects.flatMap((one) =>
+    one.kind === 'send' && one.to === edge.address && one.frame.kind === 'heard' ? [one.frame] : [],
+  );
   return { state: done.state, services: heard.at(-1)?.releases.map((one) => one.service) };
 };
 const fresh = (releases: ReleaseState[]): Registry =>
-  act(newRegistry(member('registry', 'r1', 7000), [], toMoment(900), { seed: 1 }), store, feed(releases), 1000).state;
+  act(
+    newRegistry(member('registry', 'r1', 7000), [], toMoment(900), { seed: 1 }),
+    store,
+    feed(releases),
+    1000,
+  ).state;
 
 void test('a node that knows the settled records is not told them again; one that does not is told all', () => {
   const all = [record('clips'), record('acts')];
   const state = fresh(all);
-  assert.deepEqual(act(state, edge, hail(1), 1010).services, ['clips', 'acts'], 'one that tells no digest');
-  assert.deepEqual(act(state, edge, hail(1, releasesDigest([record('clips')])), 1010).services, ['clips', 'acts'], 'one that lacks a record');
-  assert.deepEqual(act(state, edge, hail(1, releasesDigest([...all].reverse())), 1010).services, [], 'one that has them, in any order');
+  assert.deepEqual(
+    act(state, edge, hail(1), 1010).services,
+    ['clips', 'acts'],
+    'one that tells no digest',
+  );
+  assert.deepEqual(
+    act(state, edge, hail(1, releasesDigest([record('clips')])), 1010).services,
+    ['clips', 'acts'],
+    'one that lacks a record',
+  );
+  assert.deepEqual(
+    act(state, edge, hail(1, releasesDigest([...all].reverse())), 1010).services,
+    [],
+    'one that has them, in any order',
+  );
 });
 
 void test('what moves is told each time, and once more when its span is over', () => {
@@ -62,8 +145,16 @@
   assert.deepEqual(act(state, edge, hail(1, known), 1010).services, ['clips'], 'a trial');
   const judged = fresh([good, record('acts')]);
   const knows = releasesDigest([good, record('acts')]);
-  assert.deepEqual(act(judged, edge, hail(1, knows), 1010).services, ['clips'], 'judged, its span not over');
-  assert.deepEqual(act(judged, edge, hail(1, knows), 6500).services, ['clips', 'acts'], 'over, and the node does not know');
+  assert.deepEqual(
+    act(judged, edge, hail(1, knows), 1010).services,
+    ['clips'],
+    'judged, its span not over',
+  );
+  assert.deepEqual(
+    act(judged, edge, hail(1, knows), 6500).services,
+    ['clips', 'acts'],
+    'over, and the node does not know',
+  );
   const over = releasesDigest([{ ...good, leftMs: toSpan(0) }, record('acts')]);
   assert.deepEqual(act(judged, edge, hail(1, over), 6500).services, [], 'over, and the node knows');
 });
@@ -73,7 +164,12 @@
   const state = act(fresh([record('clips'), record('acts')]), edge, hail(1, known), 1010).state;
   const purged = act(state, store, feed([record('clips'), record('acts')], 2, 1), 1020);
   assert.deepEqual(purged.services, [], 'a purge');
-  const changed = act(purged.state, store, feed([record('clips', { settled: toRelease('r2'), serial: toSeq(2) }), record('acts')], 3, 1), 1030);
+  const changed = act(
+    purged.state,
+    store,
+    feed([record('clips', { settled: toRelease('r2'), serial: toSeq(2) }), record('acts')], 3, 1),
+    1030,
+  );
   assert.deepEqual(changed.services, ['clips', 'acts'], 'a record that changed');
 });
 
--- a/packages/roster/src/registry/state.ts
+++ b/packages/roster/src/registry/state.ts
@@ -1,8 +1,32 @@
 import {
-  type Address, type CallId, type Dice, type Duty, type Epoch, type FleetId, type Generation, type Hash, type InstanceId, type Moment, type NodeId, type Seq,
-  noEpoch, noSeq, start,
+  type Address,
+  type CallId,
+  type Dice,
+  type Duty,
+  type Epoch,
+  type FleetId,
+  type Generation,
+  type Hash,
+  type InstanceId,
+  type Moment,
+  type NodeId,
+  type Seq,
+  noEpoch,
+  noSeq,
+  start,
 } from '@switchwheel/gauge';
-import type { Electorate, FrameOf, Holder, Member, Offer, Origin, Purge, ReleaseState, Report, Verdict } from '@switchwheel/coupling';
+import type {
+  Electorate,
+  FrameOf,
+  Holder,
+  Member,
+  Offer,
+  Origin,
+  Purge,
+  ReleaseState,
+  Report,
+  Verdict,
+} from '@switchwheel/coupling';
 import { type Witness, newWitness } from '@switchwheel/ballot';
 import type { Origins } from '../origins/origins.js';
 
@@ -25,7 +49,10 @@
   readonly serial: Seq;
   readonly latest: Seq;
   readonly asOf: Moment | undefined;
-  readonly desired: ReadonlyMap<NodeId, { readonly generation: Generation; readonly hash: Hash; readonly failed?: Hash | undefined }>;
+  readonly desired: ReadonlyMap<
+    NodeId,
+    { readonly generation: Generation; readonly hash: Hash; readonly failed?: Hash | undefined }
+  >;
   readonly offers: ReadonlyMap<Hash, Offer>;
   readonly current: Offer | undefined;
   readonly purges: readonly Purge[];
@@ -37,7 +64,19 @@
   readonly releasesAt: Moment;
 }
 export const noFeed: Feed = {
-  epoch: noEpoch, serial: noSeq, latest: noSeq, asOf: undefined, desired: new Map(), offers: new Map(), current: undefined, purges: [], floor: noSeq, top: noSeq, verdicts: [], releases: [], releasesAt: start,
+  epoch: noEpoch,
+  serial: noSeq,
+  latest: noSeq,
+  asOf: undefined,
+  desired: new Map(),
+  offers: new Map(),
+  current: undefined,
+  purges: [],
+  floor: noSeq,
+  top: noSeq,
+  verdicts: [],
+  releases: [],
+  releasesAt: start,
 };
 
 /** An outside call that waits for the store. */
@@ -97,7 +136,10 @@
   readonly pieces: ReadonlyMap<Hash, string>;
   readonly wanted: ReadonlyMap<Hash, ReadonlySet<Address>>;
   readonly asked: ReadonlyMap<Hash, Moment>;
-  readonly offered: ReadonlyMap<NodeId, { readonly hash: Hash; readonly at: Moment; readonly tries: number }>;
+  readonly offered: ReadonlyMap<
+    NodeId,
+    { readonly hash: Hash; readonly at: Moment; readonly tries: number }
+  >;
   readonly pending: ReadonlyMap<CallId, Pending>;
   readonly founding: ReadonlyMap<CallId, Founding>;
   readonly departures: ReadonlyMap<InstanceId, Departure>;
@@ -111,8 +153,39 @@
   readonly dice: Dice;
 }
 
-export const newRegistry = (member: Member, seeds: readonly Address[], now: Moment, dice: Dice, proposal?: Proposal, eager = false): Registry => ({
-  proposal, proposed: start, eager, hint: undefined, member, seeds, witness: newWitness(member.node, now), sessions: new Map(), origins: new Map(), holders: new Map(), heard: new Map(),
-  feed: noFeed, electorate: undefined, fleet: undefined, pieces: new Map(), wanted: new Map(), asked: new Map(), offered: new Map(),
-  pending: new Map(), founding: new Map(), departures: new Map(), gossiped: start, tuned: start, told: start, lapsed: new Set(), stopping: false, dice,
+export const newRegistry = (
+  member: Member,
+  seeds: readonly Address[],
+  now: Moment,
+  dice: Dice,
+  proposal?: Proposal,
+  eager = false,
+): Registry => ({
+  proposal,
+  proposed: start,
+  eager,
+  hint: undefined,
+  member,
+  seeds,
+  witness: newWitness(member.node, now),
+  sessions: new Map(),
+  origins: new Map(),
+  holders: new Map(),
+  heard: new Map(),
+  feed: noFeed,
+  electorate: undefined,
+  fleet: undefined,
+  pieces: new Map(),
+  wanted: new Map(),
+  asked: new Map(),
+  offered: new Map(),
+  pending: new Map(),
+  founding: new Map(),
+  departures: new Map(),
+  gossiped: start,
+  tuned: start,
+  told: start,
+  lapsed: new Set(),
+  stopping: false,
+  dice,
 });
--- a/packages/shunt/src/bucket/bucket.ts
+++ b/packages/shunt/src/bucket/bucket.ts
@@ -15,11 +15,19 @@
 /** A new bucket is empty: whoever restarts has no claim from before. */
 export const newBucket = (now: Moment = start): Bucket => ({ level: 0, at: now });
 
-export const fill = (bucket: Bucket, rate: Rate, now: Moment): Bucket =>
-  ({ level: Math.min(rate.depth, bucket.level + (Math.max(0, between(bucket.at, now)) / 1000) * rate.perSecond), at: now });
+export const fill = (bucket: Bucket, rate: Rate, now: Moment): Bucket => ({
+  level: Math.min(
+    rate.depth,
+    bucket.level + (Math.max(0, between(bucket.at, now)) / 1000) * rate.perSecond,
+  ),
+  at: now,
+});
 
 /** Tokens that are earned by something else than time. */
-export const earn = (bucket: Bucket, rate: Rate, many: number): Bucket => ({ ...bucket, level: Math.min(rate.depth, bucket.level + many) });
+export const earn = (bucket: Bucket, rate: Rate, many: number): Bucket => ({
+  ...bucket,
+  level: Math.min(rate.depth, bucket.level + many),
+});
 
 /** Takes one token; nothing if there is none. */
 export const take = (bucket: Bucket, rate: Rate, now: Moment): Bucket | undefined => {
