--- a/packages/testtrack/src/run/releases.test.ts
+++ b/packages/testtrack/src/run/releases.test.ts
@@ -1,6 +1,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Release, type ServiceName, noSeq, toAddress, toCallId, toIncarnation, toNodeId, toRelease, toSpan } from '@switchwheel/gauge';
+import {
+  type Release,
+  type ServiceName,
+  noSeq,
+  toAddress,
+  toCallId,
+  toIncarnation,
+  toNodeId,
+  toRelease,
+  toSpan,
+} from '@switchwheel/gauge';
 import type { Colleague, FrameOf, ReleaseState } from '@switchwheel/coupling';
 import type { ReleaseOrder } from '@switchwheel/timetable';
 import { type Scene, acts, clips, close, scene, seeds } from './stage.js';
@@ -8,9 +18,12 @@
 const r2 = toRelease('r2');
 const r3 = toRelease('r3');
 
-const orderOf = (run: Scene, service: ServiceName): ReleaseOrder | undefined => run.world.primary()?.state?.control.releases.get(service);
+const orderOf = (run: Scene, service: ServiceName): ReleaseOrder | undefined =>
+  run.world.primary()?.state?.control.releases.get(service);
 const told = (run: Scene, service: ServiceName): readonly (ReleaseState | undefined)[] =>
-  run.world.registries.map((one) => one.state?.feed.releases.find((row) => row.service === service));
+  run.world.registries.map((one) =>
+    one.state?.feed.releases.find((row) => row.service === service),
+  );
 
 interface Answer {
   readonly status: number;
@@ -18,11 +31,21 @@
 }
 
 /** Gives an order, and again under the same id until it is answered. */
-const give = (run: Scene, id: string, service: ServiceName, target: Release, spanMs: number): Answer => {
+const give = (
+  run: Scene,
+  id: string,
+  service: ServiceName,
+  target: Release,
+  spanMs: number,
+): Answer => {
   let answer: Answer | undefined;
   const got = (): boolean => answer !== undefined && answer.status < 500;
   for (let turn = 0; turn < 5 && !got(); turn += 1) {
-    run.world.registries.find((one) => one.alive)?.call({ verb: 'release', id: toCallId(id), service, target, spanMs }, (one) => { answer = one; });
+    run.world.registries
+      .find((one) => one.alive)
+      ?.call({ verb: 'release', id: toCallId(id), service, target, spanMs }, (one) => {
+        answer = one;
+      });
     run.world.until(5000, got);
   }
   return answer ?? { status: 0, body: '' };
@@ -30,7 +53,11 @@
 
 const view = (run: Scene, id: string, what: string): Answer => {
   let answer: Answer | undefined;
-  run.world.registries.find((one) => one.alive)?.call({ verb: 'view', id: toCallId(id), what }, (one) => { answer = one; });
+  run.world.registries
+    .find((one) => one.alive)
+    ?.call({ verb: 'view', id: toCallId(id), what }, (one) => {
+      answer = one;
+    });
   run.world.until(3000, () => answer !== undefined);
   return answer ?? { status: 0, body: '' };
 };
@@ -48,7 +75,12 @@
   run.world.addOrigin(clips, 8, 'r2');
   run.world.run(2000);
   const first = orderOf(run, clips);
-  assert.ok(first !== undefined && first.phase === 'none' && first.settled !== undefined && first.settled !== r2);
+  assert.ok(
+    first !== undefined &&
+      first.phase === 'none' &&
+      first.settled !== undefined &&
+      first.settled !== r2,
+  );
   assert.ok(told(run, clips).every((one) => one?.settled === first.settled));
   assert.equal(view(run, 'v1', 'release/clips').status, 404);
   assert.deepEqual(close(run), []);
@@ -75,9 +107,21 @@
     const lost = run.world.primary();
     lost?.kill();
     run.world.agenda.after(3000, () => lost?.start());
-    assert.ok(run.world.until(6000, () => orderOf(run, clips) !== undefined && run.world.primary() !== lost));
+    assert.ok(
+      run.world.until(
+        6000,
+        () => orderOf(run, clips) !== undefined && run.world.primary() !== lost,
+      ),
+    );
     const after = orderOf(run, clips);
-    assert.ok(after !== undefined && after.phase === 'trial' && after.settled === before && after.order === opened.order && after.spentMs > 1500, JSON.stringify(after));
+    assert.ok(
+      after !== undefined &&
+        after.phase === 'trial' &&
+        after.settled === before &&
+        after.order === opened.order &&
+        after.spentMs > 1500,
+      JSON.stringify(after),
+    );
     assert.ok(run.world.until(12_000, () => orderOf(run, clips)?.phase === 'good'));
     // Without edges that tell the time, what the dead primary had not written is lost, and the time until the next one.
     const late = run.world.agenda.now - from - 12_000;
@@ -85,7 +129,12 @@
     run.world.run(1500);
     assert.ok(told(run, clips).every((one) => one?.phase === 'good' && one.settled === r2));
     const seen = view(run, 'v2', 'release/clips');
-    assert.ok(seen.status === 200 && seen.body.includes('"phase":"good"') && seen.body.includes('"target":"r2"'), seen.body);
+    assert.ok(
+      seen.status === 200 &&
+        seen.body.includes('"phase":"good"') &&
+        seen.body.includes('"target":"r2"'),
+      seen.body,
+    );
     loseAll(run);
     assert.equal(orderOf(run, clips)?.phase, 'good');
     assert.equal(orderOf(run, clips)?.settled, r2);
@@ -104,9 +153,20 @@
     assert.equal(give(run, 'o1', acts, r2, 12_000).status, 200);
     const opened = orderOf(run, acts);
     assert.ok(opened !== undefined);
-    const from: Colleague = { node: toNodeId('e9'), address: toAddress('10.9.9.9:1'), incarnation: toIncarnation(1) };
+    const from: Colleague = {
+      node: toNodeId('e9'),
+      address: toAddress('10.9.9.9:1'),
+      incarnation: toIncarnation(1),
+    };
     const word: FrameOf<'tally'> = {
-      kind: 'tally', node: from.node, incarnation: toIncarnation(1), service: acts, order: opened.order, serial: noSeq, inFlightOld: 0, spentMs: toSpan(2500),
+      kind: 'tally',
+      node: from.node,
+      incarnation: toIncarnation(1),
+      service: acts,
+      order: opened.order,
+      serial: noSeq,
+      inFlightOld: 0,
+      spentMs: toSpan(2500),
       rows: [
         { release: before, group: 'a', sent: 200, good: 199, bad: 1, slow: 0, sumMs: 16_000 },
         { release: r2, group: 'a', sent: 14, good: 7, bad: 7, slow: 0, sumMs: 1100 },
@@ -114,9 +174,16 @@
     };
     run.world.primary()?.event((now) => ({ kind: 'frame', now, from, frame: word }));
     assert.ok(run.world.until(1000, () => orderOf(run, acts)?.phase === 'bad'));
-    assert.ok((orderOf(run, acts)?.spentMs ?? 0) >= 2500, 'the edge tells how much of the span is over');
+    assert.ok(
+      (orderOf(run, acts)?.spentMs ?? 0) >= 2500,
+      'the edge tells how much of the span is over',
+    );
     run.world.run(500);
-    assert.ok(told(run, acts).every((one) => one?.phase === 'bad' && one.settled === before && one.share === 0));
+    assert.ok(
+      told(run, acts).every(
+        (one) => one?.phase === 'bad' && one.settled === before && one.share === 0,
+      ),
+    );
     loseAll(run);
     assert.equal(orderOf(run, acts)?.phase, 'bad');
     assert.ok(told(run, acts).every((one) => one?.phase === 'bad'));
--- a/packages/testtrack/src/run/soak.ts
+++ b/packages/testtrack/src/run/soak.ts
@@ -3,7 +3,8 @@
 import { type Trial, addCounts, trials } from '../rules/tried.js';
 import { type StormOptions, type StormReport, storm } from './storm.js';
 
-const cli = meow(`
+const cli = meow(
+  `
   Usage
     $ npm run soak -- [flags]
 
@@ -17,19 +18,32 @@
 
   Exit codes
     0  every rule held    1  a rule was broken    2  wrong use
-`, {
-  importMeta: import.meta, description: 'Random long runs of the simulator.',
-  flags: {
-    seed: { type: 'number' }, runs: { type: 'number', default: 20 }, steps: { type: 'number', default: 25 }, only: { type: 'string', isMultiple: true }, trace: { type: 'boolean', default: false }, shrink: { type: 'boolean', default: false },
+`,
+  {
+    importMeta: import.meta,
+    description: 'Random long runs of the simulator.',
+    flags: {
+      seed: { type: 'number' },
+      runs: { type: 'number', default: 20 },
+      steps: { type: 'number', default: 25 },
+      only: { type: 'string', isMultiple: true },
+      trace: { type: 'boolean', default: false },
+      shrink: { type: 'boolean', default: false },
+    },
   },
-});
+);
 
-const whole = (raw: number, low: number, high: number): boolean => Number.isSafeInteger(raw) && raw >= low && raw <= high;
+const whole = (raw: number, low: number, high: number): boolean =>
+  Number.isSafeInteger(raw) && raw >= low && raw <= high;
 const known = new Set(['seed', 'runs', 'steps', 'only', 'trace', 'shrink']);
 const fault = [
-  ...Object.keys(cli.flags).filter((name) => !known.has(name)).map((name) => `--${name}: no such flag`),
+  ...Object.keys(cli.flags)
+    .filter((name) => !known.has(name))
+    .map((name) => `--${name}: no such flag`),
   ...cli.input.map((one) => `${one}: not a flag`),
-  ...(cli.flags.seed === undefined || whole(cli.flags.seed, 0, 4294967295) ? [] : ['--seed: a whole number from 0 to 4294967295']),
+  ...(cli.flags.seed === undefined || whole(cli.flags.seed, 0, 4294967295)
+    ? []
+    : ['--seed: a whole number from 0 to 4294967295']),
   ...(whole(cli.flags.runs, 1, 1_000_000) ? [] : ['--runs: a whole number from 1']),
   ...(whole(cli.flags.steps, 0, 100_000) ? [] : ['--steps: a whole number from 0']),
 ];
@@ -38,7 +52,9 @@
   process.exit(2);
 }
 
-const say = (text: string): void => { process.stdout.write(`${text}\n`); };
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
 
 /** Leaves faults out one by one for as long as the run still fails. */
 const shrink = (options: StormOptions, report: StormReport): ReadonlySet<number> => {
@@ -58,7 +74,13 @@
 let failing = 0;
 const began = performance.now();
 for (let run = 0; run < cli.flags.runs; run += 1) {
-  const options: StormOptions = { seed: (first + run) >>> 0, steps: cli.flags.steps, only: cli.flags.only ?? [], skip: new Set(), ...(cli.flags.trace ? { trace: say } : {}) };
+  const options: StormOptions = {
+    seed: (first + run) >>> 0,
+    steps: cli.flags.steps,
+    only: cli.flags.only ?? [],
+    skip: new Set(),
+    ...(cli.flags.trace ? { trace: say } : {}),
+  };
   const report = storm(options);
   addCounts(tried, report.tried);
   requests += report.requests;
@@ -70,13 +92,29 @@
   for (const line of report.broken.slice(0, 3)) say(`  ${line}`);
   if (report.broken.length > 3) say(`  and ${report.broken.length - 3} more`);
   if (cli.flags.shrink) {
-    const skip = shrink({ seed: options.seed, steps: options.steps, only: options.only, skip: new Set() }, report);
+    const skip = shrink(
+      { seed: options.seed, steps: options.steps, only: options.only, skip: new Set() },
+      report,
+    );
     const left = report.acted.filter((step) => !skip.has(step));
     say(`  still fails with only steps ${left.join(', ')}:`);
-    storm({ seed: options.seed, steps: options.steps, only: options.only, skip, trace: (text) => say(`    ${text}`) });
+    storm({
+      seed: options.seed,
+      steps: options.steps,
+      only: options.only,
+      skip,
+      trace: (text) => say(`    ${text}`),
+    });
   }
 }
-say(`seeds ${first} to ${(first + cli.flags.runs - 1) >>> 0}, ${cli.flags.steps} faults each, ${Math.round((performance.now() - began) / 1000)} s: ${failing} of ${cli.flags.runs} runs broke a rule`);
-say(`${requests} requests, ${results} with a result; faults: ${[...total].sort().map(([name, many]) => `${name} ${many}`).join(', ')}`);
+say(
+  `seeds ${first} to ${(first + cli.flags.runs - 1) >>> 0}, ${cli.flags.steps} faults each, ${Math.round((performance.now() - began) / 1000)} s: ${failing} of ${cli.flags.runs} runs broke a rule`,
+);
+say(
+  `${requests} requests, ${results} with a result; faults: ${[...total]
+    .sort()
+    .map(([name, many]) => `${name} ${many}`)
+    .join(', ')}`,
+);
 for (const name of trials) say(`${String(tried.get(name) ?? 0).padStart(8)}  ${name}`);
 process.exitCode = failing > 0 ? 1 : 0;
--- a/packages/testtrack/src/run/stage.ts
+++ b/packages/testtrack/src/run/stage.ts
@@ -17,8 +17,13 @@
 
 export const scene = (seed: number, perSecond: number, change: Partial<Layout> = {}): Scene => {
   const world = new World({
-    seed, edges: 3, shields: 4,
-    services: [{ name: clips, origins: 3, slots: 8, perSecond: undefined }, { name: acts, origins: 3, slots: 4, perSecond: 80 }],
+    seed,
+    edges: 3,
+    shields: 4,
+    services: [
+      { name: clips, origins: 3, slots: 8, perSecond: undefined },
+      { name: acts, origins: 3, slots: 4, perSecond: 80 },
+    ],
     ...change,
   });
   const callers = new SimCallers(world, perSecond);
@@ -35,7 +40,11 @@
 };
 
 /** How callers fared over a part of a run. */
-export const tally = (callers: SimCallers, from = 0, to = Infinity): ReadonlyMap<string, number> => {
+export const tally = (
+  callers: SimCallers,
+  from = 0,
+  to = Infinity,
+): ReadonlyMap<string, number> => {
   const count = new Map<string, number>();
   for (const one of callers.asked) {
     if (one.sentAt < from || one.sentAt >= to) continue;
@@ -44,4 +53,5 @@
   return count;
 };
 
-export const seeds = (many: number): readonly number[] => Array.from({ length: many }, (_, at) => 100 + at);
+export const seeds = (many: number): readonly number[] =>
+  Array.from({ length: many }, (_, at) => 100 + at);
--- a/packages/testtrack/src/run/storm.test.ts
+++ b/packages/testtrack/src/run/storm.test.ts
@@ -17,13 +17,22 @@
 
 /** Storms of a few faults each, for what comes about rarely by chance. */
 const narrow: readonly (readonly [string, readonly string[]])[] = [
-  ['power and disks lost amid writes', ['power lost', 'disk lost', 'fill disk', 'stall disk', 'freeze store', 'apply']],
+  [
+    'power and disks lost amid writes',
+    ['power lost', 'disk lost', 'fill disk', 'stall disk', 'freeze store', 'apply'],
+  ],
   ['releases under lost keepers', ['bad release', 'good release', 'kill proxy', 'freeze proxy']],
   ['ailing origins under lost keepers', ['losing origin', 'crash origin', 'kill proxy', 'flood']],
-  ['origins that leave a core that is cut', ['replace origin', 'reuse address', 'isolate machine', 'split core']],
+  [
+    'origins that leave a core that is cut',
+    ['replace origin', 'reuse address', 'isolate machine', 'split core'],
+  ],
   ['origins that die at work', ['crash origin', 'slow origin', 'losing origin']],
   ['purges and cuts', ['purge', 'slow origin', 'isolate machine', 'freeze proxy']],
-  ['places lost and replaced', ['lose an area', 'replace a registry', 'kill everything', 'stop all in turn', 'apply']],
+  [
+    'places lost and replaced',
+    ['lose an area', 'replace a registry', 'kill everything', 'stop all in turn', 'apply'],
+  ],
 ];
 for (const [at, [name, only]] of narrow.entries()) {
   void test(`a storm of ${name}`, () => {
@@ -42,7 +51,13 @@
 void test('one seed is one run', () => {
   const traces = [0, 1].map(() => {
     const lines: string[] = [];
-    const report = storm({ seed: 77, steps: 12, only: [], skip: new Set(), trace: (text) => lines.push(text) });
+    const report = storm({
+      seed: 77,
+      steps: 12,
+      only: [],
+      skip: new Set(),
+      trace: (text) => lines.push(text),
+    });
     return JSON.stringify([lines, report.events, report.results]);
   });
   assert.equal(traces[0], traces[1]);
--- a/packages/testtrack/src/run/storm.ts
+++ b/packages/testtrack/src/run/storm.ts
@@ -47,7 +47,9 @@
 export const storm = (options: StormOptions): StormReport => {
   const { seed } = options;
   const world = new World({
-    seed, edges: 2 + (seed % 3), shields: 3 + (seed % 3),
+    seed,
+    edges: 2 + (seed % 3),
+    shields: 3 + (seed % 3),
     services: [
       { name: toServiceName('clips'), origins: 3, slots: 8, perSecond: undefined },
       { name: toServiceName('acts'), origins: 3, slots: 4, perSecond: 60 },
@@ -60,7 +62,10 @@
   world.form();
   callers.leaveShare = 0.03;
   callers.begin();
-  const list: readonly Fault[] = options.only.length === 0 ? faults : faults.filter((one) => options.only.some((name) => one.name.startsWith(name)));
+  const list: readonly Fault[] =
+    options.only.length === 0
+      ? faults
+      : faults.filter((one) => options.only.some((name) => one.name.startsWith(name)));
   const counts = new Map<string, number>();
   const acted: number[] = [];
   for (let step = 0; step < options.steps; step += 1) {
@@ -78,16 +83,29 @@
   callers.impatience = 0;
   world.run(15_000);
   const missing = world.edges.filter((one) => !one.ready);
-  const last = world.edges.flatMap((edge) => Array.from({ length: 10 }, () => callers.one({ edge })));
+  const last = world.edges.flatMap((edge) =>
+    Array.from({ length: 10 }, () => callers.one({ edge })),
+  );
   world.run(3500);
   callers.end();
   world.run(6000);
   const failed = last.filter((one) => one?.left !== true && one?.result?.kind !== 'result');
   const broken = [...rules.finish()];
-  if (missing.length > 0) broken.push(`R12: 15 s after everything calmed down ${missing.map((one) => one.node).join(', ')} did not serve`);
-  if (failed.length > 0) broken.push(`R12: after the calm ${failed.length} of ${last.length} requests got no result: ${JSON.stringify(failed.slice(0, 3).map((one) => [one?.id, one?.path, one?.edge.node, one?.result]))}`);
+  if (missing.length > 0)
+    broken.push(
+      `R12: 15 s after everything calmed down ${missing.map((one) => one.node).join(', ')} did not serve`,
+    );
+  if (failed.length > 0)
+    broken.push(
+      `R12: after the calm ${failed.length} of ${last.length} requests got no result: ${JSON.stringify(failed.slice(0, 3).map((one) => [one?.id, one?.path, one?.edge.node, one?.result]))}`,
+    );
   return {
-    broken, faults: counts, acted, tried: world.tried.counts, events: world.net.sent,
-    requests: callers.asked.length, results: callers.asked.filter((one) => one.result?.kind === 'result').length,
+    broken,
+    faults: counts,
+    acted,
+    tried: world.tried.counts,
+    events: world.net.sent,
+    requests: callers.asked.length,
+    results: callers.asked.filter((one) => one.result?.kind === 'result').length,
   };
 };
--- a/packages/testtrack/src/scale/fleet.ts
+++ b/packages/testtrack/src/scale/fleet.ts
@@ -1,5 +1,13 @@
 import {
-  type Address, type ServiceName, toAddress, toCallId, toFleetId, toInstanceId, toNodeId, toRelease, toServiceName,
+  type Address,
+  type ServiceName,
+  toAddress,
+  toCallId,
+  toFleetId,
+  toInstanceId,
+  toNodeId,
+  toRelease,
+  toServiceName,
 } from '@switchwheel/gauge';
 import { cut, finish } from '@switchwheel/timetable';
 import { SimRegistry, type Told } from '../cast/registry.js';
@@ -30,7 +38,8 @@
 const comeMs = 2000;
 const stepMs = 5;
 
-const addressOf = (net: number, at: number): Address => toAddress(`10.${net}.${Math.floor(at / 250)}.${(at % 250) + 1}:1000`);
+const addressOf = (net: number, at: number): Address =>
+  toAddress(`10.${net}.${Math.floor(at / 250)}.${(at % 250) + 1}:1000`);
 const numbers = (many: number): readonly number[] => Array.from({ length: many }, (_, at) => at);
 
 /** A fleet whose core is whole and whose edges are hollow. */
@@ -58,9 +67,16 @@
     const tables: Tables = new Map();
     const area = (at: number): string => `area-${at % size.areas}`;
     const seeds = (): readonly Address[] => this.registries.slice(0, 3).map((one) => one.address);
-    this.registries = numbers(size.registries).map((at) => new SimRegistry(this, toNodeId(`registry-${at}`), addressOf(0, at), area(at), seeds));
-    this.stores = numbers(size.stores).map((at) => new SimStore(this, toNodeId(`store-${at}`), addressOf(1, at), area(at), seeds));
-    this.nodes = numbers(size.nodes).map((at) => new HollowNode(this, toNodeId(`edge-${at}`), addressOf(2, at), area(at), seeds, tables));
+    this.registries = numbers(size.registries).map(
+      (at) => new SimRegistry(this, toNodeId(`registry-${at}`), addressOf(0, at), area(at), seeds),
+    );
+    this.stores = numbers(size.stores).map(
+      (at) => new SimStore(this, toNodeId(`store-${at}`), addressOf(1, at), area(at), seeds),
+    );
+    this.nodes = numbers(size.nodes).map(
+      (at) =>
+        new HollowNode(this, toNodeId(`edge-${at}`), addressOf(2, at), area(at), seeds, tables),
+    );
   }
 
   get services(): readonly ServiceName[] {
@@ -90,24 +106,34 @@
   }
 
   get primary(): SimStore | undefined {
-    return this.stores.find((one) => one.state?.serving === true && one.state.stand.phase.phase === 'holding');
+    return this.stores.find(
+      (one) => one.state?.serving === true && one.state.stand.phase.phase === 'holding',
+    );
   }
 
   /** Starts all, founds the fleet, and lets nodes and origins come. */
   form(): void {
     for (const one of [...this.registries, ...this.stores]) one.start();
-    const met = (): boolean => this.registries.every((one) => (one.state?.sessions.size ?? 0) >= this.registries.length + this.stores.length - 1);
+    const met = (): boolean =>
+      this.registries.every(
+        (one) => (one.state?.sessions.size ?? 0) >= this.registries.length + this.stores.length - 1,
+      );
     this.must('the core meets', 5000, met);
     this.#found();
     this.must('a primary', 5000, () => this.primary !== undefined);
     this.run(500);
     this.apply(1);
     // Origins first: each word of a new one goes to all nodes there are.
-    for (const at of numbers(this.size.origins)) this.agenda.after((at * comeMs) / this.size.origins, () => this.#announce(at));
+    for (const at of numbers(this.size.origins))
+      this.agenda.after((at * comeMs) / this.size.origins, () => this.#announce(at));
     this.run(comeMs);
-    for (const [at, one] of this.nodes.entries()) this.agenda.after((at * comeMs) / this.nodes.length, () => one.start());
-    this.must('all run the description', 20_000, () => this.nodes.every((one) => one.generation >= 1));
-    const known = (): boolean => this.nodes.every((one) => (one.state?.berth.origins.size ?? 0) >= this.size.origins);
+    for (const [at, one] of this.nodes.entries())
+      this.agenda.after((at * comeMs) / this.nodes.length, () => one.start());
+    this.must('all run the description', 20_000, () =>
+      this.nodes.every((one) => one.generation >= 1),
+    );
+    const known = (): boolean =>
+      this.nodes.every((one) => (one.state?.berth.origins.size ?? 0) >= this.size.origins);
     this.must('all know the origins', 20_000, known);
     // Until each service has its record of releases.
     this.run(2000);
@@ -116,12 +142,23 @@
   #found(): void {
     let founded = false;
     const ask = (): void => {
-      this.call((registry, done) => registry.call({
-        verb: 'found', id: toCallId('found'), fleet: toFleetId('hollow'), stores: this.stores.map((one) => one.node), witnesses: this.registries.map((one) => one.node),
-      }, done), (told) => {
-        founded = told.status === 200;
-        if (!founded) this.agenda.after(100, ask);
-      });
+      this.call(
+        (registry, done) =>
+          registry.call(
+            {
+              verb: 'found',
+              id: toCallId('found'),
+              fleet: toFleetId('hollow'),
+              stores: this.stores.map((one) => one.node),
+              witnesses: this.registries.map((one) => one.node),
+            },
+            done,
+          ),
+        (told) => {
+          founded = told.status === 200;
+          if (!founded) this.agenda.after(100, ask);
+        },
+      );
     };
     ask();
     this.must('the founding', 5000, () => founded);
@@ -130,14 +167,32 @@
   #announce(at: number): void {
     const service = this.services[at % this.size.services];
     if (service === undefined) return;
-    this.call((registry, done) => registry.call({
-      verb: 'announce', origin: { service, instance: toInstanceId(`origin.${at}`), address: addressOf(3, at), release: toRelease('r1'), slots: 8, state: 'up' },
-    }, done), () => undefined);
+    this.call(
+      (registry, done) =>
+        registry.call(
+          {
+            verb: 'announce',
+            origin: {
+              service,
+              instance: toInstanceId(`origin.${at}`),
+              address: addressOf(3, at),
+              release: toRelease('r1'),
+              slots: 8,
+              state: 'up',
+            },
+          },
+          done,
+        ),
+      () => undefined,
+    );
     this.agenda.after(announceMs, () => this.#announce(at));
   }
 
   /** A call from outside to any registry that lives. */
-  call(make: (registry: SimRegistry, done: (told: Told) => void) => void, done: (told: Told) => void): void {
+  call(
+    make: (registry: SimRegistry, done: (told: Told) => void) => void,
+    done: (told: Told) => void,
+  ): void {
     const registry = this.chance.one(this.registries.filter((one) => one.alive));
     if (registry !== undefined) make(registry, done);
   }
@@ -149,29 +204,61 @@
 
   /** Hands a description over. */
   apply(mark: number): void {
-    const bundle = finish(cut(describe({ services: this.services.map((name) => ({ name, perSecond: undefined })) }, mark)))
-      .unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)); });
-    const id = this.#id();
-    this.call((registry, done) => registry.call({ verb: 'apply', id, base: undefined, hash: bundle.hash, order: bundle.order, pieces: bundle.pieces }, done), (told) => {
-      if (told.status !== 200) throw new Error(told.body);
+    const bundle = finish(
+      cut(
+        describe({ services: this.services.map((name) => ({ name, perSecond: undefined })) }, mark),
+      ),
+    ).unwrapOrElse((faults) => {
+      throw new Error(JSON.stringify(faults));
     });
+    const id = this.#id();
+    this.call(
+      (registry, done) =>
+        registry.call(
+          {
+            verb: 'apply',
+            id,
+            base: undefined,
+            hash: bundle.hash,
+            order: bundle.order,
+            pieces: bundle.pieces,
+          },
+          done,
+        ),
+      (told) => {
+        if (told.status !== 200) throw new Error(told.body);
+      },
+    );
   }
 
   /** Purges one object; tells the number of the purge once it is accepted. */
   purge(done: (seq: number) => void): void {
     const id = this.#id();
-    this.call((registry, told) => registry.call({ verb: 'purge', id, aims: [{ by: 'object', path: `/service-0/read/object-${id}` }] }, told), (told) => {
-      if (told.status === 200) done(Number(/"purge":(\d+)/.exec(told.body)?.[1] ?? 0));
-    });
+    this.call(
+      (registry, told) =>
+        registry.call(
+          { verb: 'purge', id, aims: [{ by: 'object', path: `/service-0/read/object-${id}` }] },
+          told,
+        ),
+      (told) => {
+        if (told.status === 200) done(Number(/"purge":(\d+)/.exec(told.body)?.[1] ?? 0));
+      },
+    );
   }
 
   /** Whether every node has its session at a registry that lives and knows of it. */
   stands(): boolean {
-    const near = new Map(this.registries.filter((one) => one.alive).map((one) => [one.address, one] as const));
+    const near = new Map(
+      this.registries.filter((one) => one.alive).map((one) => [one.address, one] as const),
+    );
     return this.nodes.every((one) => {
       const berth = one.state?.berth;
       const registry = berth?.moor === undefined ? undefined : near.get(berth.moor.address);
-      return registry !== undefined && berth?.moor?.heard !== undefined && registry.state?.sessions.get(one.node)?.registry === registry.node;
+      return (
+        registry !== undefined &&
+        berth?.moor?.heard !== undefined &&
+        registry.state?.sessions.get(one.node)?.registry === registry.node
+      );
     });
   }
 }
--- a/packages/testtrack/src/scale/measure.ts
+++ b/packages/testtrack/src/scale/measure.ts
@@ -26,7 +26,16 @@
   readonly allLostMs: number | undefined;
 }
 
-export const measures = ['messagesIn', 'messagesOut', 'bytesIn', 'bytesOut', 'stepMs', 'encodeMs', 'decodeMs', 'stateBytes'] as const;
+export const measures = [
+  'messagesIn',
+  'messagesOut',
+  'bytesIn',
+  'bytesOut',
+  'stepMs',
+  'encodeMs',
+  'decodeMs',
+  'stateBytes',
+] as const;
 
 export interface Reading {
   readonly trial: Trial;
@@ -36,7 +45,15 @@
 }
 
 const longest = 20_000;
-const fields = ['messagesOut', 'messagesIn', 'bytesOut', 'bytesIn', 'stepMs', 'encodeMs', 'decodeMs'] as const;
+const fields = [
+  'messagesOut',
+  'messagesIn',
+  'bytesOut',
+  'bytesIn',
+  'stepMs',
+  'encodeMs',
+  'decodeMs',
+] as const;
 
 const stateOf = (fleet: HollowFleet, role: Role): unknown => {
   switch (role) {
@@ -80,7 +97,8 @@
 /** Purges come evenly over the window. */
 const purgeEvenly = (fleet: HollowFleet, trial: Trial): void => {
   const many = Math.round((trial.purges * trial.windowMs) / 1000);
-  for (let at = 0; at < many; at += 1) fleet.agenda.after((at * trial.windowMs) / many, () => fleet.purge(() => undefined));
+  for (let at = 0; at < many; at += 1)
+    fleet.agenda.after((at * trial.windowMs) / many, () => fleet.purge(() => undefined));
 };
 
 const configSpan = (fleet: HollowFleet): number | undefined => {
@@ -90,14 +108,22 @@
 
 const purgeSpan = (fleet: HollowFleet): number | undefined => {
   let seq: number | undefined;
-  fleet.purge((told) => { seq = told; });
-  return fleet.until(longest, () => seq !== undefined && fleet.nodes.every((one) => seq !== undefined && one.purged >= seq));
+  fleet.purge((told) => {
+    seq = told;
+  });
+  return fleet.until(
+    longest,
+    () => seq !== undefined && fleet.nodes.every((one) => seq !== undefined && one.purged >= seq),
+  );
 };
 
 const lossSpan = (fleet: HollowFleet, many: number): number | undefined => {
   const lost = fleet.registries.slice(0, many);
   for (const one of lost) one.kill();
-  if (many === fleet.registries.length) fleet.agenda.after(500, () => { for (const one of lost) one.start(); });
+  if (many === fleet.registries.length)
+    fleet.agenda.after(500, () => {
+      for (const one of lost) one.start();
+    });
   const took = fleet.until(longest, () => fleet.stands());
   for (const one of lost) one.start();
   fleet.run(2000);
@@ -115,7 +141,12 @@
   fleet.meter.open = false;
   const rates = new Map(roles.map((role) => [role, ratesOf(fleet, role, trial.windowMs)] as const));
   const seconds = trial.windowMs / 1000;
-  const kinds = new Map([...fleet.meter.kinds].map(([kind, row]) => [kind, { messages: row.messages / seconds, bytes: row.bytes / seconds }] as const));
+  const kinds = new Map(
+    [...fleet.meter.kinds].map(
+      ([kind, row]) =>
+        [kind, { messages: row.messages / seconds, bytes: row.bytes / seconds }] as const,
+    ),
+  );
   const spans: Spans = {
     configMs: configSpan(fleet),
     purgeMs: purgeSpan(fleet),
--- a/packages/testtrack/src/scale/meter.ts
+++ b/packages/testtrack/src/scale/meter.ts
@@ -21,7 +21,15 @@
   decodeMs: number;
 }
 
-export const newUse = (): Use => ({ messagesOut: 0, messagesIn: 0, bytesOut: 0, bytesIn: 0, stepMs: 0, encodeMs: 0, decodeMs: 0 });
+export const newUse = (): Use => ({
+  messagesOut: 0,
+  messagesIn: 0,
+  bytesOut: 0,
+  bytesIn: 0,
+  stepMs: 0,
+  encodeMs: 0,
+  decodeMs: 0,
+});
 
 /** Counts while it is open; each frame is encoded and decoded once, whoever else it goes to. */
 export class Gauge implements Meter {
--- a/packages/testtrack/src/scale/node.ts
+++ b/packages/testtrack/src/scale/node.ts
@@ -1,7 +1,13 @@
 import { type Address, type Moment, type NodeId, type Store, toAreaName } from '@switchwheel/gauge';
 import type { Member, WireEvent } from '@switchwheel/coupling';
 import { type Table, build, finish } from '@switchwheel/timetable';
-import { type Cabin, type CabinEffect, type CabinEvent, cabinStep, newCabin } from '@switchwheel/waybill';
+import {
+  type Cabin,
+  type CabinEffect,
+  type CabinEvent,
+  cabinStep,
+  newCabin,
+} from '@switchwheel/waybill';
 import { Actor, type Stage } from '../world/actor.js';
 
 /** Descriptions that hollow nodes share once one of them compiled them. */
@@ -16,7 +22,14 @@
   purged = 0;
   generation = 0;
 
-  constructor(stage: Stage, node: NodeId, address: Address, area: string, seeds: () => readonly Address[], tables: Tables) {
+  constructor(
+    stage: Stage,
+    node: NodeId,
+    address: Address,
+    area: string,
+    seeds: () => readonly Address[],
+    tables: Tables,
+  ) {
     super(stage, node, address, area);
     this.#seeds = seeds;
     this.#tables = tables;
@@ -32,9 +45,20 @@
   }
 
   protected boot(): void {
-    const member: Member = { node: this.node, role: 'edge', area: toAreaName(this.area), address: this.address, door: this.address, incarnation: this.incarnation };
-    const first = newCabin(member, this.#seeds(), { seed: Math.floor(this.stage.chance.next() * 4294967296) });
-    this.#store = this.makeStore<Cabin, CabinEvent, CabinEffect>(cabinStep, first, (effect) => this.#run(effect));
+    const member: Member = {
+      node: this.node,
+      role: 'edge',
+      area: toAreaName(this.area),
+      address: this.address,
+      door: this.address,
+      incarnation: this.incarnation,
+    };
+    const first = newCabin(member, this.#seeds(), {
+      seed: Math.floor(this.stage.chance.next() * 4294967296),
+    });
+    this.#store = this.makeStore<Cabin, CabinEvent, CabinEffect>(cabinStep, first, (effect) =>
+      this.#run(effect),
+    );
   }
 
   protected ended(): void {
@@ -67,7 +91,11 @@
 
   #build({ offer, texts, before }: Extract<CabinEffect, { kind: 'build' }>): void {
     const key = `${offer.generation} ${offer.hash}`;
-    const built = this.#tables.get(key) ?? finish(build(texts, offer.generation, offer.hash, before)).unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)); });
+    const built =
+      this.#tables.get(key) ??
+      finish(build(texts, offer.generation, offer.hash, before)).unwrapOrElse((faults) => {
+        throw new Error(JSON.stringify(faults));
+      });
     this.#tables.set(key, built);
     this.#store?.dispatch({ kind: 'built', now: this.clock, offer, table: built });
   }
--- a/packages/testtrack/src/scale/parts.ts
+++ b/packages/testtrack/src/scale/parts.ts
@@ -9,7 +9,13 @@
 const perSecond = 500;
 const connections = 100;
 
-const service: Service = { name, perSecond, connections, probe: { path: '/health', everyMs: 500 }, waitlist: 256 };
+const service: Service = {
+  name,
+  perSecond,
+  connections,
+  probe: { path: '/health', everyMs: 500 },
+  waitlist: 256,
+};
 
 const newQuota = (many: number, now: Moment): Quota => {
   const edges = new Edges();
@@ -35,7 +41,9 @@
     for (const one of quotas) while (one.wait(service, toMoment(at)) === 0) sent += 1;
   }
   const mayExtra = Math.round(plainBounds.extraShare * many + plainBounds.extraSlack);
-  const maySend = Math.round((plainBounds.ceilingOver * perSecond * plainBounds.ceilingWindowMs) / 1000);
+  const maySend = Math.round(
+    (plainBounds.ceilingOver * perSecond * plainBounds.ceilingWindowMs) / 1000,
+  );
   const rooms = quotas.reduce((sum, one) => sum + one.room(service), 0);
   return `${many} edges: extra legs ${extra} of ${mayExtra}, under a ceiling ${sent} of ${maySend}, connections ${rooms} of ${connections}`;
 };
@@ -46,12 +54,35 @@
   const before = process.memoryUsage().heapUsed;
   const cache = new Cache(1e12);
   for (let at = 0; at < many; at += 1) {
-    const key = { route: 'clips-read', host: 'www.example-customer.com', path: `/clips/objects/${at}/image.jpg`, query: '' };
-    const fields: [string, string][] = [['content-type', 'image/jpeg'], ['content-length', '0'], ['cache-control', 'max-age=86400']];
+    const key = {
+      route: 'clips-read',
+      host: 'www.example-customer.com',
+      path: `/clips/objects/${at}/image.jpg`,
+      query: '',
+    };
+    const fields: [string, string][] = [
+      ['content-type', 'image/jpeg'],
+      ['content-length', '0'],
+      ['cache-control', 'max-age=86400'],
+    ];
     const digest = createHash('sha256').update(String(at)).digest('base64');
-    cache.store({ key, status: 200, fields, body: Buffer.alloc(0), digest, born: toMoment(1000), lifetime: toSpan(86_400_000), tags: [`t${at % 1000}`] }, [], [], noSeq, toMoment(1000));
+    cache.store(
+      {
+        key,
+        status: 200,
+        fields,
+        body: Buffer.alloc(0),
+        digest,
+        born: toMoment(1000),
+        lifetime: toSpan(86_400_000),
+        tags: [`t${at % 1000}`],
+      },
+      [],
+      [],
+      noSeq,
+      toMoment(1000),
+    );
   }
   globalThis.gc?.();
   return `${cache.size} entries: ${Math.round((process.memoryUsage().heapUsed - before) / many)} bytes of heap each`;
 };
-
--- a/packages/testtrack/src/world/actor.ts
+++ b/packages/testtrack/src/world/actor.ts
@@ -1,5 +1,21 @@
-import { type Address, type Incarnation, type Moment, type NodeId, type Store, createStore, toIncarnation, toMoment } from '@switchwheel/gauge';
-import { type Colleague, type Frame, type WireEffect, type WireEvent, decode, encode } from '@switchwheel/coupling';
+import {
+  type Address,
+  type Incarnation,
+  type Moment,
+  type NodeId,
+  type Store,
+  createStore,
+  toIncarnation,
+  toMoment,
+} from '@switchwheel/gauge';
+import {
+  type Colleague,
+  type Frame,
+  type WireEffect,
+  type WireEvent,
+  decode,
+  encode,
+} from '@switchwheel/coupling';
 import type { Step } from '@switchwheel/gauge';
 import type { Agenda } from './agenda.js';
 import type { Chance } from './chance.js';
@@ -103,7 +119,10 @@
     this.ended();
     // Channels end: whoever can be told hears of it.
     for (const other of this.stage.actors.values()) {
-      if (other !== this && other.alive) this.stage.net.carry(this.node, other.node, () => other.act(() => other.gone(this.address)));
+      if (other !== this && other.alive)
+        this.stage.net.carry(this.node, other.node, () =>
+          other.act(() => other.gone(this.address)),
+        );
     }
   }
 
@@ -145,7 +164,10 @@
 
   protected wire(effect: WireEffect): void {
     if (effect.kind === 'log') {
-      if (effect.level !== 'info') this.stage.logs.push(`${Math.round(this.stage.agenda.now)} ${this.node} ${effect.text} ${[...(effect.facts ?? [])].map(([key, value]) => `${key}=${String(value)}`).join(' ')}`);
+      if (effect.level !== 'info')
+        this.stage.logs.push(
+          `${Math.round(this.stage.agenda.now)} ${this.node} ${effect.text} ${[...(effect.facts ?? [])].map(([key, value]) => `${key}=${String(value)}`).join(' ')}`,
+        );
       return;
     }
     this.send(effect.to, effect.frame);
@@ -158,9 +180,14 @@
     const from = this.colleague;
     const life = other.life;
     // Now and then what is sent goes through the real coding, so that frames and their checks stay in step.
-    const told = this.stage.chance.hit(0.02) ? decode(encode(frame)).unwrapOrElse((fault) => { throw new Error(`${frame.kind}: ${fault.text}`); }) : frame;
+    const told = this.stage.chance.hit(0.02)
+      ? decode(encode(frame)).unwrapOrElse((fault) => {
+          throw new Error(`${frame.kind}: ${fault.text}`);
+        })
+      : frame;
     this.stage.net.carry(this.node, other.node, () => {
-      if (other.life === life) other.act(() => other.event((now) => ({ kind: 'frame', now, from, frame: told })), life);
+      if (other.life === life)
+        other.act(() => other.event((now) => ({ kind: 'frame', now, from, frame: told })), life);
     });
   }
 
@@ -177,8 +204,16 @@
   protected abstract ended(): void;
   abstract event(make: (now: Moment) => WireEvent): void;
 
-  protected makeStore<S, E, F>(reduce: (state: S, event: E) => Step<S, F>, first: S, run: (effect: F) => void): Store<S, E> {
+  protected makeStore<S, E, F>(
+    reduce: (state: S, event: E) => Step<S, F>,
+    first: S,
+    run: (effect: F) => void,
+  ): Store<S, E> {
     const { meter } = this.stage;
-    return createStore<S, E, F>(meter === undefined ? reduce : (state, event) => meter.step(this, () => reduce(state, event)), first, run);
+    return createStore<S, E, F>(
+      meter === undefined ? reduce : (state, event) => meter.step(this, () => reduce(state, event)),
+      first,
+      run,
+    );
   }
 }
--- a/packages/testtrack/src/world/describe.ts
+++ b/packages/testtrack/src/world/describe.ts
@@ -4,7 +4,11 @@
 export type Shape = 'plain' | 'invalid' | 'huge';
 
 interface Plan {
-  readonly services: readonly { readonly name: ServiceName; readonly perSecond: number | undefined; readonly hedgeMs?: number }[];
+  readonly services: readonly {
+    readonly name: ServiceName;
+    readonly perSecond: number | undefined;
+    readonly hedgeMs?: number;
+  }[];
 }
 
 const hugeRoutes = 1500;
@@ -21,18 +25,55 @@
     { name: 'bulk', share: 0.1 },
   ],
   services: layout.services.map((one) => ({
-    name: one.name, waitlist: 200 + (mark % 100),
-    ...(one.perSecond === undefined ? {} : { perSecond: one.perSecond }), ...(one.hedgeMs === undefined ? {} : { hedgeMs: one.hedgeMs }),
+    name: one.name,
+    waitlist: 200 + (mark % 100),
+    ...(one.perSecond === undefined ? {} : { perSecond: one.perSecond }),
+    ...(one.hedgeMs === undefined ? {} : { hedgeMs: one.hedgeMs }),
   })),
   routes: [
     ...layout.services.flatMap((one) => [
-      { name: `${one.name}-read`, prefix: `/${one.name}/read/`, service: one.name, class: 'read', timeoutMs: 3000, cache: { lifetimeMs: lifetimeOf(one.name) } },
-      { name: `${one.name}-plain`, prefix: `/${one.name}/plain/`, service: one.name, class: 'bulk', timeoutMs: 3000 },
-      { name: `${one.name}-long`, prefix: `/${one.name}/long/`, service: one.name, class: 'bulk', timeoutMs: 20_000 },
-      { name: `${one.name}-act`, prefix: `/${one.name}/act/`, methods: ['POST'], service: one.name, class: 'act', timeoutMs: 3000 },
-      { name: `mark-${mark}-${one.name}`, path: `/${one.name}/mark/${mark}`, service: shape === 'invalid' && mark % 2 === 1 ? 'nobody' : one.name, class: 'bulk' },
+      {
+        name: `${one.name}-read`,
+        prefix: `/${one.name}/read/`,
+        service: one.name,
+        class: 'read',
+        timeoutMs: 3000,
+        cache: { lifetimeMs: lifetimeOf(one.name) },
+      },
+      {
+        name: `${one.name}-plain`,
+        prefix: `/${one.name}/plain/`,
+        service: one.name,
+        class: 'bulk',
+        timeoutMs: 3000,
+      },
+      {
+        name: `${one.name}-long`,
+        prefix: `/${one.name}/long/`,
+        service: one.name,
+        class: 'bulk',
+        timeoutMs: 20_000,
+      },
+      {
+        name: `${one.name}-act`,
+        prefix: `/${one.name}/act/`,
+        methods: ['POST'],
+        service: one.name,
+        class: 'act',
+        timeoutMs: 3000,
+      },
+      {
+        name: `mark-${mark}-${one.name}`,
+        path: `/${one.name}/mark/${mark}`,
+        service: shape === 'invalid' && mark % 2 === 1 ? 'nobody' : one.name,
+        class: 'bulk',
+      },
     ]),
-    ...Array.from({ length: shape === 'huge' ? hugeRoutes : 0 }, (_, at) => ({ name: `huge-${at}`, path: `/huge/${at}/${at % 7 === 0 ? mark : 0}`, service: layout.services[0]?.name ?? '', class: 'bulk' })),
+    ...Array.from({ length: shape === 'huge' ? hugeRoutes : 0 }, (_, at) => ({
+      name: `huge-${at}`,
+      path: `/huge/${at}/${at % 7 === 0 ? mark : 0}`,
+      service: layout.services[0]?.name ?? '',
+      class: 'bulk',
+    })),
   ],
 });
-
--- a/packages/testtrack/src/world/disk.ts
+++ b/packages/testtrack/src/world/disk.ts
@@ -36,7 +36,8 @@
   lose(): void {
     this.#power = {};
     const first = this.#queue[0];
-    if (first !== undefined && this.mood === 'well' && this.#chance.hit(0.5)) this.synced.push(first.write);
+    if (first !== undefined && this.mood === 'well' && this.#chance.hit(0.5))
+      this.synced.push(first.write);
     this.#queue.splice(0);
     this.#busy = false;
   }
--- a/packages/testtrack/src/world/net.ts
+++ b/packages/testtrack/src/world/net.ts
@@ -54,7 +54,9 @@
   carry(from: string, to: string, arrive: () => void): void {
     this.sent += 1;
     if (!this.open(from, to) || this.#chance.hit(this.weather.loss)) return;
-    const land = (): void => { if (this.open(from, to)) arrive(); };
+    const land = (): void => {
+      if (this.open(from, to)) arrive();
+    };
     this.#agenda.after(this.#delay(), land);
     if (this.#chance.hit(this.weather.twice)) this.#agenda.after(this.#delay(), land);
   }
--- a/packages/testtrack/src/world/world.ts
+++ b/packages/testtrack/src/world/world.ts
@@ -1,4 +1,13 @@
-import { type Address, type CallId, type ServiceName, type Hash, toAddress, toInstanceId, toNodeId, toRelease } from '@switchwheel/gauge';
+import {
+  type Address,
+  type CallId,
+  type ServiceName,
+  type Hash,
+  toAddress,
+  toInstanceId,
+  toNodeId,
+  toRelease,
+} from '@switchwheel/gauge';
 import { cut, finish } from '@switchwheel/timetable';
 import { Agenda } from './agenda.js';
 import type { Actor, Stage } from './actor.js';
@@ -22,7 +31,13 @@
   /** How many machines have a disk; two if it isn't said. */
   readonly stores?: number;
   readonly limits?: Limits;
-  readonly services: readonly { readonly name: ServiceName; readonly origins: number; readonly slots: number; readonly perSecond: number | undefined; readonly hedgeMs?: number }[];
+  readonly services: readonly {
+    readonly name: ServiceName;
+    readonly origins: number;
+    readonly slots: number;
+    readonly perSecond: number | undefined;
+    readonly hedgeMs?: number;
+  }[];
 }
 
 /** One write of an operator, with all that became of it. */
@@ -33,13 +48,22 @@
   readonly mark: number;
   /** Whether its description is one that may not be taken. */
   readonly invalid: boolean;
-  told: { readonly at: number; readonly status: number; readonly generation: number; readonly purge: number; readonly hash: string } | undefined;
+  told:
+    | {
+        readonly at: number;
+        readonly status: number;
+        readonly generation: number;
+        readonly purge: number;
+        readonly hash: string;
+      }
+    | undefined;
   readonly paths: readonly string[];
   /** For a purge: the revisions that the objects had when it was sent. */
   readonly revisions: ReadonlyMap<string, number>;
 }
 
-const parseNumber = (body: string, name: string): number => Number(new RegExp(`"${name}":(\\d+)`).exec(body)?.[1] ?? 0);
+const parseNumber = (body: string, name: string): number =>
+  Number(new RegExp(`"${name}":(\\d+)`).exec(body)?.[1] ?? 0);
 
 /** A whole simulated fleet. */
 export class World implements Stage {
@@ -72,18 +96,61 @@
     const area = (at: number): string => areas[at % areas.length] ?? 'one';
     const stores = layout.stores ?? 2;
     for (let at = 0; at < layout.shields + stores; at += 1) {
-      const name = at < layout.shields ? `shield-${at + 1}-registry` : `store-${at - layout.shields + 1}-registry`;
-      this.registries.push(new SimRegistry(this, toNodeId(name), toAddress(`10.0.0.${at + 1}:1`), area(at), seeds));
+      const name =
+        at < layout.shields
+          ? `shield-${at + 1}-registry`
+          : `store-${at - layout.shields + 1}-registry`;
+      this.registries.push(
+        new SimRegistry(this, toNodeId(name), toAddress(`10.0.0.${at + 1}:1`), area(at), seeds),
+      );
     }
-    for (let at = 0; at < stores; at += 1) this.stores.push(new SimStore(this, toNodeId(`store-${at + 1}`), toAddress(`10.0.1.${at + 1}:1`), area(at + 1), seeds, layout.limits));
-    for (let at = 0; at < layout.shields; at += 1) this.proxies.push(new SimProxy(this, 'shield', toNodeId(`shield-${at + 1}`), toAddress(`10.0.2.${at + 1}:1`), area(at), seeds, () => this.origins));
-    for (let at = 0; at < layout.edges; at += 1) this.proxies.push(new SimProxy(this, 'edge', toNodeId(`edge-${at + 1}`), toAddress(`10.0.3.${at + 1}:1`), area(at), seeds, () => this.origins));
+    for (let at = 0; at < stores; at += 1)
+      this.stores.push(
+        new SimStore(
+          this,
+          toNodeId(`store-${at + 1}`),
+          toAddress(`10.0.1.${at + 1}:1`),
+          area(at + 1),
+          seeds,
+          layout.limits,
+        ),
+      );
+    for (let at = 0; at < layout.shields; at += 1)
+      this.proxies.push(
+        new SimProxy(
+          this,
+          'shield',
+          toNodeId(`shield-${at + 1}`),
+          toAddress(`10.0.2.${at + 1}:1`),
+          area(at),
+          seeds,
+          () => this.origins,
+        ),
+      );
+    for (let at = 0; at < layout.edges; at += 1)
+      this.proxies.push(
+        new SimProxy(
+          this,
+          'edge',
+          toNodeId(`edge-${at + 1}`),
+          toAddress(`10.0.3.${at + 1}:1`),
+          area(at),
+          seeds,
+          () => this.origins,
+        ),
+      );
   }
 
   /** A new core machine's registry, found by the seeds that are there now. */
   addRegistry(name: string, at: number): SimRegistry {
     const seeds = this.registries.slice(0, 3).map((one) => one.address);
-    const registry = new SimRegistry(this, toNodeId(name), toAddress(`10.0.9.${at}:1`), 'one', () => seeds);
+    const registry = new SimRegistry(
+      this,
+      toNodeId(name),
+      toAddress(`10.0.9.${at}:1`),
+      'one',
+      () => seeds,
+    );
     this.registries.push(registry);
     registry.start();
     return registry;
@@ -92,7 +159,14 @@
   /** A new machine with a blank disk. */
   addStore(name: string, at: number, area = 'one'): SimStore {
     const seeds = this.registries.slice(0, 3).map((one) => one.address);
-    const store = new SimStore(this, toNodeId(name), toAddress(`10.0.8.${at}:1`), area, () => seeds, this.layout.limits);
+    const store = new SimStore(
+      this,
+      toNodeId(name),
+      toAddress(`10.0.8.${at}:1`),
+      area,
+      () => seeds,
+      this.layout.limits,
+    );
     this.stores.push(store);
     store.start();
     return store;
@@ -144,36 +218,79 @@
 
   addOrigin(service: ServiceName, slots: number, release = 'r1', address?: Address): SimOrigin {
     this.#origin += 1;
-    const spot = address ?? toAddress(`10.1.${Math.floor(this.#origin / 200)}.${(this.#origin % 200) + 1}:80`);
-    const origin = new SimOrigin(this, service, toInstanceId(`${service}.${this.#origin}`), spot, toRelease(release), slots, () => this.registries, (path) => this.revisionOf(path));
+    const spot =
+      address ?? toAddress(`10.1.${Math.floor(this.#origin / 200)}.${(this.#origin % 200) + 1}:80`);
+    const origin = new SimOrigin(
+      this,
+      service,
+      toInstanceId(`${service}.${this.#origin}`),
+      spot,
+      toRelease(release),
+      slots,
+      () => this.registries,
+      (path) => this.revisionOf(path),
+    );
     this.origins.push(origin);
     return origin;
   }
 
   /** Starts every process and origin, founds the fleet and applies a first description. */
   form(): void {
-    for (const actor of this.all) this.agenda.after(this.chance.between(0, 100), () => actor.start());
-    for (const service of this.layout.services) for (let at = 0; at < service.origins; at += 1) this.addOrigin(service.name, service.slots);
-    const met = this.until(5000, () => this.registries.every((one) => one.state !== undefined && [...one.state.sessions.values()].filter((row) => row.member.role === 'registry').length === this.registries.length - 1
-      && [...one.state.sessions.values()].filter((row) => row.member.role === 'store').length === this.stores.length));
+    for (const actor of this.all)
+      this.agenda.after(this.chance.between(0, 100), () => actor.start());
+    for (const service of this.layout.services)
+      for (let at = 0; at < service.origins; at += 1) this.addOrigin(service.name, service.slots);
+    const met = this.until(5000, () =>
+      this.registries.every(
+        (one) =>
+          one.state !== undefined &&
+          [...one.state.sessions.values()].filter((row) => row.member.role === 'registry')
+            .length ===
+            this.registries.length - 1 &&
+          [...one.state.sessions.values()].filter((row) => row.member.role === 'store').length ===
+            this.stores.length,
+      ),
+    );
     if (!met) throw new Error('the core did not find itself');
     let founded = false;
     const found = (): void => {
-      this.registries[0]?.call({ verb: 'found', id: toCallId('found'), fleet: toFleetId('sim'), stores: this.stores.map((one) => one.node), witnesses: this.registries.map((one) => one.node) }, (told) => {
-        founded = told.status === 200;
-        if (!founded) this.agenda.after(100, found);
-      });
+      this.registries[0]?.call(
+        {
+          verb: 'found',
+          id: toCallId('found'),
+          fleet: toFleetId('sim'),
+          stores: this.stores.map((one) => one.node),
+          witnesses: this.registries.map((one) => one.node),
+        },
+        (told) => {
+          founded = told.status === 200;
+          if (!founded) this.agenda.after(100, found);
+        },
+      );
     };
     found();
     if (!this.until(5000, () => founded)) throw new Error('the fleet was not founded');
     if (!this.until(5000, () => this.primary() !== undefined)) throw new Error('no primary');
     this.apply(1);
-    const up = (): boolean => this.proxies.every((one) => one.ready) && this.layout.services.every((one) => this.keeperOf(one.name) !== undefined);
-    if (!this.until(8000, up)) throw new Error(`not in force: ${this.proxies.filter((one) => !one.ready).map((one) => one.node).join(', ')} ${JSON.stringify(this.writes.map((one) => one.told))}`);
+    const up = (): boolean =>
+      this.proxies.every((one) => one.ready) &&
+      this.layout.services.every((one) => this.keeperOf(one.name) !== undefined);
+    if (!this.until(8000, up))
+      throw new Error(
+        `not in force: ${this.proxies
+          .filter((one) => !one.ready)
+          .map((one) => one.node)
+          .join(', ')} ${JSON.stringify(this.writes.map((one) => one.told))}`,
+      );
   }
 
   primary(): SimStore | undefined {
-    return this.stores.find((one) => one.state?.serving === true && one.state.stand.phase.phase === 'holding' && one.clock < one.state.stand.phase.until);
+    return this.stores.find(
+      (one) =>
+        one.state?.serving === true &&
+        one.state.stand.phase.phase === 'holding' &&
+        one.clock < one.state.stand.phase.until,
+    );
   }
 
   keeperOf(service: ServiceName): SimProxy | undefined {
@@ -203,29 +320,59 @@
     const registry = this.#someRegistry();
     if (registry === undefined) return;
     call(registry, (told) => {
-      if (told.status === 200 && write.paths.some((path) => this.origins.some((one) => one.worksOn(path)))) this.tried.note('R7: a purge raced a fetch');
+      if (
+        told.status === 200 &&
+        write.paths.some((path) => this.origins.some((one) => one.worksOn(path)))
+      )
+        this.tried.note('R7: a purge raced a fetch');
       write.told ??= {
-        at: this.agenda.now, status: told.status, generation: parseNumber(told.body, 'generation'), purge: parseNumber(told.body, 'purge'), hash: /"hash":"([0-9a-f]+)"/.exec(told.body)?.[1] ?? '',
+        at: this.agenda.now,
+        status: told.status,
+        generation: parseNumber(told.body, 'generation'),
+        purge: parseNumber(told.body, 'purge'),
+        hash: /"hash":"([0-9a-f]+)"/.exec(told.body)?.[1] ?? '',
       };
     });
   }
 
   /** The highest generation that any operator was told. */
   generation(): number {
-    return Math.max(0, ...this.writes.map((one) => (one.told?.status === 200 ? one.told.generation : 0)));
+    return Math.max(
+      0,
+      ...this.writes.map((one) => (one.told?.status === 200 ? one.told.generation : 0)),
+    );
   }
 
   /** An operator hands a description over; `mark` makes it one of its own. */
   apply(mark: number, base?: number, shape: Shape = 'plain', again?: Write): Write {
     this.#write += 1;
-    const write: Write = { id: again?.id ?? toCallId(`w${this.#write}`), kind: 'apply', sentAt: this.agenda.now, mark, invalid: shape === 'invalid', told: undefined, paths: [], revisions: new Map() };
+    const write: Write = {
+      id: again?.id ?? toCallId(`w${this.#write}`),
+      kind: 'apply',
+      sentAt: this.agenda.now,
+      mark,
+      invalid: shape === 'invalid',
+      told: undefined,
+      paths: [],
+      revisions: new Map(),
+    };
     this.writes.push(write);
     const bundle = finish(cut(describe(this.layout, mark, shape)));
     if (bundle.isErr) throw new Error(JSON.stringify(bundle.error));
     const order: readonly Hash[] = bundle.value.order;
-    this.#send(write, (registry, done) => registry.call({
-      verb: 'apply', id: write.id, base: base === undefined ? undefined : toGeneration(base), hash: bundle.value.hash, order, pieces: bundle.value.pieces,
-    }, done));
+    this.#send(write, (registry, done) =>
+      registry.call(
+        {
+          verb: 'apply',
+          id: write.id,
+          base: base === undefined ? undefined : toGeneration(base),
+          hash: bundle.value.hash,
+          order,
+          pieces: bundle.value.pieces,
+        },
+        done,
+      ),
+    );
     return write;
   }
 
@@ -234,10 +381,19 @@
     this.#write += 1;
     for (const path of paths) this.bump(path);
     const write: Write = {
-      id: toCallId(`w${this.#write}`), kind: 'purge', sentAt: this.agenda.now, mark: 0, invalid: false, told: undefined, paths, revisions: new Map(paths.map((path) => [path, this.revisionOf(path)])),
+      id: toCallId(`w${this.#write}`),
+      kind: 'purge',
+      sentAt: this.agenda.now,
+      mark: 0,
+      invalid: false,
+      told: undefined,
+      paths,
+      revisions: new Map(paths.map((path) => [path, this.revisionOf(path)])),
     };
     this.writes.push(write);
-    this.#send(write, (registry, done) => registry.call({ verb: 'purge', id: write.id, aims }, done));
+    this.#send(write, (registry, done) =>
+      registry.call({ verb: 'purge', id: write.id, aims }, done),
+    );
     return write;
   }
 }
--- a/packages/timetable/src/control/control.ts
+++ b/packages/timetable/src/control/control.ts
@@ -1,6 +1,18 @@
 import * as v from 'valibot';
 import * as g from '@switchwheel/gauge';
-import { type Offer, type Origin, type Purge, type Put, type Report, type Verdict, offer, origin, purge, report, verdict } from '@switchwheel/coupling';
+import {
+  type Offer,
+  type Origin,
+  type Purge,
+  type Put,
+  type Report,
+  type Verdict,
+  offer,
+  origin,
+  purge,
+  report,
+  verdict,
+} from '@switchwheel/coupling';
 import { policy } from '../description/schema.js';
 import { type ReleaseOrder, releaseOrder } from '../release/order.js';
 
@@ -13,25 +25,37 @@
 export type Stored = v.InferOutput<typeof stored>;
 
 const nodeRow = v.object({
-  role: v.string(), incarnation: g.incarnation, online: v.boolean(),
+  role: v.string(),
+  incarnation: g.incarnation,
+  online: v.boolean(),
   reported: report,
-  assigned: v.optional(place), desired: v.optional(place), failed: v.optional(g.hash),
+  assigned: v.optional(place),
+  desired: v.optional(place),
+  failed: v.optional(g.hash),
 });
 /** What the primary keeps of a node: what it reports, and what it is to run. */
 export type NodeRow = v.InferOutput<typeof nodeRow>;
 
 const rollout = v.object({
-  generation: g.generation, hash: g.hash,
+  generation: g.generation,
+  hash: g.hash,
   status: v.picklist(['pending', 'running', 'completed', 'failed', 'superseded']),
-  wave: v.number(), waves: v.number(), policy, troubled: v.boolean(), rev: g.seq,
+  wave: v.number(),
+  waves: v.number(),
+  policy,
+  troubled: v.boolean(),
+  rev: g.seq,
 });
 /** One roll-out of a generation. */
 export type Rollout = v.InferOutput<typeof rollout>;
 
 const target = v.object({
-  node: g.nodeId, generation: g.generation, wave: v.number(),
+  node: g.nodeId,
+  generation: g.generation,
+  wave: v.number(),
   status: v.picklist(['pending', 'in_progress', 'verifying', 'succeeded', 'failed', 'skipped']),
-  text: v.string(), rev: g.seq,
+  text: v.string(),
+  rev: g.seq,
 });
 /** One node in a roll-out. */
 export type Target = v.InferOutput<typeof target>;
@@ -57,7 +81,16 @@
 }
 
 export const noControl: Control = {
-  stored: undefined, nodes: new Map(), rollouts: new Map(), targets: new Map(), purges: [], verdicts: new Map(), releases: new Map(), origins: new Map(), calls: new Map(), pieces: new Map(),
+  stored: undefined,
+  nodes: new Map(),
+  rollouts: new Map(),
+  targets: new Map(),
+  purges: [],
+  verdicts: new Map(),
+  releases: new Map(),
+  origins: new Map(),
+  calls: new Map(),
+  pieces: new Map(),
 };
 
 /** How many batches of purges are kept for caches that come back; older ones make them start empty. */
@@ -82,13 +115,23 @@
 export const write = (key: string, value: object): Put => ({ key, data: JSON.stringify(value) });
 export const erase = (key: string): Put => ({ key, data: null });
 
-const parse = <T>(schema: v.GenericSchema<unknown, T>, data: string): T => v.parse(schema, JSON.parse(data));
+const parse = <T>(schema: v.GenericSchema<unknown, T>, data: string): T =>
+  v.parse(schema, JSON.parse(data));
 const tail = (key: string): string => key.slice(key.indexOf('/') + 1);
 
-const setOrDrop = <K, T>(table: ReadonlyMap<K, T>, key: K, data: string | null, schema: v.GenericSchema<unknown, T>): ReadonlyMap<K, T> =>
+const setOrDrop = <K, T>(
+  table: ReadonlyMap<K, T>,
+  key: K,
+  data: string | null,
+  schema: v.GenericSchema<unknown, T>,
+): ReadonlyMap<K, T> =>
   data === null ? g.drop(table, key) : g.put(table, key, parse(schema, data));
 
-const absorbPurge = (list: readonly Purge[], seq: number, data: string | null): readonly Purge[] => {
+const absorbPurge = (
+  list: readonly Purge[],
+  seq: number,
+  data: string | null,
+): readonly Purge[] => {
   const rest = list.filter((one) => one.seq !== seq);
   return data === null ? rest : [...rest, parse(purge, data)].sort((one, two) => one.seq - two.seq);
 };
@@ -101,9 +144,14 @@
     case 'description':
       return { ...control, stored: data === null ? undefined : parse(stored, data) };
     case 'node':
-      return g.isNodeId(name) ? { ...control, nodes: setOrDrop(control.nodes, name, data, nodeRow) } : control;
+      return g.isNodeId(name)
+        ? { ...control, nodes: setOrDrop(control.nodes, name, data, nodeRow) }
+        : control;
     case 'rollout':
-      return { ...control, rollouts: setOrDrop(control.rollouts, g.toGeneration(Number(name)), data, rollout) };
+      return {
+        ...control,
+        rollouts: setOrDrop(control.rollouts, g.toGeneration(Number(name)), data, rollout),
+      };
     case 'target':
       return { ...control, targets: setOrDrop(control.targets, key, data, target) };
     case 'purge':
@@ -111,20 +159,30 @@
     case 'verdict':
       return { ...control, verdicts: setOrDrop(control.verdicts, key, data, verdict) };
     case 'origin':
-      return g.isInstanceId(name) ? { ...control, origins: setOrDrop(control.origins, name, data, origin) } : control;
+      return g.isInstanceId(name)
+        ? { ...control, origins: setOrDrop(control.origins, name, data, origin) }
+        : control;
     case 'release':
-      return g.isServiceName(name) ? { ...control, releases: setOrDrop(control.releases, name, data, releaseOrder) } : control;
+      return g.isServiceName(name)
+        ? { ...control, releases: setOrDrop(control.releases, name, data, releaseOrder) }
+        : control;
     case 'call':
-      return g.isCallId(name) ? { ...control, calls: setOrDrop(control.calls, name, data, outcome) } : control;
+      return g.isCallId(name)
+        ? { ...control, calls: setOrDrop(control.calls, name, data, outcome) }
+        : control;
     case 'piece':
       if (!g.isHash(name)) return control;
-      return { ...control, pieces: data === null ? g.drop(control.pieces, name) : g.put(control.pieces, name, data) };
+      return {
+        ...control,
+        pieces: data === null ? g.drop(control.pieces, name) : g.put(control.pieces, name, data),
+      };
     default:
       return control;
   }
 };
 
-export const absorbAll = (control: Control, puts: readonly Put[]): Control => puts.reduce(absorb, control);
+export const absorbAll = (control: Control, puts: readonly Put[]): Control =>
+  puts.reduce(absorb, control);
 export const topPurge = (control: Control): g.Seq => control.purges.at(-1)?.seq ?? g.noSeq;
 /** The number of the first purge that is still kept; caches that heard less start empty. */
 export const floorPurge = (control: Control): g.Seq => control.purges[0]?.seq ?? g.noSeq;
--- a/packages/timetable/src/description/check.ts
+++ b/packages/timetable/src/description/check.ts
@@ -7,13 +7,24 @@
   for (const [index, one] of list.entries()) {
     const first = seen.get(one.name);
     if (first === undefined) seen.set(one.name, index);
-    else faults.push(fault(`${at}.${index}.name`, `the name ${one.name} is also that of ${at}.${first}`));
+    else
+      faults.push(
+        fault(`${at}.${index}.name`, `the name ${one.name} is also that of ${at}.${first}`),
+      );
   }
 };
 
 /** Rings of lending in which some lender would wait for answers longer than its promise. */
-const rings = (groups: ReadonlyMap<ClassName, Group>, order: readonly Group[], faults: Fault[]): void => {
-  const reach = (from: ClassName, goal: ClassName, seen: Set<ClassName>): readonly ClassName[] | undefined => {
+const rings = (
+  groups: ReadonlyMap<ClassName, Group>,
+  order: readonly Group[],
+  faults: Fault[],
+): void => {
+  const reach = (
+    from: ClassName,
+    goal: ClassName,
+    seen: Set<ClassName>,
+  ): readonly ClassName[] | undefined => {
     for (const next of groups.get(from)?.lendsTo ?? []) {
       if (next === goal) return [from, next];
       if (seen.has(next)) continue;
@@ -27,11 +38,17 @@
     if (one.latencyMs === undefined) continue;
     const ring = reach(one.name, one.name, new Set());
     if (ring === undefined) continue;
-    const slow = ring.find((name) => (groups.get(name)?.latencyMs ?? Number.POSITIVE_INFINITY) > (one.latencyMs ?? 0));
+    const slow = ring.find(
+      (name) => (groups.get(name)?.latencyMs ?? Number.POSITIVE_INFINITY) > (one.latencyMs ?? 0),
+    );
     if (slow !== undefined) {
       const long = groups.get(slow)?.latencyMs;
-      faults.push(fault(`classes.${index}.lendsTo`,
-        `the ring ${ring.join(' > ')} breaks the promise of ${one.latencyMs} ms: ${slow} ${long === undefined ? 'promises nothing' : `takes up to ${long} ms`}`));
+      faults.push(
+        fault(
+          `classes.${index}.lendsTo`,
+          `the ring ${ring.join(' > ')} breaks the promise of ${one.latencyMs} ms: ${slow} ${long === undefined ? 'promises nothing' : `takes up to ${long} ms`}`,
+        ),
+      );
     }
   }
 };
@@ -43,22 +60,34 @@
   const groups = new Map(head.classes.map((one) => [one.name, one]));
   for (const [index, one] of head.classes.entries()) {
     for (const [place, name] of one.lendsTo.entries()) {
-      if (!groups.has(name)) faults.push(fault(`classes.${index}.lendsTo.${place}`, `no class is named ${name}`));
-      else if (name === one.name) faults.push(fault(`classes.${index}.lendsTo.${place}`, 'a class does not lend to itself'));
+      if (!groups.has(name))
+        faults.push(fault(`classes.${index}.lendsTo.${place}`, `no class is named ${name}`));
+      else if (name === one.name)
+        faults.push(fault(`classes.${index}.lendsTo.${place}`, 'a class does not lend to itself'));
     }
   }
   rings(groups, head.classes, faults);
   const policy = head.rollout;
-  if ((policy.waves.length - 1) * policy.gateMs > 500) faults.push(fault('rollout.gateMs', 'the gates of all waves may take 500 ms at most'));
-  if (policy.waves.at(-1) !== 1) faults.push(fault('rollout.waves', 'the last wave reaches all nodes: its share is 1'));
+  if ((policy.waves.length - 1) * policy.gateMs > 500)
+    faults.push(fault('rollout.gateMs', 'the gates of all waves may take 500 ms at most'));
+  if (policy.waves.at(-1) !== 1)
+    faults.push(fault('rollout.waves', 'the last wave reaches all nodes: its share is 1'));
 };
 
 /** The shares of the classes that meet at one service may not be more than the whole. */
 export const checkShares = (
-  used: ReadonlyMap<ServiceName, ReadonlySet<ClassName>>, groups: ReadonlyMap<ClassName, Group>, faults: Fault[],
+  used: ReadonlyMap<ServiceName, ReadonlySet<ClassName>>,
+  groups: ReadonlyMap<ClassName, Group>,
+  faults: Fault[],
 ): void => {
   for (const [service, names] of used) {
     const sum = [...names].reduce((total, name) => total + (groups.get(name)?.share ?? 0), 0);
-    if (sum > 1 + 1e-9) faults.push(fault('classes', `at the service ${service} the shares of ${[...names].join(', ')} add up to ${sum.toFixed(3)}, over the whole`));
+    if (sum > 1 + 1e-9)
+      faults.push(
+        fault(
+          'classes',
+          `at the service ${service} the shares of ${[...names].join(', ')} add up to ${sum.toFixed(3)}, over the whole`,
+        ),
+      );
   }
 };
--- a/packages/timetable/src/description/fault.ts
+++ b/packages/timetable/src/description/fault.ts
@@ -8,12 +8,22 @@
 export const fault = (path: string, text: string): Fault => ({ path, text });
 
 /** Reads a value by a schema; all that is wrong with it goes to the list. */
-export const readInto = <T>(schema: v.GenericSchema<unknown, T>, raw: unknown, at: string, faults: Fault[]): T | undefined => {
+export const readInto = <T>(
+  schema: v.GenericSchema<unknown, T>,
+  raw: unknown,
+  at: string,
+  faults: Fault[],
+): T | undefined => {
   const read = v.safeParse(schema, raw);
   if (read.success) return read.output;
   for (const issue of read.issues) {
     const dot = v.getDotPath(issue);
-    faults.push(fault([at, dot].filter((part) => part !== null && part !== '').join('.') || '(whole)', issue.message));
+    faults.push(
+      fault(
+        [at, dot].filter((part) => part !== null && part !== '').join('.') || '(whole)',
+        issue.message,
+      ),
+    );
   }
   return undefined;
 };
--- a/packages/timetable/src/description/piece.ts
+++ b/packages/timetable/src/description/piece.ts
@@ -8,7 +8,8 @@
 /** The most bytes of routes that one piece bears, but for a single larger route. */
 const pieceSize = 48 * 1024;
 
-export const hashOf = (text: string): Hash => toHash(createHash('sha256').update(text).digest('hex'));
+export const hashOf = (text: string): Hash =>
+  toHash(createHash('sha256').update(text).digest('hex'));
 
 /** A description cut into pieces by content, so that a small change changes few of them. */
 export interface Bundle {
@@ -17,19 +18,25 @@
   readonly order: readonly Hash[];
 }
 
-const isObject = (raw: unknown): raw is object => typeof raw === 'object' && raw !== null && !Array.isArray(raw);
+const isObject = (raw: unknown): raw is object =>
+  typeof raw === 'object' && raw !== null && !Array.isArray(raw);
 const isList = (raw: unknown): raw is readonly unknown[] => Array.isArray(raw);
 
 /** Sets members in one order, so that equal descriptions have equal hashes. */
 const sorted = (raw: unknown): unknown => {
   if (isList(raw)) return raw.map(sorted);
   if (!isObject(raw)) return raw;
-  return Object.fromEntries(Object.entries(raw).sort(([one], [two]) => (one < two ? -1 : 1)).map(([key, value]) => [key, sorted(value)]));
+  return Object.fromEntries(
+    Object.entries(raw)
+      .sort(([one], [two]) => (one < two ? -1 : 1))
+      .map(([key, value]) => [key, sorted(value)]),
+  );
 };
 
 export const bundleHash = (order: readonly Hash[]): Hash => hashOf(order.join('\n'));
 
-const nameOf = (raw: unknown): string => (isObject(raw) && 'name' in raw && typeof raw.name === 'string' ? raw.name : '');
+const nameOf = (raw: unknown): string =>
+  isObject(raw) && 'name' in raw && typeof raw.name === 'string' ? raw.name : '';
 
 /** Cuts a parsed description into pieces, in slices. */
 export function* cut(raw: unknown): Generator<undefined, Result<Bundle, readonly Fault[]>> {
@@ -73,13 +80,21 @@
 }
 
 /** Puts pieces together again and compiles them, on top of the table before if they share most of it. */
-export function* build(texts: readonly string[], generation: Generation, hash: Hash, before?: Table): Generator<undefined, Result<Table, readonly Fault[]>> {
+export function* build(
+  texts: readonly string[],
+  generation: Generation,
+  hash: Hash,
+  before?: Table,
+): Generator<undefined, Result<Table, readonly Fault[]>> {
   if (texts.length === 0) return err([fault('(whole)', 'no pieces')]);
   try {
-    const patched = before === undefined ? undefined : yield* patch(before, texts, generation, hash);
+    const patched =
+      before === undefined ? undefined : yield* patch(before, texts, generation, hash);
     return patched === undefined ? yield* compile(texts, generation, hash) : ok(patched);
   } catch (problem) {
-    return err([fault('(whole)', `not JSON: ${problem instanceof Error ? problem.message : 'unreadable'}`)]);
+    return err([
+      fault('(whole)', `not JSON: ${problem instanceof Error ? problem.message : 'unreadable'}`),
+    ]);
   }
 }
 
--- a/packages/timetable/src/description/schema.ts
+++ b/packages/timetable/src/description/schema.ts
@@ -2,9 +2,21 @@
 import * as g from '@switchwheel/gauge';
 
 const whole = (low: number, high: number): v.GenericSchema<number> =>
-  v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(low, `at least ${low}`), v.maxValue(high, `at most ${high}`));
-const path = v.pipe(v.string(), v.regex(/^\/[^\s?#]*$/, 'a path that starts with /, without ? or #'), v.maxLength(1024, 'at most 1024 signs'));
-const header = v.pipe(v.string(), v.regex(/^[a-z0-9!#$%&'*+.^_`|~-]+$/, 'a header name in lower case'));
+  v.pipe(
+    v.number('a number'),
+    v.integer('a whole number'),
+    v.minValue(low, `at least ${low}`),
+    v.maxValue(high, `at most ${high}`),
+  );
+const path = v.pipe(
+  v.string(),
+  v.regex(/^\/[^\s?#]*$/, 'a path that starts with /, without ? or #'),
+  v.maxLength(1024, 'at most 1024 signs'),
+);
+const header = v.pipe(
+  v.string(),
+  v.regex(/^[a-z0-9!#$%&'*+.^_`|~-]+$/, 'a header name in lower case'),
+);
 const method = v.picklist(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'], 'a method');
 
 /** What the operator's tools want kept with an item; the fleet does not read it. */
@@ -22,10 +34,22 @@
 /** A service: what stands behind routes. */
 export const service = v.strictObject({
   name: g.serviceName,
-  perSecond: v.optional(v.pipe(v.number('a number'), v.minValue(0.1, 'at least 0.1'), v.maxValue(1_000_000, 'at most 1000000'))),
+  perSecond: v.optional(
+    v.pipe(
+      v.number('a number'),
+      v.minValue(0.1, 'at least 0.1'),
+      v.maxValue(1_000_000, 'at most 1000000'),
+    ),
+  ),
   /** Connections that one origin takes from all callers together. */
   connections: v.optional(whole(1, 1_000_000)),
-  probe: v.optional(v.strictObject({ path: v.optional(path, '/health'), everyMs: v.optional(whole(100, 60_000), 500) }), {}),
+  probe: v.optional(
+    v.strictObject({
+      path: v.optional(path, '/health'),
+      everyMs: v.optional(whole(100, 60_000), 500),
+    }),
+    {},
+  ),
   waitlist: v.optional(whole(0, 100_000), 256),
   hedgeMs: v.optional(whole(5, 60_000)),
   note,
@@ -45,7 +69,16 @@
   readonly weight: number;
 }
 const split: v.GenericSchema<unknown, readonly Part[]> = v.pipe(
-  v.array(v.strictObject({ service: g.serviceName, weight: v.pipe(v.number('a number'), v.minValue(0, 'at least 0'), v.maxValue(1e9, 'at most 1e9')) })),
+  v.array(
+    v.strictObject({
+      service: g.serviceName,
+      weight: v.pipe(
+        v.number('a number'),
+        v.minValue(0, 'at least 0'),
+        v.maxValue(1e9, 'at most 1e9'),
+      ),
+    }),
+  ),
   v.minLength(1, 'at least one service'),
   v.check((list) => list.some((one) => one.weight > 0), 'the weights add up to 0'),
 );
@@ -53,10 +86,15 @@
 /** A route: which requests go to which service, in which class. */
 export const route = v.strictObject({
   name: g.routeName,
-  host: v.optional(v.pipe(v.string(), v.regex(/^[a-z0-9.-]+(?::\d+)?$/, 'a host name in lower case'))),
+  host: v.optional(
+    v.pipe(v.string(), v.regex(/^[a-z0-9.-]+(?::\d+)?$/, 'a host name in lower case')),
+  ),
   path: v.optional(path),
   prefix: v.optional(v.pipe(path, v.endsWith('/', 'a prefix ends in /'))),
-  methods: v.optional(v.pipe(v.array(method), v.minLength(1, 'at least one method')), ['GET', 'HEAD']),
+  methods: v.optional(v.pipe(v.array(method), v.minLength(1, 'at least one method')), [
+    'GET',
+    'HEAD',
+  ]),
   service: v.optional(g.serviceName),
   /** In place of one service: several, each with its part of the requests. */
   split: v.optional(split),
@@ -76,7 +114,14 @@
 
 /** How a generation is rolled out: shares of nodes a wave, and the gate between waves. */
 export const policy = v.strictObject({
-  waves: v.optional(v.pipe(v.array(v.pipe(v.number(), v.minValue(0.01), v.maxValue(1))), v.minLength(1), v.maxLength(5)), [1]),
+  waves: v.optional(
+    v.pipe(
+      v.array(v.pipe(v.number(), v.minValue(0.01), v.maxValue(1))),
+      v.minLength(1),
+      v.maxLength(5),
+    ),
+    [1],
+  ),
   gateMs: v.optional(whole(0, 500), 0),
   threshold: v.optional(v.pipe(v.number(), v.minValue(0), v.maxValue(1)), 0.2),
   verifyMs: v.optional(whole(0, 600_000), 10_000),
--- a/packages/timetable/src/description/table.ts
+++ b/packages/timetable/src/description/table.ts
@@ -63,7 +63,11 @@
     const rows = [table.exact.get(name)?.get(path) ?? []];
     const tree = table.prefix.get(name);
     if (tree !== undefined) {
-      for (let cut = path.lastIndexOf('/'); cut >= 0; cut = cut === 0 ? -1 : path.lastIndexOf('/', cut - 1)) {
+      for (
+        let cut = path.lastIndexOf('/');
+        cut >= 0;
+        cut = cut === 0 ? -1 : path.lastIndexOf('/', cut - 1)
+      ) {
         rows.push(tree.get(path.slice(0, cut + 1)) ?? []);
       }
     }
--- a/packages/timetable/src/release/choose.ts
+++ b/packages/timetable/src/release/choose.ts
@@ -2,9 +2,15 @@
 import type { ReleaseState } from '@switchwheel/coupling';
 
 /** The share of a class's requests that go to the release on trial. */
-export const shareOf = (state: ReleaseState, group: string): number => state.shares.find((one) => one.group === group)?.share ?? state.share;
+export const shareOf = (state: ReleaseState, group: string): number =>
+  state.shares.find((one) => one.group === group)?.share ?? state.share;
 
-const wanted = (state: ReleaseState, group: string, chance: number, fresh: boolean): Release | undefined => {
+const wanted = (
+  state: ReleaseState,
+  group: string,
+  chance: number,
+  fresh: boolean,
+): Release | undefined => {
   switch (state.phase) {
     case 'none':
     case 'bad':
@@ -22,7 +28,13 @@
  * that is not on trial, else the one on trial. Nothing goes to a bad one. `chance` is a throw of the dice; `fresh` tells
  * whether the word of the primary is new enough for a trial: an old share may be one that was long withdrawn.
  */
-export const chooseRelease = (state: ReleaseState | undefined, standing: ReadonlySet<Release>, group: string, chance: number, fresh = true): Release | undefined => {
+export const chooseRelease = (
+  state: ReleaseState | undefined,
+  standing: ReadonlySet<Release>,
+  group: string,
+  chance: number,
+  fresh = true,
+): Release | undefined => {
   const first = [...standing][0];
   if (state === undefined) return first;
   const want = wanted(state, group, chance, fresh);
--- a/packages/timetable/src/release/machine.ts
+++ b/packages/timetable/src/release/machine.ts
@@ -2,7 +2,18 @@
 import { releaseFault } from './judge.js';
 import { type ReleaseOrder, underWay } from './order.js';
 import type { ReleaseSettings } from './settings.js';
-import { type Counts, type Sums, type Watch, drained, noCounts, sentIn, spentAt, sumAll, sumSince, totalOf } from './tally.js';
+import {
+  type Counts,
+  type Sums,
+  type Watch,
+  drained,
+  noCounts,
+  sentIn,
+  spentAt,
+  sumAll,
+  sumSince,
+  totalOf,
+} from './tally.js';
 
 /** What an order is looked at with. */
 interface View {
@@ -37,13 +48,21 @@
 /** With few requests a fault may stay unseen: then room is kept for all that moves, if this many are left for the trial. */
 const enoughTrial = 30;
 
-const clamp = (low: number, raw: number, high: number): number => Math.min(high, Math.max(low, raw));
+const clamp = (low: number, raw: number, high: number): number =>
+  Math.min(high, Math.max(low, raw));
 const round = (raw: number): number => Math.round(raw * 1000) / 1000;
 
 /** When, in the span, all traffic moves. */
-export const moveAt = (order: ReleaseOrder, settings: ReleaseSettings): number => Math.max(order.spanMs - settings.moveMs, order.spanMs / 2);
-
-const look = (order: ReleaseOrder, watch: Watch, standing: ReadonlyMap<Release, number>, now: Moment, settings: ReleaseSettings): View => {
+export const moveAt = (order: ReleaseOrder, settings: ReleaseSettings): number =>
+  Math.max(order.spanMs - settings.moveMs, order.spanMs / 2);
+
+const look = (
+  order: ReleaseOrder,
+  watch: Watch,
+  standing: ReadonlyMap<Release, number>,
+  now: Moment,
+  settings: ReleaseSettings,
+): View => {
   const all = sumAll(watch);
   const spentMs = Math.max(order.spentMs, spentAt(watch, now));
   // A new primary does not know all edges yet: what was written holds until they told more.
@@ -51,17 +70,23 @@
   const target = order.target === undefined ? undefined : all.get(order.target);
   const used = Math.max(order.spent, totalOf(target).sent);
   const window = Math.min(rateSpan, Math.max(250, now - watch.opened));
-  const recent = sentIn(sumSince(watch, watch.opened > now - rateSpan ? watch.opened : earlier(now, rateSpan)));
+  const recent = sentIn(
+    sumSince(watch, watch.opened > now - rateSpan ? watch.opened : earlier(now, rateSpan)),
+  );
   const perS = Math.max(recent / window, total / Math.max(1000, spentMs)) * 1000;
-  const stands = (release: Release | undefined): boolean => release !== undefined && (standing.get(release) ?? 0) > 0;
+  const stands = (release: Release | undefined): boolean =>
+    release !== undefined && (standing.get(release) ?? 0) > 0;
   return { now, spentMs, total, used, perS, all, stands, watch, settings };
 };
 
 /** What the release on trial may still have, as a part of what the rule allows for the requests so far. */
 const allowance = (view: View, part: typeof trialPart): number =>
-  part.pct * view.settings.canaryPct * view.total + part.slack * view.settings.canarySlack - view.used;
+  part.pct * view.settings.canaryPct * view.total +
+  part.slack * view.settings.canarySlack -
+  view.used;
 
-const shareNow = (order: ReleaseOrder): number => Math.max(order.share, ...order.shares.map((one) => one.share));
+const shareNow = (order: ReleaseOrder): number =>
+  Math.max(order.share, ...order.shares.map((one) => one.share));
 
 /** What the rule is likely to allow by the term, less what was and will be had as all traffic moves. */
 const roomForTrial = (order: ReleaseOrder, view: View): number => {
@@ -74,7 +99,8 @@
 
 /** How many requests a second a trial is to have at least. */
 const wantedPerS = (order: ReleaseOrder, view: View): number =>
-  (1000 * clamp(enoughTrial / 2, roomForTrial(order, view), view.settings.trialMany)) / moveAt(order, view.settings);
+  (1000 * clamp(enoughTrial / 2, roomForTrial(order, view), view.settings.trialMany)) /
+  moveAt(order, view.settings);
 
 type Shares = Pick<ReleaseOrder, 'share' | 'shares'>;
 const noShare: Shares = { share: 0, shares: [] };
@@ -85,28 +111,44 @@
   const wanted = wantedPerS(order, view);
   const groups = new Map<string, Counts>();
   for (const rows of view.all.values()) {
-    for (const [group, one] of rows) groups.set(group, { ...noCounts, sent: (groups.get(group)?.sent ?? 0) + one.sent });
+    for (const [group, one] of rows)
+      groups.set(group, { ...noCounts, sent: (groups.get(group)?.sent ?? 0) + one.sent });
   }
   const sum = [...groups.values()].reduce((many, one) => many + one.sent, 0);
-  const share = view.perS === 0 ? mostShare : round(clamp(baseShare, wanted / view.perS, mostShare));
+  const share =
+    view.perS === 0 ? mostShare : round(clamp(baseShare, wanted / view.perS, mostShare));
   const shares = [...groups].flatMap(([group, one]) => {
     const perS = sum === 0 ? 0 : (view.perS * one.sent) / sum;
-    const own = perS === 0 ? share : round(clamp(baseShare, wanted / groups.size / perS, mostShare));
+    const own =
+      perS === 0 ? share : round(clamp(baseShare, wanted / groups.size / perS, mostShare));
     return own === share ? [] : [{ group, share: own }];
   });
   return { share, shares };
 };
 
-const unlike = (one: number, two: number): boolean => Math.abs(one - two) > shareStep * Math.max(one, two);
-const ownShare = (one: Shares, group: string): number => one.shares.find((row) => row.group === group)?.share ?? one.share;
-const differ = (one: Shares, two: Shares): boolean => unlike(one.share, two.share)
-  || [...one.shares, ...two.shares].some(({ group }) => unlike(ownShare(one, group), ownShare(two, group)));
+const unlike = (one: number, two: number): boolean =>
+  Math.abs(one - two) > shareStep * Math.max(one, two);
+const ownShare = (one: Shares, group: string): number =>
+  one.shares.find((row) => row.group === group)?.share ?? one.share;
+const differ = (one: Shares, two: Shares): boolean =>
+  unlike(one.share, two.share) ||
+  [...one.shares, ...two.shares].some(({ group }) =>
+    unlike(ownShare(one, group), ownShare(two, group)),
+  );
 
 /** The order with what is known by now written into it. */
-const noted = (order: ReleaseOrder, view: View): ReleaseOrder => ({ ...order, spentMs: view.spentMs, total: view.total, spent: view.used });
-
-const changed = (order: ReleaseOrder, view: View, change: Partial<ReleaseOrder>): ReleaseOrder =>
-  ({ ...noted(order, view), ...change, serial: nextSeq(order.serial) });
+const noted = (order: ReleaseOrder, view: View): ReleaseOrder => ({
+  ...order,
+  spentMs: view.spentMs,
+  total: view.total,
+  spent: view.used,
+});
+
+const changed = (order: ReleaseOrder, view: View, change: Partial<ReleaseOrder>): ReleaseOrder => ({
+  ...noted(order, view),
+  ...change,
+  serial: nextSeq(order.serial),
+});
 
 const turnBad = (order: ReleaseOrder, view: View, text: string): ReleaseOrder =>
   changed(order, view, { ...noShare, phase: 'bad', settled: order.prior, text });
@@ -125,26 +167,35 @@
 /** Whether a probe begins now, and at which share. */
 const probe = (order: ReleaseOrder, view: View): ReleaseOrder | undefined => {
   const { coldMs, probeMs } = view.settings;
-  if (order.probe !== 'due' || view.spentMs < Math.min(coldMs, 0.4 * order.spanMs)) return undefined;
+  if (order.probe !== 'due' || view.spentMs < Math.min(coldMs, 0.4 * order.spanMs))
+    return undefined;
   const last = view.spentMs >= moveAt(order, view.settings) - probeMs - rateSpan;
   const seen = totalOf(order.target === undefined ? undefined : view.all.get(order.target));
   const share = round(probeShare(order, view));
   if (!last && (share < goodProbe || seen.good < enoughGood)) return undefined;
-  if (share < leastProbe || share <= shareNow(order)) return changed(order, view, { probe: 'done' });
+  if (share < leastProbe || share <= shareNow(order))
+    return changed(order, view, { probe: 'done' });
   return changed(order, view, { probe: 'on', probedMs: view.spentMs, share, shares: [] });
 };
 
 const onTrial = (order: ReleaseOrder, view: View): ReleaseOrder => {
   const { settings, spentMs } = view;
   const stands = view.stands(order.target);
-  if (spentMs >= moveAt(order, settings) && stands) return changed(order, view, { ...noShare, phase: 'moving', movedMs: spentMs });
-  if (spentMs >= order.spanMs - termMargin && !stands) return turnBad(order, view, 'no origin of it stands');
+  if (spentMs >= moveAt(order, settings) && stands)
+    return changed(order, view, { ...noShare, phase: 'moving', movedMs: spentMs });
+  if (spentMs >= order.spanMs - termMargin && !stands)
+    return turnBad(order, view, 'no origin of it stands');
   const margin = (shareNow(order) * view.perS * settings.lagMs) / 1000;
   if (order.probe === 'on') {
-    const over = spentMs - order.probedMs >= settings.probeMs || allowance(view, probePart) <= margin;
+    const over =
+      spentMs - order.probedMs >= settings.probeMs || allowance(view, probePart) <= margin;
     return over ? changed(order, view, { probe: 'done', ...sharesFor(order, view) }) : order;
   }
-  if (allowance(view, trialPart) <= margin || (view.perS < fewPerS && roomForTrial(order, view) <= view.used)) return shareNow(order) === 0 ? order : changed(order, view, noShare);
+  if (
+    allowance(view, trialPart) <= margin ||
+    (view.perS < fewPerS && roomForTrial(order, view) <= view.used)
+  )
+    return shareNow(order) === 0 ? order : changed(order, view, noShare);
   const probed = stands ? probe(order, view) : undefined;
   if (probed !== undefined) return probed;
   if (spentMs - order.spentMs < writeSpan) return order;
@@ -164,14 +215,25 @@
 
 /** What becomes of an order as time passes and edges tell what they count; the order itself if nothing does. */
 export const advance = (
-  order: ReleaseOrder, watch: Watch, standing: ReadonlyMap<Release, number>, now: Moment, settings: ReleaseSettings,
+  order: ReleaseOrder,
+  watch: Watch,
+  standing: ReadonlyMap<Release, number>,
+  now: Moment,
+  settings: ReleaseSettings,
 ): ReleaseOrder => {
   const target = order.target;
-  if (target === undefined || order.phase === 'none' || order.phase === 'bad' || watch.order !== order.order) return order;
+  if (
+    target === undefined ||
+    order.phase === 'none' ||
+    order.phase === 'bad' ||
+    watch.order !== order.order
+  )
+    return order;
   const view = look(order, watch, standing, now, settings);
   if (order.phase === 'good') {
     // What was told good is taken back only within the term, and only while there is one to go back to.
-    if (view.spentMs >= order.spanMs || order.prior === target || !view.stands(order.prior)) return order;
+    if (view.spentMs >= order.spanMs || order.prior === target || !view.stands(order.prior))
+      return order;
     const text = releaseFault(watch, target, order.prior, now, settings);
     return text === undefined ? order : turnBad(order, view, text);
   }
--- a/packages/timetable/src/release/release.test.ts
+++ b/packages/timetable/src/release/release.test.ts
@@ -2,11 +2,29 @@
 import { test } from 'node:test';
 import * as fc from 'fast-check';
 import * as v from 'valibot';
-import { type Dice, type Release, noSeq, roll, serviceName, toIncarnation, toMoment, toNodeId, toRelease, toSpan } from '@switchwheel/gauge';
+import {
+  type Dice,
+  type Release,
+  noSeq,
+  roll,
+  serviceName,
+  toIncarnation,
+  toMoment,
+  toNodeId,
+  toRelease,
+  toSpan,
+} from '@switchwheel/gauge';
 import type { FrameOf, ReleaseState, TallyRow } from '@switchwheel/coupling';
 import { chooseRelease } from './choose.js';
 import { advance } from './machine.js';
-import { type Ordered, type ReleaseOrder, counts, order, releaseStateOf, settledOn } from './order.js';
+import {
+  type Ordered,
+  type ReleaseOrder,
+  counts,
+  order,
+  releaseStateOf,
+  settledOn,
+} from './order.js';
 import { releaseSettings } from './settings.js';
 import { type Watch, spentAt, takeTally, watch } from './tally.js';
 
@@ -104,9 +122,19 @@
   let after50 = 0;
   let atFresh = 0;
   let atOld = 0;
-  const standing = new Map<Release, number>([[old, 4], [fresh, 4]]);
+  const standing = new Map<Release, number>([
+    [old, 4],
+    [fresh, 4],
+  ]);
   const stands = new Set(standing.keys());
-  const edges: SimEdge[] = Array.from({ length: edgesMany }, () => ({ incarnation: 1, state: releaseStateOf(settledOn(service, old), 0), heard: 0, since: 0, rows: new Map(), under: 0 }));
+  const edges: SimEdge[] = Array.from({ length: edgesMany }, () => ({
+    incarnation: 1,
+    state: releaseStateOf(settledOn(service, old), 0),
+    heard: 0,
+    since: 0,
+    rows: new Map(),
+    under: 0,
+  }));
 
   const hear = (edge: SimEdge, word: ReleaseState): void => {
     edge.heard = now;
@@ -118,7 +146,10 @@
     edge.state = word;
   };
   const push = (most: number): void => {
-    const word = releaseStateOf(stored, known === undefined ? stored.spentMs : spentAt(known, toMoment(now)));
+    const word = releaseStateOf(
+      stored,
+      known === undefined ? stored.spentMs : spentAt(known, toMoment(now)),
+    );
     for (const edge of edges) later(now + 10 + chance() * most, () => hear(edge, word));
   };
   const consider = (): void => {
@@ -131,7 +162,8 @@
       writing = false;
       if (known?.opened !== own) return;
       if (next.phase === 'good' && stored.phase !== 'good') cutOff = atOld;
-      if (next.phase !== stored.phase && (next.phase === 'good' || next.phase === 'bad')) judgedMs = now;
+      if (next.phase !== stored.phase && (next.phase === 'good' || next.phase === 'bad'))
+        judgedMs = now;
       stored = next;
       writes += 1;
       push(150);
@@ -143,8 +175,12 @@
     const spread = 0.5 + chance();
     const kind = scene.release.kind;
     const loaded = atFresh > Math.max(2, (scene.release.load * scene.perS * usualMs) / 1000);
-    const failing = kind === 'errors' || (kind === 'load' && loaded) || (kind === 'class' && group === 'b') || (kind === 'late' && now > scene.release.late * scene.spanMs);
-    const trouble = now > 5000 && now < 9000 ? scene.trouble ?? 0 : 0;
+    const failing =
+      kind === 'errors' ||
+      (kind === 'load' && loaded) ||
+      (kind === 'class' && group === 'b') ||
+      (kind === 'late' && now > scene.release.late * scene.spanMs);
+    const trouble = now > 5000 && now < 9000 ? (scene.trouble ?? 0) : 0;
     const bad = chance() < Math.max(trouble, isNew && failing ? scene.release.share : 0.004);
     const slowed = isNew && kind === 'slow' && chance() < scene.release.share ? 8 : 1;
     const took = usualMs * spread * cold * slowed * (isNew ? scene.release.pace : 1);
@@ -171,7 +207,8 @@
   };
   const request = (edge: SimEdge): void => {
     const group = chance() < 0.2 ? 'b' : 'a';
-    const release = chooseRelease(edge.state, stands, group, chance(), now - edge.heard < 1500) ?? old;
+    const release =
+      chooseRelease(edge.state, stands, group, chance(), now - edge.heard < 1500) ?? old;
     const key = `${release} ${group}`;
     const row = edge.rows.get(key) ?? { sent: 0, good: 0, bad: 0, slow: 0, sumMs: 0 };
     row.sent += 1;
@@ -190,8 +227,15 @@
   const tell = (edge: SimEdge, at: number): void => {
     if (edge.state.order === noSeq) return;
     const word: FrameOf<'tally'> = {
-      kind: 'tally', node: toNodeId(`e${at}`), incarnation: toIncarnation(edge.incarnation), service, order: edge.state.order, serial: edge.state.serial,
-      rows: [...edge.rows].map(rowOf), inFlightOld: edge.under, spentMs: toSpan(Math.max(0, now - edge.since)),
+      kind: 'tally',
+      node: toNodeId(`e${at}`),
+      incarnation: toIncarnation(edge.incarnation),
+      service,
+      order: edge.state.order,
+      serial: edge.state.serial,
+      rows: [...edge.rows].map(rowOf),
+      inFlightOld: edge.under,
+      spentMs: toSpan(Math.max(0, now - edge.since)),
     };
     later(now + 5 + chance() * 30, () => {
       if (known === undefined) return;
@@ -210,7 +254,14 @@
       known = watch(stored.order, stored.spentMs, toMoment(now));
     }
     if (scene.edgeLossAt !== undefined && now === scene.edgeLossAt) {
-      for (const edge of edges.slice(0, 3)) Object.assign(edge, { incarnation: 2, rows: new Map(), under: 0, since: now, state: releaseStateOf(settledOn(service, old), 0) });
+      for (const edge of edges.slice(0, 3))
+        Object.assign(edge, {
+          incarnation: 2,
+          rows: new Map(),
+          under: 0,
+          since: now,
+          state: releaseStateOf(settledOn(service, old), 0),
+        });
     }
     if (known !== undefined && now % 50 === 0) consider();
     if (known !== undefined && now % 250 === 0) push(250);
@@ -229,15 +280,21 @@
 
 const good: Behaviour = { kind: 'good', share: 0, load: 1, late: 0, pace: 1 };
 const bads: readonly Behaviour[] = [
-  { ...good, kind: 'errors', share: 0.3 }, { ...good, kind: 'errors', share: 0.6 },
-  { ...good, kind: 'slow', share: 0.4 }, { ...good, kind: 'slow', share: 1, pace: 0.7 },
-  { ...good, kind: 'load', share: 0.3, load: 0.15 }, { ...good, kind: 'load', share: 0.5, load: 0.6 },
-  { ...good, kind: 'class', share: 0.3 }, { ...good, kind: 'class', share: 0.6 },
-  { ...good, kind: 'late', share: 0.3, late: 0.4 }, { ...good, kind: 'late', share: 0.5, late: 0.7 },
+  { ...good, kind: 'errors', share: 0.3 },
+  { ...good, kind: 'errors', share: 0.6 },
+  { ...good, kind: 'slow', share: 0.4 },
+  { ...good, kind: 'slow', share: 1, pace: 0.7 },
+  { ...good, kind: 'load', share: 0.3, load: 0.15 },
+  { ...good, kind: 'load', share: 0.5, load: 0.6 },
+  { ...good, kind: 'class', share: 0.3 },
+  { ...good, kind: 'class', share: 0.6 },
+  { ...good, kind: 'late', share: 0.3, late: 0.4 },
+  { ...good, kind: 'late', share: 0.5, late: 0.7 },
 ];
 const seeds = [1, 2, 3];
 /** With few requests and a short span one class in five gives too few answers to judge it by. */
-const spansOf = (perS: number): readonly number[] => (perS < 100 ? [12_000, 16_000] : [8000, 12_000, 16_000]);
+const spansOf = (perS: number): readonly number[] =>
+  perS < 100 ? [12_000, 16_000] : [8000, 12_000, 16_000];
 
 const assertBad = (scene: Scene): void => {
   const done = play(scene);
@@ -260,10 +317,15 @@
 
 for (const perS of [60, 250, 800]) {
   void test(`a good release becomes good in time at ${perS} requests a second`, () => {
-    for (const seed of seeds) for (const spanMs of spansOf(perS)) for (const pace of [0.7, 1, 1.4]) assertGood({ seed, perS, spanMs, release: { ...good, pace } });
+    for (const seed of seeds)
+      for (const spanMs of spansOf(perS))
+        for (const pace of [0.7, 1, 1.4])
+          assertGood({ seed, perS, spanMs, release: { ...good, pace } });
   });
   void test(`each kind of bad release is told bad, with little exposure, at ${perS} requests a second`, () => {
-    for (const seed of seeds) for (const spanMs of spansOf(perS)) for (const release of bads) assertBad({ seed, perS, spanMs, release });
+    for (const seed of seeds)
+      for (const spanMs of spansOf(perS))
+        for (const release of bads) assertBad({ seed, perS, spanMs, release });
   });
 }
 
@@ -279,7 +341,8 @@
 void test('edges that restart midway lose nothing that matters', () => {
   for (const seed of seeds) {
     assertGood({ seed, perS: 250, spanMs: 16_000, release: good, edgeLossAt: 7000 });
-    for (const release of bads) assertBad({ seed, perS: 250, spanMs: 16_000, release, edgeLossAt: 7000 });
+    for (const release of bads)
+      assertBad({ seed, perS: 250, spanMs: 16_000, release, edgeLossAt: 7000 });
   }
 });
 
@@ -296,7 +359,9 @@
 });
 
 void test('a trouble that both releases share is no fault of the new one', () => {
-  for (const seed of seeds) for (const perS of [60, 250, 800]) assertGood({ seed, perS, spanMs: 16_000, release: good, trouble: 0.15 });
+  for (const seed of seeds)
+    for (const perS of [60, 250, 800])
+      assertGood({ seed, perS, spanMs: 16_000, release: good, trouble: 0.15 });
 });
 
 void test('with low traffic the slack alone does', () => {
@@ -305,7 +370,10 @@
       assertGood({ seed, perS, spanMs: 16_000, release: good });
       for (const release of bads) {
         const done = play({ seed, perS, spanMs: 16_000, release });
-        assert.ok(done.exposed <= 0.1 * done.total + 50, JSON.stringify({ perS, release, ...done }));
+        assert.ok(
+          done.exposed <= 0.1 * done.total + 50,
+          JSON.stringify({ perS, release, ...done }),
+        );
       }
     }
   }
@@ -315,19 +383,38 @@
   const release = fc.constantFrom('r1', 'r2', 'r3').map(toRelease);
   const phase = fc.constantFrom('none', 'trial', 'moving', 'good', 'bad');
   const unit = fc.double({ min: 0, max: 1, noNaN: true });
-  fc.assert(fc.property(fc.option(release, { nil: undefined }), release, phase, unit, unit, fc.uniqueArray(release), fc.boolean(), (settled, target, is, share, chance, all, isFresh) => {
-    const state = { ...releaseStateOf(settledOn(service, settled), 0), target, phase: is, share };
-    const standing = new Set(all);
-    const chosen = chooseRelease(state, standing, 'a', chance, isFresh);
-    const barred = is === 'bad' && settled !== target ? target : undefined;
-    const open = all.filter((one) => one !== barred);
-    assert.equal(chosen === undefined, open.length === 0);
-    if (chosen === undefined) return;
-    assert.ok(open.includes(chosen));
-    if ((is === 'moving' || is === 'good') && standing.has(target)) assert.equal(chosen, target);
-    if (is === 'trial' && settled !== undefined && standing.has(settled) && chance >= share) assert.equal(chosen, settled);
-    if (is === 'trial' && open.some((one) => one !== target) && !isFresh) assert.ok(chosen !== target || settled === target);
-  }));
+  fc.assert(
+    fc.property(
+      fc.option(release, { nil: undefined }),
+      release,
+      phase,
+      unit,
+      unit,
+      fc.uniqueArray(release),
+      fc.boolean(),
+      (settled, target, is, share, chance, all, isFresh) => {
+        const state = {
+          ...releaseStateOf(settledOn(service, settled), 0),
+          target,
+          phase: is,
+          share,
+        };
+        const standing = new Set(all);
+        const chosen = chooseRelease(state, standing, 'a', chance, isFresh);
+        const barred = is === 'bad' && settled !== target ? target : undefined;
+        const open = all.filter((one) => one !== barred);
+        assert.equal(chosen === undefined, open.length === 0);
+        if (chosen === undefined) return;
+        assert.ok(open.includes(chosen));
+        if ((is === 'moving' || is === 'good') && standing.has(target))
+          assert.equal(chosen, target);
+        if (is === 'trial' && settled !== undefined && standing.has(settled) && chance >= share)
+          assert.equal(chosen, settled);
+        if (is === 'trial' && open.some((one) => one !== target) && !isFresh)
+          assert.ok(chosen !== target || settled === target);
+      },
+    ),
+  );
 });
 
 void test('the same order repeated changes nothing, another one waits while one is under way', () => {
@@ -338,5 +425,7 @@
   assert.equal(order(bad, old, fresh, 16_000, 4000).kind, 'stands');
   assert.equal(order(bad, old, fresh, 16_000, 17_000).kind, 'opened');
   const third = order(bad, old, toRelease('r3'), 16_000, 4000);
-  assert.ok(third.kind === 'opened' && third.order.order > bad.order && third.order.serial > bad.serial);
+  assert.ok(
+    third.kind === 'opened' && third.order.order > bad.order && third.order.serial > bad.serial,
+  );
 });
--- a/packages/timetable/src/release/settings.ts
+++ b/packages/timetable/src/release/settings.ts
@@ -26,10 +26,20 @@
 }
 
 export const releaseSettings: ReleaseSettings = {
-  canaryPct: 0.1, canarySlack: 50,
-  baseShare: 0.025, trialMany: 45, mostShare: 0.5,
+  canaryPct: 0.1,
+  canarySlack: 50,
+  baseShare: 0.025,
+  trialMany: 45,
+  mostShare: 0.5,
   coldMs: 4500,
-  probeShare: 0.45, probeMs: 1000, lagMs: 600,
-  moveMs: 2000, moveLeastMs: 500, moveMostMs: 1200,
-  badLeast: 6, badShare: 0.15, slowLeast: 6, slowRatio: 2.5,
+  probeShare: 0.45,
+  probeMs: 1000,
+  lagMs: 600,
+  moveMs: 2000,
+  moveLeastMs: 500,
+  moveMostMs: 1200,
+  badLeast: 6,
+  badShare: 0.15,
+  slowLeast: 6,
+  slowRatio: 2.5,
 };
--- a/packages/timetable/src/release/tally.ts
+++ b/packages/timetable/src/release/tally.ts
@@ -1,4 +1,13 @@
-import { type Incarnation, type Moment, type NodeId, type Release, type Seq, put, sift, toMoment } from '@switchwheel/gauge';
+import {
+  type Incarnation,
+  type Moment,
+  type NodeId,
+  type Release,
+  type Seq,
+  put,
+  sift,
+  toMoment,
+} from '@switchwheel/gauge';
 import type { FrameOf, TallyRow } from '@switchwheel/coupling';
 
 /** Counts of one release and class, over edges. */
@@ -37,7 +46,12 @@
 const nearSpan = 1000;
 const keptSpan = 9000;
 
-export const watch = (order: Seq, spentMs: number, now: Moment): Watch => ({ order, since: toMoment(now - spentMs), opened: now, edges: new Map() });
+export const watch = (order: Seq, spentMs: number, now: Moment): Watch => ({
+  order,
+  since: toMoment(now - spentMs),
+  opened: now,
+  edges: new Map(),
+});
 
 export const spentAt = (one: Watch, now: Moment): number => now - one.since;
 
@@ -51,28 +65,50 @@
   const known = one.edges.get(key);
   const told: Told = { at: now, rows: word.rows };
   // Frames of one edge may overtake each other.
-  if (known !== undefined && sentOf(word.rows) < sentOf(known.recent.at(-1)?.rows ?? [])) return one;
+  if (known !== undefined && sentOf(word.rows) < sentOf(known.recent.at(-1)?.rows ?? []))
+    return one;
   const old = known?.recent ?? [];
   const cut = old.findLastIndex((row) => now - row.at >= keptSpan);
   const recent = [...(cut > 0 ? old.slice(cut) : old), told];
-  const edge: Edge = { at: now, serial: word.serial, inFlightOld: word.inFlightOld, first: known?.first ?? told, recent };
-  return { ...one, since: toMoment(Math.min(one.since, now - word.spentMs)), edges: put(one.edges, key, edge) };
+  const edge: Edge = {
+    at: now,
+    serial: word.serial,
+    inFlightOld: word.inFlightOld,
+    first: known?.first ?? told,
+    recent,
+  };
+  return {
+    ...one,
+    since: toMoment(Math.min(one.since, now - word.spentMs)),
+    edges: put(one.edges, key, edge),
+  };
 };
 
 /** Whether all edges in touch act on a state and have nothing under way at old origins. */
 export const drained = (one: Watch, serial: Seq, now: Moment): boolean => {
   const near = sift(one.edges, (edge) => now - edge.at < nearSpan);
-  return near.size > 0 && [...near.values()].every((edge) => edge.serial >= serial && edge.inFlightOld === 0);
+  return (
+    near.size > 0 &&
+    [...near.values()].every((edge) => edge.serial >= serial && edge.inFlightOld === 0)
+  );
 };
 
 /** Counts by release and class. */
 export type Sums = ReadonlyMap<Release, ReadonlyMap<string, Counts>>;
 
 const add = (one: Counts, two: Counts, sign: 1 | -1): Counts => ({
-  sent: one.sent + sign * two.sent, good: one.good + sign * two.good, bad: one.bad + sign * two.bad, slow: one.slow + sign * two.slow, sumMs: one.sumMs + sign * two.sumMs,
+  sent: one.sent + sign * two.sent,
+  good: one.good + sign * two.good,
+  bad: one.bad + sign * two.bad,
+  slow: one.slow + sign * two.slow,
+  sumMs: one.sumMs + sign * two.sumMs,
 });
 
-const addRows = (sums: Map<Release, Map<string, Counts>>, rows: readonly TallyRow[], sign: 1 | -1): void => {
+const addRows = (
+  sums: Map<Release, Map<string, Counts>>,
+  rows: readonly TallyRow[],
+  sign: 1 | -1,
+): void => {
   for (const row of rows) {
     const groups = sums.get(row.release) ?? new Map<string, Counts>();
     groups.set(row.group, add(groups.get(row.group) ?? noCounts, row, sign));
@@ -100,4 +136,5 @@
 export const totalOf = (groups: ReadonlyMap<string, Counts> | undefined): Counts =>
   [...(groups?.values() ?? [])].reduce((sum, one) => add(sum, one, 1), noCounts);
 
-export const sentIn = (sums: Sums): number => [...sums.values()].reduce((sum, groups) => sum + totalOf(groups).sent, 0);
+export const sentIn = (sums: Sums): number =>
+  [...sums.values()].reduce((sum, groups) => sum + totalOf(groups).sent, 0);
--- a/packages/timetable/src/rollout/engine.ts
+++ b/packages/timetable/src/rollout/engine.ts
@@ -1,6 +1,14 @@
 import { type Moment, nextSeq } from '@switchwheel/gauge';
 import type { Put } from '@switchwheel/coupling';
-import { type Control, type NodeRow, type Rollout, type Target, keyOf, samePlace, write } from '../control/control.js';
+import {
+  type Control,
+  type NodeRow,
+  type Rollout,
+  type Target,
+  keyOf,
+  samePlace,
+  write,
+} from '../control/control.js';
 import { activeRollout } from './planner.js';
 
 /** How long a started target may take before it counts as failed. */
@@ -11,29 +19,49 @@
 /** When a target was first seen in its status: only a cache, made anew by a new primary. */
 export type Seen = ReadonlyMap<string, { readonly status: Target['status']; readonly at: Moment }>;
 
-const done = (one: Target): boolean => one.status === 'succeeded' || one.status === 'failed' || one.status === 'skipped';
+const done = (one: Target): boolean =>
+  one.status === 'succeeded' || one.status === 'failed' || one.status === 'skipped';
 const settled = (one: Target): boolean => done(one) || one.status === 'verifying';
 
-const judge = (target: Target, row: NodeRow | undefined, rollout: Rollout, age: number): readonly [Target['status'], string] => {
+const judge = (
+  target: Target,
+  row: NodeRow | undefined,
+  rollout: Rollout,
+  age: number,
+): readonly [Target['status'], string] => {
   const goal = { generation: rollout.generation, hash: rollout.hash };
-  if (row === undefined) return target.status === 'pending' && age > graceSpan ? ['skipped', 'not known any more'] : [target.status, target.text];
+  if (row === undefined)
+    return target.status === 'pending' && age > graceSpan
+      ? ['skipped', 'not known any more']
+      : [target.status, target.text];
   const reported = row.reported;
-  const runs = reported.phase === 'applied' && reported.generation === goal.generation && reported.hash === goal.hash;
+  const runs =
+    reported.phase === 'applied' &&
+    reported.generation === goal.generation &&
+    reported.hash === goal.hash;
   switch (target.status) {
     case 'pending':
-      if (!row.online) return age > graceSpan ? ['skipped', 'not in touch'] : ['pending', 'not in touch'];
-      return target.wave <= rollout.wave ? ['in_progress', 'offered'] : ['pending', 'waits for its wave'];
+      if (!row.online)
+        return age > graceSpan ? ['skipped', 'not in touch'] : ['pending', 'not in touch'];
+      return target.wave <= rollout.wave
+        ? ['in_progress', 'offered']
+        : ['pending', 'waits for its wave'];
     case 'in_progress':
       if (runs) return ['verifying', 'fitness wait'];
-      if (reported.failed?.hash === goal.hash && reported.failed.generation === goal.generation) return ['failed', reported.failed.text];
-      return age > applyTimeout ? ['failed', 'no report in time'] : ['in_progress', reported.phase === 'applying' ? 'applying' : 'offered'];
+      if (reported.failed?.hash === goal.hash && reported.failed.generation === goal.generation)
+        return ['failed', reported.failed.text];
+      return age > applyTimeout
+        ? ['failed', 'no report in time']
+        : ['in_progress', reported.phase === 'applying' ? 'applying' : 'offered'];
     case 'verifying':
       if (!runs) return ['failed', 'no longer reports this generation'];
       if (!reported.fitness.fit) return ['failed', `unfit: ${reported.fitness.text}`];
       return age >= rollout.policy.verifyMs ? ['succeeded', ''] : ['verifying', 'fitness wait'];
     case 'failed':
       // The mark stays shown, but a node that came round in the end is told as such.
-      return runs && reported.fitness.fit && target.text === 'no report in time' ? ['verifying', 'applied late'] : ['failed', target.text];
+      return runs && reported.fitness.fit && target.text === 'no report in time'
+        ? ['verifying', 'applied late']
+        : ['failed', target.text];
     case 'skipped':
       return row.online ? ['in_progress', 'back in touch'] : ['skipped', target.text];
     case 'succeeded':
@@ -42,7 +70,12 @@
 };
 
 /** One tick of the engine: what it would write. Nothing is kept between ticks but the cache of first sights. */
-export const turn = (control: Control, seen: Seen, opened: Moment | undefined, now: Moment): { readonly puts: readonly Put[]; readonly seen: Seen; readonly opened: Moment | undefined } => {
+export const turn = (
+  control: Control,
+  seen: Seen,
+  opened: Moment | undefined,
+  now: Moment,
+): { readonly puts: readonly Put[]; readonly seen: Seen; readonly opened: Moment | undefined } => {
   const rollout = activeRollout(control);
   if (rollout === undefined) return { puts: [], seen: new Map(), opened: undefined };
   const since = opened ?? now;
@@ -62,7 +95,8 @@
     if (moved) puts.push(write(key, next));
     if (row !== undefined && status === 'in_progress' && moved) {
       const goal = { generation: rollout.generation, hash: rollout.hash };
-      if (!samePlace(row.desired, goal)) puts.push(write(keyOf.node(target.node), { ...row, desired: goal }));
+      if (!samePlace(row.desired, goal))
+        puts.push(write(keyOf.node(target.node), { ...row, desired: goal }));
     }
     if (row !== undefined && status === 'failed' && moved && row.failed !== rollout.hash) {
       puts.push(write(keyOf.node(target.node), { ...row, failed: rollout.hash }));
@@ -77,7 +111,15 @@
   const wave = !last && (here.every(settled) || gate) ? rollout.wave + 1 : rollout.wave;
   const status = last && after.every(done) ? (troubled ? 'failed' : 'completed') : rollout.status;
   if (wave !== rollout.wave || status !== rollout.status || troubled !== rollout.troubled) {
-    puts.push(write(keyOf.rollout(rollout.generation), { ...rollout, wave, status, troubled, rev: nextSeq(rollout.rev) }));
+    puts.push(
+      write(keyOf.rollout(rollout.generation), {
+        ...rollout,
+        wave,
+        status,
+        troubled,
+        rev: nextSeq(rollout.rev),
+      }),
+    );
   }
   return { puts, seen: kept, opened: since };
 };
--- a/packages/trainset/src/deployment/schema.ts
+++ b/packages/trainset/src/deployment/schema.ts
@@ -9,26 +9,40 @@
 
 /** What origins stand behind a service, and how they behave. */
 const originGroup = v.strictObject({
-  service: serviceName, count, slots: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  service: serviceName,
+  count,
+  slots: v.pipe(v.number(), v.integer(), v.minValue(1)),
   /** Milliseconds of work for one request: least and usual; a few take far longer. */
-  workMs: pair, release: v.optional(v.string(), 'r1'),
+  workMs: pair,
+  release: v.optional(v.string(), 'r1'),
 });
 export type OriginGroup = v.InferOutput<typeof originGroup>;
 
 /** One kind of request of the callers. */
 const traffic = v.strictObject({
-  name: v.string(), class: v.string(), weight: v.number(), aimMs: v.number(),
-  method: v.picklist(['GET', 'POST', 'PUT']), prefix: v.string(), objects: v.pipe(v.number(), v.integer(), v.minValue(1)),
-  bytes: pair, unsafe: v.optional(v.boolean(), false), tagged: v.optional(v.boolean(), false),
+  name: v.string(),
+  class: v.string(),
+  weight: v.number(),
+  aimMs: v.number(),
+  method: v.picklist(['GET', 'POST', 'PUT']),
+  prefix: v.string(),
+  objects: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  bytes: pair,
+  unsafe: v.optional(v.boolean(), false),
+  tagged: v.optional(v.boolean(), false),
 });
 export type Traffic = v.InferOutput<typeof traffic>;
 
 export const deployment = v.strictObject({
-  name: v.string(), description: v.string(),
+  name: v.string(),
+  description: v.string(),
   areas: v.pipe(v.array(areaName), v.minLength(1)),
-  edges: count, shields: count, stores: count,
+  edges: count,
+  shields: count,
+  stores: count,
   origins: v.array(originGroup),
-  perSecond: v.number(), traffic: v.pipe(v.array(traffic), v.minLength(1)),
+  perSecond: v.number(),
+  traffic: v.pipe(v.array(traffic), v.minLength(1)),
 });
 export type Deployment = v.InferOutput<typeof deployment>;
 
@@ -43,7 +57,8 @@
 export const readPlan = (file: string): Result<Plan, readonly string[]> => {
   try {
     const read = v.safeParse(deployment, JSON.parse(readFileSync(file, 'utf8')));
-    if (!read.success) return err(read.issues.map((one) => `${v.getDotPath(one) ?? 'file'}: ${one.message}`));
+    if (!read.success)
+      return err(read.issues.map((one) => `${v.getDotPath(one) ?? 'file'}: ${one.message}`));
     const path = join(dirname(file), read.output.description);
     const description: unknown = JSON.parse(readFileSync(path, 'utf8'));
     return ok({ deployment: read.output, description, file: path });
--- a/packages/trainset/src/fault/preload.ts
+++ b/packages/trainset/src/fault/preload.ts
@@ -25,7 +25,10 @@
   const [head] = list;
   return Array.isArray(head) ? head[0] : head;
 };
-const hostIn = (given: unknown): string => (typeof given === 'object' && given !== null && 'host' in given && typeof given.host === 'string' ? given.host : '');
+const hostIn = (given: unknown): string =>
+  typeof given === 'object' && given !== null && 'host' in given && typeof given.host === 'string'
+    ? given.host
+    : '';
 
 type Act = (...list: unknown[]) => unknown;
 const isAct = (raw: unknown): raw is Act => typeof raw === 'function';
@@ -40,38 +43,61 @@
 const write = actOf(Socket.prototype, '_write');
 const meant = new WeakMap<object, string>();
 
-Reflect.set(Socket.prototype, 'connect', function patched(this: Socket, ...list: unknown[]): unknown {
-  const given = first(list);
-  const host = hostIn(given);
-  if (host === '' || own === '' || typeof given !== 'object' || given === null) return apply(connect, this, list);
-  meant.set(this, host);
-  // Each machine calls from its own number, so that the others can tell who it is.
-  Reflect.set(given, 'localAddress', own);
-  if (!now.bar.includes(host)) return apply(connect, this, list);
-  Reflect.set(this, 'connecting', true);
-  waitFor(() => this.destroyed || !now.bar.includes(host), () => {
-    if (!this.destroyed) apply(connect, this, list);
-  });
-  return this;
-});
+Reflect.set(
+  Socket.prototype,
+  'connect',
+  function patched(this: Socket, ...list: unknown[]): unknown {
+    const given = first(list);
+    const host = hostIn(given);
+    if (host === '' || own === '' || typeof given !== 'object' || given === null)
+      return apply(connect, this, list);
+    meant.set(this, host);
+    // Each machine calls from its own number, so that the others can tell who it is.
+    Reflect.set(given, 'localAddress', own);
+    if (!now.bar.includes(host)) return apply(connect, this, list);
+    Reflect.set(this, 'connecting', true);
+    waitFor(
+      () => this.destroyed || !now.bar.includes(host),
+      () => {
+        if (!this.destroyed) apply(connect, this, list);
+      },
+    );
+    return this;
+  },
+);
 
 const peerOf = (socket: Socket): string => meant.get(socket) ?? socket.remoteAddress ?? '';
 const lanes = new WeakMap<object, number>();
 
-Reflect.set(Socket.prototype, '_write', function patched(this: Socket, ...list: unknown[]): unknown {
-  const peer = peerOf(this);
-  const free = lanes.get(this) ?? 0;
-  const at = performance.now();
-  const due = now.lagMs > 0 ? Math.max(at + now.lagMs, free) : free;
-  if (!now.hold.includes(peer) && due <= at) return apply(write, this, list);
-  lanes.set(this, due);
-  waitFor(() => this.destroyed || (!now.hold.includes(peer) && performance.now() >= due), () => { apply(write, this, list); });
-  return undefined;
-});
+Reflect.set(
+  Socket.prototype,
+  '_write',
+  function patched(this: Socket, ...list: unknown[]): unknown {
+    const peer = peerOf(this);
+    const free = lanes.get(this) ?? 0;
+    const at = performance.now();
+    const due = now.lagMs > 0 ? Math.max(at + now.lagMs, free) : free;
+    if (!now.hold.includes(peer) && due <= at) return apply(write, this, list);
+    lanes.set(this, due);
+    waitFor(
+      () => this.destroyed || (!now.hold.includes(peer) && performance.now() >= due),
+      () => {
+        apply(write, this, list);
+      },
+    );
+    return undefined;
+  },
+);
 
 const put = actOf(Disk.prototype, 'write');
-Reflect.set(Disk.prototype, 'write', async function patched(this: Disk, change: unknown): Promise<unknown> {
-  if (now.disk === 'full') return err({ text: 'ENOSPC: no space left on device', full: true });
-  await new Promise<void>((done) => { waitFor(() => now.disk !== 'stalled', done); });
-  return apply(put, this, [change]);
-});
+Reflect.set(
+  Disk.prototype,
+  'write',
+  async function patched(this: Disk, change: unknown): Promise<unknown> {
+    if (now.disk === 'full') return err({ text: 'ENOSPC: no space left on device', full: true });
+    await new Promise<void>((done) => {
+      waitFor(() => now.disk !== 'stalled', done);
+    });
+    return apply(put, this, [change]);
+  },
+);
--- a/packages/trainset/src/fleet/child.ts
+++ b/packages/trainset/src/fleet/child.ts
@@ -8,17 +8,18 @@
 const preload = fileURLToPath(new URL('../fault/preload.js', import.meta.url));
 
 /** A port that is free now on one of this machine's own loopback numbers. */
-export const freePort = (host: string): Promise<number> => new Promise((done, fail) => {
-  const server = createServer();
-  server.once('error', fail);
-  server.listen(0, host, () => {
-    const spot = server.address();
-    server.close(() => {
-      if (spot !== null && typeof spot === 'object') done(spot.port);
-      else fail(new Error('no port'));
+export const freePort = (host: string): Promise<number> =>
+  new Promise((done, fail) => {
+    const server = createServer();
+    server.once('error', fail);
+    server.listen(0, host, () => {
+      const spot = server.address();
+      server.close(() => {
+        if (spot !== null && typeof spot === 'object') done(spot.port);
+        else fail(new Error('no port'));
+      });
     });
   });
-});
 
 /** All processes that run now: none outlives whoever started them. */
 const live = new Set<ChildProcess>();
@@ -38,7 +39,13 @@
   #process: ChildProcess | undefined;
   #ended: Promise<number | null> = Promise.resolve(null);
 
-  constructor(name: string, script: string, args: readonly string[], folder: string, host?: string) {
+  constructor(
+    name: string,
+    script: string,
+    args: readonly string[],
+    folder: string,
+    host?: string,
+  ) {
     this.name = name;
     this.#script = script;
     this.#args = args;
@@ -54,9 +61,14 @@
   /** Starts the process; settles once it says that it started. */
   start(): Promise<void> {
     const faulty = this.#host !== undefined;
-    const child = spawn(process.execPath, [...(faulty ? ['--import', preload] : []), this.#script, ...this.#args], {
-      stdio: faulty ? ['ignore', 'pipe', 'pipe', 'ipc'] : ['ignore', 'pipe', 'pipe'], env: { ...process.env, TRAINSET_HOST: this.#host ?? '' },
-    });
+    const child = spawn(
+      process.execPath,
+      [...(faulty ? ['--import', preload] : []), this.#script, ...this.#args],
+      {
+        stdio: faulty ? ['ignore', 'pipe', 'pipe', 'ipc'] : ['ignore', 'pipe', 'pipe'],
+        env: { ...process.env, TRAINSET_HOST: this.#host ?? '' },
+      },
+    );
     this.#process = child;
     this.#tell();
     live.add(child);
@@ -80,7 +92,9 @@
       };
       stderr?.on('data', hear);
       stdout?.on('data', hear);
-      child.once('exit', (code) => fail(new Error(`${this.name} ended with ${String(code)}: ${told}`)));
+      child.once('exit', (code) =>
+        fail(new Error(`${this.name} ended with ${String(code)}: ${told}`)),
+      );
     });
   }
 
@@ -95,7 +109,8 @@
   }
 
   #tell(): void {
-    if (this.#host !== undefined && this.#process?.connected === true) this.#process.send(this.#weather, () => undefined);
+    if (this.#host !== undefined && this.#process?.connected === true)
+      this.#process.send(this.#weather, () => undefined);
   }
 
   /** Ends the process and waits until it is gone. */
--- a/packages/trainset/src/fleet/fleet.ts
+++ b/packages/trainset/src/fleet/fleet.ts
@@ -5,7 +5,8 @@
 import type { Deployment, OriginGroup } from '../deployment/schema.js';
 import { Child, freePort } from './child.js';
 
-const bin = (name: string): string => fileURLToPath(new URL(`../../../${name}/bin/${name}.js`, import.meta.url));
+const bin = (name: string): string =>
+  fileURLToPath(new URL(`../../../${name}/bin/${name}.js`, import.meta.url));
 const standin = fileURLToPath(new URL('../../bin/standin.js', import.meta.url));
 
 /** A machine of the fleet: its number and the processes on it. */
@@ -30,14 +31,23 @@
 const hostOf = (row: number, column: number): string => `127.${20 + row}.${column}.1`;
 
 /** Runs work on a list, a few at a time. */
-export const inTurns = async <T>(list: readonly T[], wide: number, work: (one: T) => Promise<void>): Promise<void> => {
+export const inTurns = async <T>(
+  list: readonly T[],
+  wide: number,
+  work: (one: T) => Promise<void>,
+): Promise<void> => {
   const rest = [...list];
-  await Promise.all(Array.from({ length: wide }, async () => {
-    for (let one = rest.shift(); one !== undefined; one = rest.shift()) await work(one);
-  }));
+  await Promise.all(
+    Array.from({ length: wide }, async () => {
+      for (let one = rest.shift(); one !== undefined; one = rest.shift()) await work(one);
+    }),
+  );
 };
 
-export const pause = (ms: number): Promise<void> => new Promise((done) => { setTimeout(done, ms); });
+export const pause = (ms: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, ms);
+  });
 
 /** Waits for something to become true, in small steps; says whether it did. */
 export const until = async (span: number, test: () => Promise<boolean>): Promise<boolean> => {
@@ -82,7 +92,10 @@
   }
 
   child(name: string): Child {
-    const found = [...this.machines.flatMap((one) => one.children), ...this.origins.map((one) => one.child)].find((one) => one.name === name);
+    const found = [
+      ...this.machines.flatMap((one) => one.children),
+      ...this.origins.map((one) => one.child),
+    ].find((one) => one.name === name);
     if (found === undefined) throw new Error(`no process ${name}`);
     return found;
   }
@@ -91,19 +104,64 @@
   async start(): Promise<void> {
     rmSync(this.#folder, { recursive: true, force: true });
     await this.#lay();
-    await inTurns(this.machines.flatMap((one) => one.children), 8, (one) => one.start());
-    for (const group of this.#deployment.origins) await inTurns(Array.from({ length: group.count }, (_, at) => at), 4, (at) => this.addOrigin(group, `${group.service}-${at + 1}`, group.release).then(() => undefined));
+    await inTurns(
+      this.machines.flatMap((one) => one.children),
+      8,
+      (one) => one.start(),
+    );
+    for (const group of this.#deployment.origins)
+      await inTurns(
+        Array.from({ length: group.count }, (_, at) => at),
+        4,
+        (at) =>
+          this.addOrigin(group, `${group.service}-${at + 1}`, group.release).then(() => undefined),
+      );
   }
 
-  async addOrigin(group: OriginGroup, name: string, release: string, taken?: string): Promise<OriginSpot> {
+  async addOrigin(
+    group: OriginGroup,
+    name: string,
+    release: string,
+    taken?: string,
+  ): Promise<OriginSpot> {
     this.#releases += 1;
     const host = taken?.split(':')[0] ?? hostOf(100, this.#releases);
-    const [port, control] = [taken === undefined ? await freePort(host) : Number(taken.split(':')[1]), await freePort(host)];
-    const child = new Child(name, standin, [
-      '--service', group.service, '--instance', `${name}.${this.#releases}`, '--listen', `${host}:${port}`, '--control', `${host}:${control}`, '--slots', String(group.slots),
-      '--least', String(group.workMs[0]), '--usual', String(group.workMs[1]), '--release', release, '--registries', this.registries.join(','),
-    ], join(this.#folder, 'log'));
-    const spot: OriginSpot = { group, name, address: `${host}:${port}`, control: `${host}:${control}`, child };
+    const [port, control] = [
+      taken === undefined ? await freePort(host) : Number(taken.split(':')[1]),
+      await freePort(host),
+    ];
+    const child = new Child(
+      name,
+      standin,
+      [
+        '--service',
+        group.service,
+        '--instance',
+        `${name}.${this.#releases}`,
+        '--listen',
+        `${host}:${port}`,
+        '--control',
+        `${host}:${control}`,
+        '--slots',
+        String(group.slots),
+        '--least',
+        String(group.workMs[0]),
+        '--usual',
+        String(group.workMs[1]),
+        '--release',
+        release,
+        '--registries',
+        this.registries.join(','),
+      ],
+      join(this.#folder, 'log'),
+    );
+    const spot: OriginSpot = {
+      group,
+      name,
+      address: `${host}:${port}`,
+      control: `${host}:${control}`,
+      child,
+    };
     this.origins.push(spot);
     await child.start();
     return spot;
@@ -112,12 +170,28 @@
   async #lay(): Promise<void> {
     const { areas, edges, shields, stores } = this.#deployment;
     const area = (at: number): string => areas[at % areas.length] ?? 'here';
-    const spots: { readonly kind: Machine['kind']; readonly name: string; readonly area: string; readonly host: string; readonly ports: readonly number[] }[] = [];
-    for (const [row, [kind, many]] of [['shield', shields], ['store', stores], ['edge', edges]].entries()) {
+    const spots: {
+      readonly kind: Machine['kind'];
+      readonly name: string;
+      readonly area: string;
+      readonly host: string;
+      readonly ports: readonly number[];
+    }[] = [];
+    for (const [row, [kind, many]] of [
+      ['shield', shields],
+      ['store', stores],
+      ['edge', edges],
+    ].entries()) {
       for (let at = 0; at < Number(many); at += 1) {
         const host = hostOf(row, at + 1);
         const ports = await Promise.all(Array.from({ length: 6 }, () => freePort(host)));
-        spots.push({ kind: kind === 'shield' ? 'shield' : kind === 'store' ? 'store' : 'edge', name: `${String(kind)}-${at + 1}`, area: area(kind === 'store' ? at + 1 : at), host, ports });
+        spots.push({
+          kind: kind === 'shield' ? 'shield' : kind === 'store' ? 'store' : 'edge',
+          name: `${String(kind)}-${at + 1}`,
+          area: area(kind === 'store' ? at + 1 : at),
+          host,
+          ports,
+        });
       }
     }
     const core = spots.filter((one) => one.kind !== 'edge');
@@ -129,20 +203,86 @@
       const own = this.#faulty ? spot.host : undefined;
       const children: Child[] = [];
       if (spot.kind !== 'edge') {
-        children.push(new Child(`${spot.name}-registry`, bin('yardmaster'), ['--node', `${spot.name}-registry`, '--listen', String(registry), '--door', String(door), ...common], logs, own));
+        children.push(
+          new Child(
+            `${spot.name}-registry`,
+            bin('yardmaster'),
+            [
+              '--node',
+              `${spot.name}-registry`,
+              '--listen',
+              String(registry),
+              '--door',
+              String(door),
+              ...common,
+            ],
+            logs,
+            own,
+          ),
+        );
       }
       if (spot.kind === 'store') {
-        children.push(new Child(spot.name, bin('depot'), ['--node', spot.name, '--listen', String(main), '--admin', String(admin), '--data', join(this.#folder, 'data', spot.name), ...common], logs, own));
+        children.push(
+          new Child(
+            spot.name,
+            bin('depot'),
+            [
+              '--node',
+              spot.name,
+              '--listen',
+              String(main),
+              '--admin',
+              String(admin),
+              '--data',
+              join(this.#folder, 'data', spot.name),
+              ...common,
+            ],
+            logs,
+            own,
+          ),
+        );
       } else {
-        children.push(new Child(spot.name, bin('turnout'), ['--node', spot.name, '--role', spot.kind, '--listen', String(main), '--door', String(front), '--admin', String(admin), ...common], logs, own));
+        children.push(
+          new Child(
+            spot.name,
+            bin('turnout'),
+            [
+              '--node',
+              spot.name,
+              '--role',
+              spot.kind,
+              '--listen',
+              String(main),
+              '--door',
+              String(front),
+              '--admin',
+              String(admin),
+              ...common,
+            ],
+            logs,
+            own,
+          ),
+        );
       }
-      this.machines.push({ name: spot.name, kind: spot.kind, area: spot.area, host: spot.host, children, door: spot.kind === 'edge' ? String(front) : String(door), admin: String(admin) });
+      this.machines.push({
+        name: spot.name,
+        kind: spot.kind,
+        area: spot.area,
+        host: spot.host,
+        children,
+        door: spot.kind === 'edge' ? String(front) : String(door),
+        admin: String(admin),
+      });
     }
   }
 
   async #ask(path: string): Promise<unknown> {
     for (const address of this.registries) {
-      const reply = await got(`http://${address}${path}`, { retry: { limit: 0 }, throwHttpErrors: false, timeout: { request: 2000 } }).catch(() => undefined);
+      const reply = await got(`http://${address}${path}`, {
+        retry: { limit: 0 },
+        throwHttpErrors: false,
+        timeout: { request: 2000 },
+      }).catch(() => undefined);
       if (reply?.statusCode === 200) return JSON.parse(reply.body);
     }
     return undefined;
@@ -154,13 +294,19 @@
 
   /** Whether an edge says it takes callers. */
   async ready(machine: Machine): Promise<boolean> {
-    const reply = await got(`http://${machine.admin}/ready`, { retry: { limit: 0 }, throwHttpErrors: false, timeout: { request: 1000 } });
+    const reply = await got(`http://${machine.admin}/ready`, {
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      timeout: { request: 1000 },
+    });
     return reply.statusCode === 200;
   }
 
   /** Cuts ways between machines: what the first send to the second no longer arrives. */
   cut(from: readonly Machine[], to: readonly Machine[]): void {
-    const add = (list: Map<Machine, Set<string>>, one: Machine, host: string): void => { list.set(one, (list.get(one) ?? new Set()).add(host)); };
+    const add = (list: Map<Machine, Set<string>>, one: Machine, host: string): void => {
+      list.set(one, (list.get(one) ?? new Set()).add(host));
+    };
     for (const one of from) {
       for (const other of to) {
         if (one === other) continue;
@@ -186,7 +332,12 @@
   }
 
   #spread(): void {
-    for (const one of this.machines) for (const child of one.children) child.set({ hold: [...this.#holds.get(one) ?? []], bar: [...this.#bars.get(one) ?? []] });
+    for (const one of this.machines)
+      for (const child of one.children)
+        child.set({
+          hold: [...(this.#holds.get(one) ?? [])],
+          bar: [...(this.#bars.get(one) ?? [])],
+        });
   }
 
   /** The folder that a store keeps its data in. */
@@ -201,10 +352,15 @@
   }
 
   async stop(): Promise<void> {
-    const all = [...this.machines.flatMap((one) => one.children), ...this.origins.map((one) => one.child)];
-    await Promise.all(all.map((one) => {
-      one.signal('SIGCONT');
-      return one.end('SIGKILL');
-    }));
+    const all = [
+      ...this.machines.flatMap((one) => one.children),
+      ...this.origins.map((one) => one.child),
+    ];
+    await Promise.all(
+      all.map((one) => {
+        one.signal('SIGCONT');
+        return one.end('SIGKILL');
+      }),
+    );
   }
 }
--- a/packages/trainset/src/fleet/platform.ts
+++ b/packages/trainset/src/fleet/platform.ts
@@ -18,15 +18,19 @@
   }
 
   async look(): Promise<void> {
-    await Promise.all(this.#fleet.edges.map(async (one) => {
-      const up = await this.#fleet.ready(one).catch(() => false);
-      if (up) this.#up.add(one.name);
-      else this.#up.delete(one.name);
-    }));
+    await Promise.all(
+      this.#fleet.edges.map(async (one) => {
+        const up = await this.#fleet.ready(one).catch(() => false);
+        if (up) this.#up.add(one.name);
+        else this.#up.delete(one.name);
+      }),
+    );
   }
 
   begin(): void {
-    this.#timer = setInterval(() => { void this.look(); }, lookSpan);
+    this.#timer = setInterval(() => {
+      void this.look();
+    }, lookSpan);
   }
 
   end(): void {
--- a/packages/trainset/src/load/callers.ts
+++ b/packages/trainset/src/load/callers.ts
@@ -45,7 +45,7 @@
     const since = performance.now();
     let sent = 0;
     this.#timer = setInterval(() => {
-      this.#due = (performance.now() - since) / 1000 * this.#rate;
+      this.#due = ((performance.now() - since) / 1000) * this.#rate;
       while (sent < this.#due) {
         sent += 1;
         this.#one();
@@ -57,7 +57,10 @@
   async finish(): Promise<void> {
     clearInterval(this.#timer);
     const end = performance.now() + 20_000;
-    while (this.#open > 0 && performance.now() < end) await new Promise<void>((done) => { setTimeout(done, 20); });
+    while (this.#open > 0 && performance.now() < end)
+      await new Promise<void>((done) => {
+        setTimeout(done, 20);
+      });
     for (const agent of this.#agents.values()) agent.destroy();
   }
 
@@ -79,8 +82,11 @@
     const since = performance.now();
     let sent = 0;
     while (performance.now() - since < span) {
-      for (const due = (performance.now() - since) / 1000 * rate; sent < due; sent += 1) this.#one(traffic);
-      await new Promise<void>((done) => { setTimeout(done, 5); });
+      for (const due = ((performance.now() - since) / 1000) * rate; sent < due; sent += 1)
+        this.#one(traffic);
+      await new Promise<void>((done) => {
+        setTimeout(done, 5);
+      });
     }
   }
 
@@ -94,45 +100,105 @@
     const object = Math.floor(traffic.objects * Math.random() ** 3);
     const path = `${traffic.prefix}${object}`;
     const size = sizeOf(path, traffic.bytes);
-    const query = traffic.unsafe ? '' : `?size=${size}${traffic.tagged ? `&tag=t${object % 20}` : ''}`;
+    const query = traffic.unsafe
+      ? ''
+      : `?size=${size}${traffic.tagged ? `&tag=t${object % 20}` : ''}`;
     const agent = this.#agents.get(edge.door) ?? new Agent({ keepAlive: true, maxSockets: 512 });
     this.#agents.set(edge.door, agent);
-    const body = traffic.unsafe ? Buffer.from(JSON.stringify({ id, text: 'x'.repeat(size) })) : undefined;
+    const body = traffic.unsafe
+      ? Buffer.from(JSON.stringify({ id, text: 'x'.repeat(size) }))
+      : undefined;
     const at = performance.now();
     this.#open += 1;
     let over = false;
-    const end = (status: number, kind: string, from: string, whole: Seen['whole'], revision: number | undefined, why = ''): void => {
+    const end = (
+      status: number,
+      kind: string,
+      from: string,
+      whole: Seen['whole'],
+      revision: number | undefined,
+      why = '',
+    ): void => {
       if (over) return;
       over = true;
       this.#open -= 1;
-      this.seen.push({ traffic, id, path, at, ms: performance.now() - at, status, kind, from, whole, revision, edge: edge.name, why });
+      this.seen.push({
+        traffic,
+        id,
+        path,
+        at,
+        ms: performance.now() - at,
+        status,
+        kind,
+        from,
+        whole,
+        revision,
+        edge: edge.name,
+        why,
+      });
       if (kind !== 'result' && again < this.impatience) this.#one(traffic, again + 1);
     };
     const [host, port] = edge.door.split(':');
-    const out = request({
-      host, port: Number(port), path: `${path}${query}`, method: traffic.method, agent,
-      headers: { host: 'callers.test', 'x-request-id': id, ...(body === undefined ? {} : { 'content-type': 'application/json', 'content-length': body.length }) },
-    }, (answer: IncomingMessage) => {
-      const parts: Buffer[] = [];
-      answer.on('data', (part: Buffer) => parts.push(part));
-      answer.on('aborted', () => end(answer.statusCode ?? 0, 'broken', '', 'no', undefined));
-      answer.on('error', () => end(answer.statusCode ?? 0, 'broken', '', 'no', undefined));
-      answer.on('end', () => {
-        const status = answer.statusCode ?? 0;
-        const told = answer.headers['switchwheel-kind'];
-        const from = String(answer.headers['switchwheel-from'] ?? '');
-        if (typeof told === 'string') end(status, told, from, 'unread', undefined, /"text":"([^"]*)"/.exec(Buffer.concat(parts).toString())?.[1] ?? '');
-        else if (traffic.unsafe) end(status, status < 400 ? 'result' : `status${status}`, from, Buffer.concat(parts).toString().includes(id) || status >= 400 ? 'yes' : 'no', undefined);
-        else {
-          const got = Buffer.concat(parts);
-          const revision = Number(/ r(\d+)\n/.exec(got.subarray(0, 200).toString())?.[1] ?? NaN);
-          const fits = status !== 200 || got.equals(bytesOf(path, revision, size));
-          end(status, status < 400 ? 'result' : `status${status}`, from, fits ? 'yes' : 'no', Number.isNaN(revision) ? undefined : revision);
-        }
-      });
-    });
+    const out = request(
+      {
+        host,
+        port: Number(port),
+        path: `${path}${query}`,
+        method: traffic.method,
+        agent,
+        headers: {
+          host: 'callers.test',
+          'x-request-id': id,
+          ...(body === undefined
+            ? {}
+            : { 'content-type': 'application/json', 'content-length': body.length }),
+        },
+      },
+      (answer: IncomingMessage) => {
+        const parts: Buffer[] = [];
+        answer.on('data', (part: Buffer) => parts.push(part));
+        answer.on('aborted', () => end(answer.statusCode ?? 0, 'broken', '', 'no', undefined));
+        answer.on('error', () => end(answer.statusCode ?? 0, 'broken', '', 'no', undefined));
+        answer.on('end', () => {
+          const status = answer.statusCode ?? 0;
+          const told = answer.headers['switchwheel-kind'];
+          const from = String(answer.headers['switchwheel-from'] ?? '');
+          if (typeof told === 'string')
+            end(
+              status,
+              told,
+              from,
+              'unread',
+              undefined,
+              /"text":"([^"]*)"/.exec(Buffer.concat(parts).toString())?.[1] ?? '',
+            );
+          else if (traffic.unsafe)
+            end(
+              status,
+              status < 400 ? 'result' : `status${status}`,
+              from,
+              Buffer.concat(parts).toString().includes(id) || status >= 400 ? 'yes' : 'no',
+              undefined,
+            );
+          else {
+            const got = Buffer.concat(parts);
+            const revision = Number(/ r(\d+)\n/.exec(got.subarray(0, 200).toString())?.[1] ?? NaN);
+            const fits = status !== 200 || got.equals(bytesOf(path, revision, size));
+            end(
+              status,
+              status < 400 ? 'result' : `status${status}`,
+              from,
+              fits ? 'yes' : 'no',
+              Number.isNaN(revision) ? undefined : revision,
+            );
+          }
+        });
+      },
+    );
     out.setTimeout(15_000, () => out.destroy());
-    out.on('error', (fault: Error & { code?: string }) => end(0, fault.code === 'ECONNREFUSED' ? 'closed' : 'broken', '', 'unread', undefined));
+    out.on('error', (fault: Error & { code?: string }) =>
+      end(0, fault.code === 'ECONNREFUSED' ? 'closed' : 'broken', '', 'unread', undefined),
+    );
     out.end(body);
   }
 }
--- a/packages/trainset/src/main.ts
+++ b/packages/trainset/src/main.ts
@@ -6,7 +6,8 @@
 import { runFull } from './run/full.js';
 import { runTrial } from './run/trial.js';
 
-const cli = meow(`
+const cli = meow(
+  `
   Usage
     $ trainset run FILE    start the deployment, drive its load, check the rules, print figures
     $ trainset fail FILE --cause NAME
@@ -23,29 +24,45 @@
 
   Exit codes
     0  every rule held    1  a rule was broken, or the fleet did not come up    2  wrong use
-`, {
-  importMeta: import.meta, description: 'A whole fleet with stand-ins on one machine.', version: '0.1.0',
-  flags: {
-    seconds: { type: 'number', default: 30 }, scale: { type: 'number', default: 1 }, edges: { type: 'number' }, shields: { type: 'number' }, folder: { type: 'string', default: '.trainset' }, cause: { type: 'string', default: 'none' },
+`,
+  {
+    importMeta: import.meta,
+    description: 'A whole fleet with stand-ins on one machine.',
+    version: '0.1.0',
+    flags: {
+      seconds: { type: 'number', default: 30 },
+      scale: { type: 'number', default: 1 },
+      edges: { type: 'number' },
+      shields: { type: 'number' },
+      folder: { type: 'string', default: '.trainset' },
+      cause: { type: 'string', default: 'none' },
+    },
   },
-});
+);
 
 const quit = (fault: string): never => {
   process.stderr.write(`trainset: ${fault}\n`);
   process.exit(2);
 };
-const say = (text: string): void => { process.stdout.write(`${text}\n`); };
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
 
 const shrink = (plan: Plan): Plan => ({
   ...plan,
-  deployment: { ...plan.deployment, edges: cli.flags.edges ?? plan.deployment.edges, shields: cli.flags.shields ?? plan.deployment.shields },
+  deployment: {
+    ...plan.deployment,
+    edges: cli.flags.edges ?? plan.deployment.edges,
+    shields: cli.flags.shields ?? plan.deployment.shields,
+  },
 });
 
 const [command, file] = cli.input;
 const cause = causes.get(cli.flags.cause);
 if (command !== 'run' && command !== 'up' && command !== 'fail') cli.showHelp(2);
 else if (file === undefined) quit('which deployment file?');
-else if (cause === undefined) quit(`--cause ${cli.flags.cause}: one of ${[...causes.keys()].join(', ')}`);
+else if (cause === undefined)
+  quit(`--cause ${cli.flags.cause}: one of ${[...causes.keys()].join(', ')}`);
 else if (!(cli.flags.seconds >= 1 && cli.flags.seconds <= 3600)) quit('--seconds: from 1 to 3600');
 else if (!(cli.flags.scale > 0 && cli.flags.scale <= 20)) quit('--scale: over 0, at most 20');
 else {
@@ -56,19 +73,32 @@
     for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(1));
     try {
       if (command === 'fail') {
-        const report = await runTrial(shrink(read.value), cli.flags.cause, cause, { seconds: cli.flags.seconds, scale: cli.flags.scale, folder, say });
+        const report = await runTrial(shrink(read.value), cli.flags.cause, cause, {
+          seconds: cli.flags.seconds,
+          scale: cli.flags.scale,
+          folder,
+          say,
+        });
         process.exit(report.verdicts.every((one) => one.held) ? 0 : 1);
       }
       if (command === 'run') {
-        const report = await runFull(shrink(read.value), { seconds: cli.flags.seconds, scale: cli.flags.scale, folder, say });
+        const report = await runFull(shrink(read.value), {
+          seconds: cli.flags.seconds,
+          scale: cli.flags.scale,
+          folder,
+          say,
+        });
         process.exit(report.verdicts.every((one) => one.held) ? 0 : 1);
       }
       const fleet = await setUp(shrink(read.value), folder, say);
-      for (const signal of ['SIGINT', 'SIGTERM'] as const) process.removeAllListeners(signal).on(signal, () => process.exit(0));
+      for (const signal of ['SIGINT', 'SIGTERM'] as const)
+        process.removeAllListeners(signal).on(signal, () => process.exit(0));
       say(`registries: ${fleet.registries.join(',')}`);
       say(`edges: ${fleet.edges.map((one) => one.door).join(' ')}`);
     } catch (problem) {
-      process.stderr.write(`trainset: ${problem instanceof Error ? problem.message : 'broke down'}\n`);
+      process.stderr.write(
+        `trainset: ${problem instanceof Error ? problem.message : 'broke down'}\n`,
+      );
       process.exit(1);
     }
   }
--- a/packages/trainset/src/origin/standin.ts
+++ b/packages/trainset/src/origin/standin.ts
@@ -8,8 +8,15 @@
 const cli = meow('', {
   importMeta: import.meta,
   flags: {
-    service: { type: 'string', isRequired: true }, instance: { type: 'string', isRequired: true }, listen: { type: 'string', isRequired: true }, control: { type: 'string', isRequired: true },
-    slots: { type: 'number', default: 6 }, least: { type: 'number', default: 5 }, usual: { type: 'number', default: 15 }, release: { type: 'string', default: 'r1' }, registries: { type: 'string', default: '' },
+    service: { type: 'string', isRequired: true },
+    instance: { type: 'string', isRequired: true },
+    listen: { type: 'string', isRequired: true },
+    control: { type: 'string', isRequired: true },
+    slots: { type: 'number', default: 6 },
+    least: { type: 'number', default: 5 },
+    usual: { type: 'number', default: 15 },
+    release: { type: 'string', default: 'r1' },
+    registries: { type: 'string', default: '' },
   },
 });
 const { service, instance, slots, least, usual, release } = cli.flags;
@@ -24,7 +31,15 @@
   wrongName: boolean;
   state: 'up' | 'leaving' | 'gone';
 }
-const mood: Mood = { slowMs: 0, badShare: 0, loseShare: 0, corruptShare: 0, cutShare: 0, wrongName: false, state: 'up' };
+const mood: Mood = {
+  slowMs: 0,
+  badShare: 0,
+  loseShare: 0,
+  corruptShare: 0,
+  cutShare: 0,
+  wrongName: false,
+  state: 'up',
+};
 const revisions = new Map<string, number>();
 const ran = new Map<string, number>();
 const stamps: number[] = [];
@@ -64,14 +79,20 @@
     return;
   }
   const size = Number(url.searchParams.get('size') ?? 200);
-  const whole = unsafe ? Buffer.from(JSON.stringify({ done: id ?? null, bytes: body.length })) : bytesOf(url.pathname, revisions.get(url.pathname) ?? revisions.get('*') ?? 0, size);
+  const whole = unsafe
+    ? Buffer.from(JSON.stringify({ done: id ?? null, bytes: body.length }))
+    : bytesOf(url.pathname, revisions.get(url.pathname) ?? revisions.get('*') ?? 0, size);
   response.setHeader('content-type', 'application/octet-stream');
   response.setHeader('content-length', whole.length);
-  response.setHeader('content-digest', `sha-256=:${createHash('sha256').update(whole).digest('base64')}:`);
+  response.setHeader(
+    'content-digest',
+    `sha-256=:${createHash('sha256').update(whole).digest('base64')}:`,
+  );
   response.setHeader('etag', `"${createHash('sha1').update(whole).digest('hex').slice(0, 16)}"`);
   const tag = url.searchParams.get('tag');
   if (tag !== null) response.setHeader('cache-tag', tag);
-  if (Math.random() < mood.corruptShare) whole[Math.floor(whole.length / 2)] = (whole[Math.floor(whole.length / 2)] ?? 0) ^ 0xff;
+  if (Math.random() < mood.corruptShare)
+    whole[Math.floor(whole.length / 2)] = (whole[Math.floor(whole.length / 2)] ?? 0) ^ 0xff;
   if (Math.random() < mood.cutShare) {
     response.write(whole.subarray(0, Math.floor(whole.length / 2)), () => request.socket.destroy());
     return;
@@ -103,12 +124,16 @@
     return;
   }
   used += 1;
-  void bodyOf(request).then((body) => {
-    setTimeout(() => {
+  void bodyOf(request)
+    .then((body) => {
+      setTimeout(() => {
+        used -= 1;
+        answer(request, response, body);
+      }, work());
+    })
+    .catch(() => {
       used -= 1;
-      answer(request, response, body);
-    }, work());
-  }).catch(() => { used -= 1; });
+    });
 });
 server.keepAliveTimeout = 20_000;
 
@@ -125,8 +150,16 @@
       case '/mood':
         for (const [name, value] of given) {
           if (name === 'wrongName') mood.wrongName = value === true;
-          else if (name === 'state') mood.state = value === 'leaving' ? 'leaving' : value === 'gone' ? 'gone' : 'up';
-          else if (name === 'slowMs' || name === 'badShare' || name === 'loseShare' || name === 'corruptShare' || name === 'cutShare') mood[name] = Number(value);
+          else if (name === 'state')
+            mood.state = value === 'leaving' ? 'leaving' : value === 'gone' ? 'gone' : 'up';
+          else if (
+            name === 'slowMs' ||
+            name === 'badShare' ||
+            name === 'loseShare' ||
+            name === 'corruptShare' ||
+            name === 'cutShare'
+          )
+            mood[name] = Number(value);
         }
         if (given.has('state')) await announce();
         json(response, mood);
@@ -150,9 +183,14 @@
   const start = Math.floor(Math.random() * registries.length);
   for (let at = 0; at < registries.length; at += 1) {
     const address = registries[(start + at) % registries.length] ?? '';
-    const reply = await got.post(`http://${address}/v1/origins`, {
-      json: { service, instance, address: cli.flags.listen, release, slots, state: mood.state }, retry: { limit: 0 }, throwHttpErrors: false, timeout: { request: 1000 },
-    }).catch(() => undefined);
+    const reply = await got
+      .post(`http://${address}/v1/origins`, {
+        json: { service, instance, address: cli.flags.listen, release, slots, state: mood.state },
+        retry: { limit: 0 },
+        throwHttpErrors: false,
+        timeout: { request: 1000 },
+      })
+      .catch(() => undefined);
     if (reply?.statusCode === 200 || reply?.statusCode === 409) return;
   }
 };
@@ -165,7 +203,9 @@
   control.listen(spot(cli.flags.control), () => {
     process.stderr.write('{"text":"started"}\n');
     void announce();
-    setInterval(() => { void announce(); }, 2000);
+    setInterval(() => {
+      void announce();
+    }, 2000);
   });
 });
 process.on('SIGTERM', () => {
--- a/packages/trainset/src/run/causes/operator.ts
+++ b/packages/trainset/src/run/causes/operator.ts
@@ -11,45 +11,104 @@
   const routes = v.parse(v.looseObject({ routes: v.array(v.unknown()) }), plan.description).routes;
   const first = v.parse(v.looseObject({ service: v.string(), class: v.string() }), routes[0]);
   const more = Array.from({ length: 50_000 }, (_, at) => ({
-    name: `bulk-${at}`, host: `h${at % 500}.example`, prefix: `/bulk/${at}/some/longer/path/to/make/it/weigh/`, service: first.service, class: first.class, timeoutMs: 4000,
+    name: `bulk-${at}`,
+    host: `h${at % 500}.example`,
+    prefix: `/bulk/${at}/some/longer/path/to/make/it/weigh/`,
+    service: first.service,
+    class: first.class,
+    timeoutMs: 4000,
     cache: { lifetimeMs: 60_000, vary: ['accept-language'], query: true },
   }));
   const file = written(plan, folder, 'huge.json', { routes: [...routes, ...more] });
   const size = statSync(file).size;
   const since = performance.now();
-  const done = await operate(fleet.registries, ['apply', file, '--timeout', '20000', '--wait', '15000']);
-  say(`${more.length} routes, ${(size / 1048576).toFixed(1)} MiB, ${Math.round(performance.now() - since)} ms in all: ${done.out.trim()}${done.fault.trim()}`);
+  const done = await operate(fleet.registries, [
+    'apply',
+    file,
+    '--timeout',
+    '20000',
+    '--wait',
+    '15000',
+  ]);
+  say(
+    `${more.length} routes, ${(size / 1048576).toFixed(1)} MiB, ${Math.round(performance.now() - since)} ms in all: ${done.out.trim()}${done.fault.trim()}`,
+  );
 };
 
 export const purgeStorm = async ({ fleet, plan, say }: Stage): Promise<void> => {
   const prefix = plan.deployment.traffic[0]?.prefix ?? '/';
   const since = performance.now();
   let good = 0;
-  await Promise.all(Array.from({ length: 20 }, async (_, lane) => {
-    for (let at = 0; at < 100; at += 1) {
-      const reply = await got.post(`http://${fleet.registries[lane % fleet.registries.length] ?? ''}/v1/purges`, {
-        json: { aims: [{ by: 'object', path: `${prefix}${lane * 100 + at}` }] }, retry: { limit: 0 }, throwHttpErrors: false,
-      });
-      if (reply.statusCode === 200) good += 1;
-    }
-  }));
+  await Promise.all(
+    Array.from({ length: 20 }, async (_, lane) => {
+      for (let at = 0; at < 100; at += 1) {
+        const reply = await got.post(
+          `http://${fleet.registries[lane % fleet.registries.length] ?? ''}/v1/purges`,
+          {
+            json: { aims: [{ by: 'object', path: `${prefix}${lane * 100 + at}` }] },
+            retry: { limit: 0 },
+            throwHttpErrors: false,
+          },
+        );
+        if (reply.statusCode === 200) good += 1;
+      }
+    }),
+  );
   say(`${good} of 2000 single purges accepted in ${Math.round(performance.now() - since)} ms`);
 };
 
 export const collide: Cause = async (stage) => {
   const base = await inForce(stage.fleet);
   const [one, two] = [stage.fleet.registries.slice(0, 1), stage.fleet.registries.slice(1, 2)];
-  const files = [changed(stage.plan, stage.folder, 'one.json', 341), changed(stage.plan, stage.folder, 'two.json', 342)];
-  const done = await Promise.all([one, two].map((to, at) => operate(to, ['apply', files[at] ?? '', '--base', String(base), '--timeout', '10000', '--wait', '0', '--json'])));
+  const files = [
+    changed(stage.plan, stage.folder, 'one.json', 341),
+    changed(stage.plan, stage.folder, 'two.json', 342),
+  ];
+  const done = await Promise.all(
+    [one, two].map((to, at) =>
+      operate(to, [
+        'apply',
+        files[at] ?? '',
+        '--base',
+        String(base),
+        '--timeout',
+        '10000',
+        '--wait',
+        '0',
+        '--json',
+      ]),
+    ),
+  );
   const won = done.filter((row) => row.code === 0);
-  return [verdict('two operators on one base', won.length === 1 && done.filter((row) => row.code === 1).length === 1, `exit codes ${done.map((row) => row.code).join(' ')}`)];
+  return [
+    verdict(
+      'two operators on one base',
+      won.length === 1 && done.filter((row) => row.code === 1).length === 1,
+      `exit codes ${done.map((row) => row.code).join(' ')}`,
+    ),
+  ];
 };
 
 export const invalid: Cause = async (stage) => {
   const before = await inForce(stage.fleet);
-  const file = written(stage.plan, stage.folder, 'invalid.json', { classes: [{ name: 'x', share: 3 }] });
-  const done = await operate(stage.fleet.registries, ['apply', file, '--timeout', '10000', '--wait', '0']);
+  const file = written(stage.plan, stage.folder, 'invalid.json', {
+    classes: [{ name: 'x', share: 3 }],
+  });
+  const done = await operate(stage.fleet.registries, [
+    'apply',
+    file,
+    '--timeout',
+    '10000',
+    '--wait',
+    '0',
+  ]);
   await pause(2000);
   const after = await inForce(stage.fleet);
-  return [verdict('an invalid description is refused whole', done.code !== 0 && done.fault.includes('classes') && after === before, `exit code ${done.code}, generation ${before} before and ${after} after`)];
+  return [
+    verdict(
+      'an invalid description is refused whole',
+      done.code !== 0 && done.fault.includes('classes') && after === before,
+      `exit code ${done.code}, generation ${before} before and ${after} after`,
+    ),
+  ];
 };
--- a/packages/trainset/src/run/causes/origin.ts
+++ b/packages/trainset/src/run/causes/origin.ts
@@ -6,16 +6,21 @@
 
 /** How many requests an origin says that it served. */
 const servedBy = async (origin: OriginSpot): Promise<number> =>
-  v.parse(v.looseObject({ served: v.number() }), JSON.parse((await got(`http://${origin.control}/`, { retry: { limit: 0 } })).body)).served;
+  v.parse(
+    v.looseObject({ served: v.number() }),
+    JSON.parse((await got(`http://${origin.control}/`, { retry: { limit: 0 } })).body),
+  ).served;
 
-export const mood = (change: object, back: object) => async ({ fleet, plan, say }: Stage): Promise<void> => {
-  const origin = fleet.origins.find((one) => one.group.service === firstService(plan));
-  if (origin === undefined) return;
-  await got.post(`http://${origin.control}/mood`, { json: change, retry: { limit: 0 } });
-  say(`${origin.name}: ${JSON.stringify(change)}`);
-  await pause(5000);
-  await got.post(`http://${origin.control}/mood`, { json: back, retry: { limit: 0 } });
-};
+export const mood =
+  (change: object, back: object) =>
+  async ({ fleet, plan, say }: Stage): Promise<void> => {
+    const origin = fleet.origins.find((one) => one.group.service === firstService(plan));
+    if (origin === undefined) return;
+    await got.post(`http://${origin.control}/mood`, { json: change, retry: { limit: 0 } });
+    say(`${origin.name}: ${JSON.stringify(change)}`);
+    await pause(5000);
+    await got.post(`http://${origin.control}/mood`, { json: back, retry: { limit: 0 } });
+  };
 
 export const crashOrigin = async ({ fleet, plan, say }: Stage): Promise<void> => {
   const origin = fleet.origins.find((one) => one.group.service === firstService(plan));
@@ -35,7 +40,6 @@
   say(`the bad release: ${reply.body}`);
 };
 
-
 export const rollingReplace = async ({ fleet, plan, say }: Stage): Promise<void> => {
   const group = plan.deployment.origins[0];
   if (group === undefined) return;
@@ -56,7 +60,13 @@
   say(`${old.address} of ${one.service} is ${other.service} now`);
   await pause(5000);
   const served = await servedBy(next);
-  return [verdict('a reused address', served > 0, `${served} requests served by ${other.service} at the address that was of ${one.service}`)];
+  return [
+    verdict(
+      'a reused address',
+      served > 0,
+      `${served} requests served by ${other.service} at the address that was of ${one.service}`,
+    ),
+  ];
 };
 
 export const goodRelease: Cause = async ({ fleet, plan, say }) => {
@@ -66,6 +76,14 @@
   say(`a good release of ${group.service} came up`);
   await pause(12_000);
   const served = await servedBy(origin);
-  const state = (await lookAt(fleet))?.verdicts.find((one) => one.service === group.service && one.release === 'r3')?.state;
-  return [verdict('a good release earns its traffic', served > 60 && state === 'good', `${served} requests, judged ${state ?? 'not at all'}`)];
+  const state = (await lookAt(fleet))?.verdicts.find(
+    (one) => one.service === group.service && one.release === 'r3',
+  )?.state;
+  return [
+    verdict(
+      'a good release earns its traffic',
+      served > 60 && state === 'good',
+      `${served} requests, judged ${state ?? 'not at all'}`,
+    ),
+  ];
 };
--- a/packages/trainset/src/run/trial.ts
+++ b/packages/trainset/src/run/trial.ts
@@ -16,10 +16,21 @@
 const worstLag = async (fleet: Fleet): Promise<string> => {
   let worst = { name: 'none', ms: 0 };
   for (const machine of fleet.machines) {
-    for (const address of new Set([machine.kind === 'store' ? machine.admin : machine.admin, machine.kind === 'edge' ? machine.admin : machine.door])) {
-      const reply = await got(`http://${address}/metrics`, { retry: { limit: 0 }, throwHttpErrors: false, timeout: { request: 1000 } }).catch(() => undefined);
+    for (const address of new Set([
+      machine.kind === 'store' ? machine.admin : machine.admin,
+      machine.kind === 'edge' ? machine.admin : machine.door,
+    ])) {
+      const reply = await got(`http://${address}/metrics`, {
+        retry: { limit: 0 },
+        throwHttpErrors: false,
+        timeout: { request: 1000 },
+      }).catch(() => undefined);
       const ms = Number(/loop_lag_worst_ms ([\d.]+)/.exec(reply?.body ?? '')?.[1] ?? 0);
-      if (ms > worst.ms) worst = { name: `${machine.name}${address === machine.door && machine.kind !== 'edge' ? '-registry' : ''}`, ms };
+      if (ms > worst.ms)
+        worst = {
+          name: `${machine.name}${address === machine.door && machine.kind !== 'edge' ? '-registry' : ''}`,
+          ms,
+        };
     }
   }
   return `${worst.ms.toFixed(0)} ms (${worst.name})`;
@@ -27,19 +38,32 @@
 
 /** Gaps: times in which no request that was sent got a result. */
 const longestGap = (seen: readonly Seen[]): number => {
-  const good = seen.filter((one) => one.kind === 'result').map((one) => one.at + one.ms).sort((one, two) => one - two);
+  const good = seen
+    .filter((one) => one.kind === 'result')
+    .map((one) => one.at + one.ms)
+    .sort((one, two) => one - two);
   let gap = 0;
-  for (let at = 1; at < good.length; at += 1) gap = Math.max(gap, (good[at] ?? 0) - (good[at - 1] ?? 0));
+  for (let at = 1; at < good.length; at += 1)
+    gap = Math.max(gap, (good[at] ?? 0) - (good[at - 1] ?? 0));
   return gap;
 };
 
 /** Causes one failure under load on real processes and tells what callers saw before and during it. */
-export const runTrial = async (plan: Plan, name: string, cause: Cause, options: FullOptions): Promise<Report> => {
+export const runTrial = async (
+  plan: Plan,
+  name: string,
+  cause: Cause,
+  options: FullOptions,
+): Promise<Report> => {
   const { say } = options;
   const fleet = await setUp(plan, options.folder, () => undefined, true);
   try {
     const platform = new Platform(fleet);
-    const callers = new Callers(plan.deployment, plan.deployment.perSecond * options.scale, () => platform.ready);
+    const callers = new Callers(
+      plan.deployment,
+      plan.deployment.perSecond * options.scale,
+      () => platform.ready,
+    );
     await platform.look();
     platform.begin();
     callers.begin();
@@ -57,7 +81,9 @@
     say('from the failure on:');
     say(latencyTable(plan.deployment, during));
     say(reasonTable(during));
-    say(`longest time without any result ${Math.round(longestGap(during))} ms (before ${Math.round(longestGap(before))} ms); worst loop lag before ${lagBefore}, after ${await worstLag(fleet)}`);
+    say(
+      `longest time without any result ${Math.round(longestGap(during))} ms (before ${Math.round(longestGap(before))} ms); worst loop lag before ${lagBefore}, after ${await worstLag(fleet)}`,
+    );
     const verdicts = [...own, ...judgeRuns(callers.seen, await collectRuns(fleet))];
     say(verdictTable(verdicts));
     return { seen: callers.seen, verdicts };
--- a/packages/turnout/src/boot/boot.ts
+++ b/packages/turnout/src/boot/boot.ts
@@ -19,5 +19,13 @@
   role: v.picklist(['edge', 'shield'], 'edge or shield'),
   door: address,
   admin: address,
-  cache: v.optional(v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(1, 'at least 1'), v.maxValue(65_536, 'at most 65536')), 256),
+  cache: v.optional(
+    v.pipe(
+      v.number('a number'),
+      v.integer('a whole number'),
+      v.minValue(1, 'at least 1'),
+      v.maxValue(65_536, 'at most 65536'),
+    ),
+    256,
+  ),
 });
--- a/packages/turnout/src/direct/door.ts
+++ b/packages/turnout/src/direct/door.ts
@@ -10,7 +10,8 @@
 const fieldsOf = (asked: IncomingMessage): Fields => {
   const out: Fields = [];
   const raw = asked.rawHeaders;
-  for (let at = 0; at + 1 < raw.length; at += 2) out.push([(raw[at] ?? '').toLowerCase(), raw[at + 1] ?? '']);
+  for (let at = 0; at + 1 < raw.length; at += 2)
+    out.push([(raw[at] ?? '').toLowerCase(), raw[at + 1] ?? '']);
   return out;
 };
 
@@ -37,13 +38,29 @@
     this.#line = line;
     this.#words = words;
     this.#state = state;
-    this.#server = createServer({ keepAliveTimeout: 15_000, headersTimeout: 5000, requestTimeout: 30_000, connectionsCheckingInterval: 1000, maxHeaderSize: 64 * 1024, noDelay: true, requireHostHeader: true }, (asked, answer) => {
-      void this.#take(asked, answer);
-    });
+    this.#server = createServer(
+      {
+        keepAliveTimeout: 15_000,
+        headersTimeout: 5000,
+        requestTimeout: 30_000,
+        connectionsCheckingInterval: 1000,
+        maxHeaderSize: 64 * 1024,
+        noDelay: true,
+        requireHostHeader: true,
+      },
+      (asked, answer) => {
+        void this.#take(asked, answer);
+      },
+    );
     this.#server.on('clientError', (fault: Error & { code?: string }, socket) => {
-      const status = fault.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large'
-        : fault.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
-      if (socket.writable && fault.code !== 'ECONNRESET') socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+      const status =
+        fault.code === 'HPE_HEADER_OVERFLOW'
+          ? '431 Request Header Fields Too Large'
+          : fault.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+            ? '408 Request Timeout'
+            : '400 Bad Request';
+      if (socket.writable && fault.code !== 'ECONNRESET')
+        socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
       else socket.destroy();
     });
   }
@@ -77,21 +94,38 @@
 
   async #take(asked: IncomingMessage, answer: ServerResponse): Promise<void> {
     this.open += 1;
-    answer.once('close', () => { this.open -= 1; });
+    answer.once('close', () => {
+      this.open -= 1;
+    });
     const fields = fieldsOf(asked);
     const id = fieldOf(fields, this.#words.id) ?? '';
-    const body = asked.headers['content-length'] === undefined && asked.headers['transfer-encoding'] === undefined ? empty : await this.#bodyOf(asked, answer, id);
+    const body =
+      asked.headers['content-length'] === undefined &&
+      asked.headers['transfer-encoding'] === undefined
+        ? empty
+        : await this.#bodyOf(asked, answer, id);
     if (body === undefined || answer.destroyed) return;
     const left = Number(fieldOf(fields, this.#words.timeLeft));
     const call: Call = {
-      id, method: asked.method ?? 'GET', host: (asked.headers.host ?? '').toLowerCase(), target: asked.url ?? '/', fields, body,
+      id,
+      method: asked.method ?? 'GET',
+      host: (asked.headers.host ?? '').toLowerCase(),
+      target: asked.url ?? '/',
+      fields,
+      body,
       spanMs: Number.isFinite(left) && left > 0 ? left : undefined,
     };
     const leave = this.#line.serve(call, (word) => this.#tell(answer, call, word));
-    answer.once('close', () => { if (!answer.writableFinished) leave(); });
+    answer.once('close', () => {
+      if (!answer.writableFinished) leave();
+    });
   }
 
-  async #bodyOf(asked: IncomingMessage, answer: ServerResponse, id: string): Promise<Buffer | undefined> {
+  async #bodyOf(
+    asked: IncomingMessage,
+    answer: ServerResponse,
+    id: string,
+  ): Promise<Buffer | undefined> {
     const read = await readBody(asked, this.#bodyBytes);
     if (read.isOk) return read.value;
     answer.setHeader('connection', 'close');
@@ -116,42 +150,84 @@
 
   #fault(answer: ServerResponse, id: string, kind: Kind, text: string, retryMs: number): void {
     const body = Buffer.from(JSON.stringify({ kind, text }));
-    const head: string[] = ['content-type', 'application/json', 'content-length', String(body.length), 'cache-control', 'no-store'];
+    const head: string[] = [
+      'content-type',
+      'application/json',
+      'content-length',
+      String(body.length),
+      'cache-control',
+      'no-store',
+    ];
     if (id !== '') head.push(this.#words.id, id);
     const status = kindOf(kind);
-    if (status === 503 || retryMs > 0) head.push('retry-after', String(Math.max(0.001, Math.round(retryMs) / 1000)));
+    if (status === 503 || retryMs > 0)
+      head.push('retry-after', String(Math.max(0.001, Math.round(retryMs) / 1000)));
     this.#write(answer, status, head, body);
   }
 
   #kept(answer: ServerResponse, call: Call, entry: Entry): void {
     const tag = fieldOf(entry.fields, 'etag');
     const asked = fieldOf(call.fields, 'if-none-match');
-    if (asked !== undefined && tag !== undefined && (asked.trim() === tag || asked.trim() === '*')) {
+    if (
+      asked !== undefined &&
+      tag !== undefined &&
+      (asked.trim() === tag || asked.trim() === '*')
+    ) {
       this.#send(answer, call, 304, entry.fields, empty, ['content-length']);
       return;
     }
     const range = fieldOf(call.fields, 'range');
     const condition = fieldOf(call.fields, 'if-range');
-    if (range === undefined || call.method !== 'GET' || (condition !== undefined && condition !== tag)) {
+    if (
+      range === undefined ||
+      call.method !== 'GET' ||
+      (condition !== undefined && condition !== tag)
+    ) {
       this.#send(answer, call, entry.status, entry.fields, entry.body, []);
       return;
     }
     const read = rangeParser(entry.body.length, range, { combine: false });
     if (read === -1) {
-      this.#send(answer, call, 416, [...entry.fields, ['content-range', `bytes */${entry.body.length}`]], empty, ['content-length']);
+      this.#send(
+        answer,
+        call,
+        416,
+        [...entry.fields, ['content-range', `bytes */${entry.body.length}`]],
+        empty,
+        ['content-length'],
+      );
       return;
     }
     const one = read === -2 || read.type !== 'bytes' || read.length !== 1 ? undefined : read[0];
     if (one === undefined) this.#send(answer, call, entry.status, entry.fields, entry.body, []);
-    else this.#send(answer, call, 206, [...entry.fields, ['content-range', `bytes ${one.start}-${one.end}/${entry.body.length}`]], entry.body.subarray(one.start, one.end + 1), []);
+    else
+      this.#send(
+        answer,
+        call,
+        206,
+        [...entry.fields, ['content-range', `bytes ${one.start}-${one.end}/${entry.body.length}`]],
+        entry.body.subarray(one.start, one.end + 1),
+        [],
+      );
   }
 
-  #send(answer: ServerResponse, call: Call, status: number, fields: Fields, body: Buffer, less: readonly string[]): void {
+  #send(
+    answer: ServerResponse,
+    call: Call,
+    status: number,
+    fields: Fields,
+    body: Buffer,
+    less: readonly string[],
+  ): void {
     const head: string[] = [];
-    for (const [name, value] of handOn(fields, [this.#words.id, 'content-length', ...less])) head.push(name, value);
+    for (const [name, value] of handOn(fields, [this.#words.id, 'content-length', ...less]))
+      head.push(name, value);
     if (call.id !== '') head.push(this.#words.id, call.id);
     if (status !== 304 && status !== 204) {
-      const length = call.method === 'HEAD' ? fieldOf(fields, 'content-length') ?? String(body.length) : String(body.length);
+      const length =
+        call.method === 'HEAD'
+          ? (fieldOf(fields, 'content-length') ?? String(body.length))
+          : String(body.length);
       head.push('content-length', length);
     }
     this.#write(answer, status, head, body);
--- a/packages/turnout/src/direct/leg.test.ts
+++ b/packages/turnout/src/direct/leg.test.ts
@@ -12,7 +12,9 @@
 }
 
 /** An origin that answers each request with raw bytes. */
-const origin = async (answer: (id: string, socket: Socket, number: number) => void): Promise<Stand> => {
+const origin = async (
+  answer: (id: string, socket: Socket, number: number) => void,
+): Promise<Stand> => {
   let many = 0;
   let number = 0;
   const server = createServer((socket) => {
@@ -25,29 +27,50 @@
       }
     });
   });
-  await new Promise<void>((done) => { server.listen(0, '127.0.0.1', done); });
+  await new Promise<void>((done) => {
+    server.listen(0, '127.0.0.1', done);
+  });
   const bound = server.address();
   const port = bound !== null && typeof bound === 'object' ? bound.port : 0;
   return {
-    server, sockets: () => many,
+    server,
+    sockets: () => many,
     order: (id, fresh = false, method = 'GET') => ({
-      service: toServiceName('clips'), address: toAddress(`127.0.0.1:${port}`), instance: toInstanceId('o1'), id, method, target: '/x', spanMs: 2000, fresh,
-      fields: [['host', 'x'], ['switchwheel-id', id]], body: Buffer.alloc(0),
+      service: toServiceName('clips'),
+      address: toAddress(`127.0.0.1:${port}`),
+      instance: toInstanceId('o1'),
+      id,
+      method,
+      target: '/x',
+      spanMs: 2000,
+      fresh,
+      fields: [
+        ['host', 'x'],
+        ['switchwheel-id', id],
+      ],
+      body: Buffer.alloc(0),
     }),
   };
 };
 
 type Outcome = { readonly answer: Answer } | { readonly broke: string; readonly sent: boolean };
-const ask = (legs: Origins, order: LegOrder): Promise<Outcome> => new Promise((done) => {
-  legs.send(order, { answered: (answer) => done({ answer }), broke: (sent, text) => done({ broke: text, sent }) });
-});
-const whole = (id: string, body: string, more = ''): string => `HTTP/1.1 200 OK\r\nswitchwheel-id: ${id}\r\n${more}content-length: ${body.length}\r\n\r\n${body}`;
-const bodyOf = (outcome: Outcome): string => ('answer' in outcome ? outcome.answer.body.toString() : `broke: ${outcome.broke}`);
+const ask = (legs: Origins, order: LegOrder): Promise<Outcome> =>
+  new Promise((done) => {
+    legs.send(order, {
+      answered: (answer) => done({ answer }),
+      broke: (sent, text) => done({ broke: text, sent }),
+    });
+  });
+const whole = (id: string, body: string, more = ''): string =>
+  `HTTP/1.1 200 OK\r\nswitchwheel-id: ${id}\r\n${more}content-length: ${body.length}\r\n\r\n${body}`;
+const bodyOf = (outcome: Outcome): string =>
+  'answer' in outcome ? outcome.answer.body.toString() : `broke: ${outcome.broke}`;
 
 void test('an answer is whole and of the right request, over kept connections', async () => {
   const stand = await origin((id, socket) => socket.write(whole(id, `body of ${id}`)));
   const legs = new Origins(plainWords);
-  for (const id of ['a', 'b', 'c']) assert.equal(bodyOf(await ask(legs, stand.order(id))), `body of ${id}`);
+  for (const id of ['a', 'b', 'c'])
+    assert.equal(bodyOf(await ask(legs, stand.order(id))), `body of ${id}`);
   assert.equal(stand.sockets(), 1);
   assert.equal(bodyOf(await ask(legs, stand.order('d', true, 'POST'))), 'body of d');
   assert.equal(stand.sockets(), 2, 'one that may not be repeated has a connection of its own');
@@ -58,7 +81,7 @@
 void test('a surplus answer, at once or in the place of the next one, is never told', async () => {
   const stand = await origin((id, socket, number) => {
     if (number === 1) socket.write(whole(id, 'one') + whole(id, 'surplus'));
-    else if (number === 2) socket.write(whole('zz', 'another one\'s'));
+    else if (number === 2) socket.write(whole('zz', "another one's"));
     else socket.write(whole(id, `body of ${id}`));
   });
   const legs = new Origins(plainWords);
@@ -79,7 +102,11 @@
   });
   const legs = new Origins(plainWords);
   await ask(legs, stand.order('a'));
-  const ended = new Promise<void>((done) => { late?.once('close', () => { done(); }); });
+  const ended = new Promise<void>((done) => {
+    late?.once('close', () => {
+      done();
+    });
+  });
   late?.write(whole('a', 'late surplus'));
   await ended;
   assert.equal(bodyOf(await ask(legs, stand.order('b'))), 'body of b');
@@ -90,7 +117,8 @@
 
 void test('what breaks off, is cut short, is no answer or lacks its proof is no answer; whether it was sent is told', async () => {
   const stand = await origin((id, socket, number) => {
-    if (number === 1) socket.end(`HTTP/1.1 200 OK\r\nswitchwheel-id: ${id}\r\ncontent-length: 10\r\n\r\nhalf`);
+    if (number === 1)
+      socket.end(`HTTP/1.1 200 OK\r\nswitchwheel-id: ${id}\r\ncontent-length: 10\r\n\r\nhalf`);
     else if (number === 2) socket.end('this is not HTTP at all\r\n\r\n');
     else if (number === 3) socket.resetAndDestroy();
     else socket.write(whole(id, 'no proof'));
@@ -107,9 +135,13 @@
 });
 
 void test('an origin that says so did not run the request', async () => {
-  const stand = await origin((id, socket, number) => socket.write(number === 1
-    ? `HTTP/1.1 503 Full\r\nswitchwheel-id: ${id}\r\nswitchwheel-unrun: 1\r\ncontent-length: 0\r\n\r\n`
-    : `HTTP/1.1 421 Not me\r\nswitchwheel-id: ${id}\r\ncontent-length: 0\r\n\r\n`));
+  const stand = await origin((id, socket, number) =>
+    socket.write(
+      number === 1
+        ? `HTTP/1.1 503 Full\r\nswitchwheel-id: ${id}\r\nswitchwheel-unrun: 1\r\ncontent-length: 0\r\n\r\n`
+        : `HTTP/1.1 421 Not me\r\nswitchwheel-id: ${id}\r\ncontent-length: 0\r\n\r\n`,
+    ),
+  );
   const legs = new Origins(plainWords);
   for (const id of ['a', 'b']) {
     const outcome = await ask(legs, stand.order(id));
--- a/packages/turnout/src/direct/leg.ts
+++ b/packages/turnout/src/direct/leg.ts
@@ -55,7 +55,8 @@
   forget(instance: InstanceId): void {
     const agent = this.#agents.get(instance);
     if (agent === undefined) return;
-    for (const list of Object.values(agent.freeSockets)) for (const socket of list ?? []) socket.destroy();
+    for (const list of Object.values(agent.freeSockets))
+      for (const socket of list ?? []) socket.destroy();
     this.#agents.delete(instance);
   }
 
@@ -64,7 +65,15 @@
     const headers = order.fields.flat();
     const bare = order.method === 'GET' || order.method === 'HEAD';
     if (!bare || order.body.length > 0) headers.push('Content-Length', String(order.body.length));
-    const asked = request({ host, port, method: order.method, path: order.target, headers, agent: order.fresh ? false : this.#agentOf(order.instance), setHost: false });
+    const asked = request({
+      host,
+      port,
+      method: order.method,
+      path: order.target,
+      headers,
+      agent: order.fresh ? false : this.#agentOf(order.instance),
+      setHost: false,
+    });
     let over = false;
     // Until the connection is open nothing can have been sent.
     let sent = false;
@@ -79,7 +88,9 @@
       asked.destroy();
       ears.broke(sent, text);
     };
-    const late = setTimeout(() => { if (!sent) broke('the connection did not open'); }, openMs);
+    const late = setTimeout(() => {
+      if (!sent) broke('the connection did not open');
+    }, openMs);
     asked.on('socket', (socket: Socket) => {
       if (!socket.connecting) {
         sent = true;
@@ -93,12 +104,23 @@
     });
     asked.on('error', (fault) => broke(fault.message));
     asked.on('close', () => broke('the connection closed'));
-    asked.on('response', (message) => this.#take(order, message, broke, (answer) => { if (end()) ears.answered(answer); }));
+    asked.on('response', (message) =>
+      this.#take(order, message, broke, (answer) => {
+        if (end()) ears.answered(answer);
+      }),
+    );
     asked.end(order.body.length > 0 ? order.body : undefined);
-    return () => { if (end()) asked.destroy(); };
+    return () => {
+      if (end()) asked.destroy();
+    };
   }
 
-  #take(order: LegOrder, message: IncomingMessage, broke: (text: string) => void, done: (answer: Parameters<LegEars['answered']>[0]) => void): void {
+  #take(
+    order: LegOrder,
+    message: IncomingMessage,
+    broke: (text: string) => void,
+    done: (answer: Parameters<LegEars['answered']>[0]) => void,
+  ): void {
     const status = message.statusCode ?? 0;
     const fields = toFields(message);
     const lower: Fields = fields.map(([name, value]) => [name.toLowerCase(), value]);
@@ -108,7 +130,12 @@
       return;
     }
     const unrun = status === 421 || fieldOf(lower, this.#words.unrun) !== undefined;
-    if (status >= 200 && status < 300 && this.#words.proof !== undefined && fieldOf(lower, this.#words.proof) === undefined) {
+    if (
+      status >= 200 &&
+      status < 300 &&
+      this.#words.proof !== undefined &&
+      fieldOf(lower, this.#words.proof) === undefined
+    ) {
       broke('a success without its proof');
       message.socket.destroy();
       return;
@@ -129,14 +156,24 @@
         broke('the answer is not whole');
         return;
       }
-      done({ status, fields: lower, body: list.length === 1 ? list[0] ?? Buffer.alloc(0) : Buffer.concat(list), unrun });
+      done({
+        status,
+        fields: lower,
+        body: list.length === 1 ? (list[0] ?? Buffer.alloc(0)) : Buffer.concat(list),
+        unrun,
+      });
     });
   }
 
   #agentOf(instance: InstanceId): Kept {
     const known = this.#agents.get(instance);
     if (known !== undefined) return known;
-    const agent = new Kept({ keepAlive: true, maxFreeSockets: mostIdle, scheduling: 'lifo', timeout: idleMs });
+    const agent = new Kept({
+      keepAlive: true,
+      maxFreeSockets: mostIdle,
+      scheduling: 'lifo',
+      timeout: idleMs,
+    });
     this.#agents.set(instance, agent);
     return agent;
   }
--- a/packages/turnout/src/direct/program.ts
+++ b/packages/turnout/src/direct/program.ts
@@ -3,8 +3,25 @@
 import { type WireEffect, Yard, parts } from '@switchwheel/coupling';
 import { build } from '@switchwheel/timetable';
 import { type Bounds, DirectLine, type Words } from '@switchwheel/shunt';
-import { type Cabin, type CabinEffect, type CabinEvent, Cache, cabinStep, newCabin } from '@switchwheel/waybill';
-import { type Log, type Running, inSlices, isWireEffect, newDice, newIncarnation, now, runLoop, wait } from '@switchwheel/footplate';
+import {
+  type Cabin,
+  type CabinEffect,
+  type CabinEvent,
+  Cache,
+  cabinStep,
+  newCabin,
+} from '@switchwheel/waybill';
+import {
+  type Log,
+  type Running,
+  inSlices,
+  isWireEffect,
+  newDice,
+  newIncarnation,
+  now,
+  runLoop,
+  wait,
+} from '@switchwheel/footplate';
 import { DirectDoor } from './door.js';
 import { Origins } from './leg.js';
 
@@ -34,8 +51,19 @@
 
 /** Starts an edge that carries the bytes of its requests itself. */
 export const startDirect = async (boot: DirectBoot, log: Log): Promise<Running> => {
-  const member = { node: boot.node, role: 'edge' as const, area: boot.area, address: boot.listen, door: boot.door, incarnation: newIncarnation() };
-  const yard = new Yard({ node: member.node, address: member.address, incarnation: member.incarnation });
+  const member = {
+    node: boot.node,
+    role: 'edge' as const,
+    area: boot.area,
+    address: boot.listen,
+    door: boot.door,
+    incarnation: newIncarnation(),
+  };
+  const yard = new Yard({
+    node: member.node,
+    address: member.address,
+    incarnation: member.incarnation,
+  });
   const cache = new Cache(boot.cacheBytes);
   const legs = new Origins(boot.words);
   type OwnEffect = Exclude<CabinEffect, WireEffect>;
@@ -43,9 +71,15 @@
   const run = (effect: OwnEffect): void => {
     switch (effect.kind) {
       case 'build':
-        void inSlices(build(effect.texts, effect.offer.generation, effect.offer.hash, effect.before)).then((built) => loop.tell((at) => built.isOk
-          ? { kind: 'built', now: at, offer: effect.offer, table: built.value }
-          : { kind: 'unbuilt', now: at, offer: effect.offer, faults: built.error }));
+        void inSlices(
+          build(effect.texts, effect.offer.generation, effect.offer.hash, effect.before),
+        ).then((built) =>
+          loop.tell((at) =>
+            built.isOk
+              ? { kind: 'built', now: at, offer: effect.offer, table: built.value }
+              : { kind: 'unbuilt', now: at, offer: effect.offer, faults: built.error },
+          ),
+        );
         break;
       case 'adopt':
         door.hold(effect.table.head.limits);
@@ -59,10 +93,26 @@
         break;
     }
   };
-  const reduce = (state: Cabin, event: CabinEvent): ReturnType<typeof cabinStep> => cabinStep(state, event);
-  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(reduce, newCabin(member, boot.seeds, newDice()), yard, log, run, isOwnWire, tickMs, () => pass());
+  const reduce = (state: Cabin, event: CabinEvent): ReturnType<typeof cabinStep> =>
+    cabinStep(state, event);
+  const loop = runLoop<Cabin, CabinEvent, OwnEffect>(
+    reduce,
+    newCabin(member, boot.seeds, newDice()),
+    yard,
+    log,
+    run,
+    isOwnWire,
+    tickMs,
+    () => pass(),
+  );
   const cabin = (): Cabin => loop.store.state();
-  const line = new DirectLine({ now, cabin }, cache, legs, { area: boot.area, words: boot.words, bounds: boot.bounds, most: mostOpen }, newDice());
+  const line = new DirectLine(
+    { now, cabin },
+    cache,
+    legs,
+    { area: boot.area, words: boot.words, bounds: boot.bounds, most: mostOpen },
+    newDice(),
+  );
   let stopping = false;
   const door = new DirectDoor(line, boot.words, { closing: () => stopping });
 
@@ -71,7 +121,12 @@
   let settled = false;
   const pass = (): void => {
     const one = cabin();
-    if (one.berth.origins !== seen?.berth.origins || one.berth.members !== seen.berth.members || one.releases !== seen.releases) line.learn(one);
+    if (
+      one.berth.origins !== seen?.berth.origins ||
+      one.berth.members !== seen.berth.members ||
+      one.releases !== seen.releases
+    )
+      line.learn(one);
     seen = one;
     line.tick(now());
     const store = one.berth.holders.get(primary);
@@ -89,10 +144,19 @@
     const known = asked.method === 'GET' && asked.url === boot.ready.path;
     answer.writeHead(!known ? 404 : ready() ? 200 : 503, ['content-length', '0']).end();
   });
-  await new Promise<void>((done) => { readyServer.listen(parts(boot.ready.address), done); });
+  await new Promise<void>((done) => {
+    readyServer.listen(parts(boot.ready.address), done);
+  });
   await yard.listen();
   await door.listen(boot.door);
-  log.write('info', 'started', new Map<string, string>([['listen', boot.listen], ['door', boot.door]]));
+  log.write(
+    'info',
+    'started',
+    new Map<string, string>([
+      ['listen', boot.listen],
+      ['door', boot.door],
+    ]),
+  );
 
   return {
     stop: async () => {
@@ -102,7 +166,12 @@
       await wait(Math.min(noticeMs, boot.stopMs / 2));
       door.shut();
       while ((door.open > 0 || line.open > 0) && now() - since < boot.stopMs - 300) await wait(10);
-      if (line.open > 0) log.write('warn', 'requests are broken off by the stop', new Map([['open', line.breakAll()]]));
+      if (line.open > 0)
+        log.write(
+          'warn',
+          'requests are broken off by the stop',
+          new Map([['open', line.breakAll()]]),
+        );
       await wait(50);
       door.hang();
       readyServer.close();
--- a/packages/turnout/src/edge/answer.ts
+++ b/packages/turnout/src/edge/answer.ts
@@ -14,7 +14,13 @@
 };
 
 /** Tells a whole result. */
-export const sendWhole = (ctx: Koa.Context, status: number, fields: Fields, body: Buffer, from: string): void => {
+export const sendWhole = (
+  ctx: Koa.Context,
+  status: number,
+  fields: Fields,
+  body: Buffer,
+  from: string,
+): void => {
   ctx.status = status;
   setFields(ctx, fields);
   ctx.set('switchwheel-from', from);
@@ -41,7 +47,14 @@
   ctx.set('accept-ranges', 'bytes');
   const range = ctx.get('range');
   const condition = ctx.get('if-range');
-  if (ctx.method !== 'GET' || range === '' || (condition !== '' && condition !== ctx.response.get('etag') && condition !== ctx.response.get('last-modified'))) return;
+  if (
+    ctx.method !== 'GET' ||
+    range === '' ||
+    (condition !== '' &&
+      condition !== ctx.response.get('etag') &&
+      condition !== ctx.response.get('last-modified'))
+  )
+    return;
   const read = rangeParser(entry.body.length, range, { combine: true });
   if (read === -1) {
     ctx.status = 416;
--- a/packages/turnout/src/edge/door.ts
+++ b/packages/turnout/src/edge/door.ts
@@ -11,7 +11,8 @@
 const requestFields = (ctx: Koa.Context): Fields => {
   const raw = ctx.req.rawHeaders;
   const out: Fields = [];
-  for (let at = 0; at + 1 < raw.length; at += 2) out.push([(raw[at] ?? '').toLowerCase(), raw[at + 1] ?? '']);
+  for (let at = 0; at + 1 < raw.length; at += 2)
+    out.push([(raw[at] ?? '').toLowerCase(), raw[at + 1] ?? '']);
   return out;
 };
 
@@ -33,7 +34,12 @@
 };
 
 /** Opens the result's channel to the caller for parts. */
-const openStream = (ctx: Koa.Context, status: number, fields: Fields, length: number | undefined): Spout => {
+const openStream = (
+  ctx: Koa.Context,
+  status: number,
+  fields: Fields,
+  length: number | undefined,
+): Spout => {
   const stream = new PassThrough({ highWaterMark: 256 * 1024 });
   stream.on('error', () => undefined);
   ctx.status = status;
@@ -52,7 +58,10 @@
 
 /** Takes a caller's request at the door, with its body, and answers it. */
 export const serveCaller = async (edge: EdgeLine, ctx: Koa.Context): Promise<void> => {
-  if (ctx.req.headers['transfer-encoding'] !== undefined && ctx.req.headers['content-length'] !== undefined) {
+  if (
+    ctx.req.headers['transfer-encoding'] !== undefined &&
+    ctx.req.headers['content-length'] !== undefined
+  ) {
     closeAfter(ctx);
     edge.bump('fault_malformed');
     sendFault(ctx, 'malformed', 'both a length and a transfer coding', 0);
@@ -73,7 +82,14 @@
     sendFault(ctx, body.error.kind, body.error.text, 0);
     return;
   }
-  const call: Call = { method: ctx.method, host, target, fields: requestFields(ctx), body: body.value, remote: ctx.req.socket.remoteAddress ?? 'unknown' };
+  const call: Call = {
+    method: ctx.method,
+    host,
+    target,
+    fields: requestFields(ctx),
+    body: body.value,
+    remote: ctx.req.socket.remoteAddress ?? 'unknown',
+  };
   await new Promise<void>((done) => {
     const caller: Caller = {
       tell: (told) => {
@@ -87,6 +103,8 @@
       },
     };
     const leave = edge.serve(found.track, call, caller);
-    ctx.res.once('close', () => { if (!ctx.res.writableFinished) leave(); });
+    ctx.res.once('close', () => {
+      if (!ctx.res.writableFinished) leave();
+    });
   });
 };
--- a/packages/turnout/src/edge/faults.ts
+++ b/packages/turnout/src/edge/faults.ts
@@ -10,7 +10,12 @@
   ctx.set('switchwheel-kind', shown);
   const wait = retryMs > 0 ? retryMs : (told.retryAfter ?? 0) * 1000;
   if (wait > 0) ctx.set('retry-after', String(Math.max(1, Math.ceil(wait / 1000))));
-  ctx.body = { kind: shown, text, ran: told.unrun ? 'no' : 'unknown', ...(wait > 0 ? { retryAfterMs: Math.ceil(wait) } : {}) };
+  ctx.body = {
+    kind: shown,
+    text,
+    ran: told.unrun ? 'no' : 'unknown',
+    ...(wait > 0 ? { retryAfterMs: Math.ceil(wait) } : {}),
+  };
 };
 
 /** Ends the caller's channel after the answer: its request can't be read any further. */
