--- a/packages/turnout/src/main.ts
+++ b/packages/turnout/src/main.ts
@@ -1,9 +1,36 @@
 import Koa from 'koa';
 import { type Frame, Yard } from '@switchwheel/coupling';
 import {
-  type Cab, Cache, type Departure, Desk, type Dial, EdgeLine, type ProxyEffect, type ProxyEvent, ShieldLine, departure, dialSpan, isReady, newProxy, proxyStep,
+  type Cab,
+  Cache,
+  type Departure,
+  Desk,
+  type Dial,
+  EdgeLine,
+  type ProxyEffect,
+  type ProxyEvent,
+  ShieldLine,
+  departure,
+  dialSpan,
+  isReady,
+  newProxy,
+  proxyStep,
 } from '@switchwheel/waybill';
-import { type Reading, adminApp, bootOrExit, createLog, inSlices, isWireEffect, newDice, newIncarnation, now, onStop, openDoor, plainReading as plain, runLoop } from '@switchwheel/footplate';
+import {
+  type Reading,
+  adminApp,
+  bootOrExit,
+  createLog,
+  inSlices,
+  isWireEffect,
+  newDice,
+  newIncarnation,
+  now,
+  onStop,
+  openDoor,
+  plainReading as plain,
+  runLoop,
+} from '@switchwheel/footplate';
 import type { WireEffect } from '@switchwheel/coupling';
 import { build } from '@switchwheel/timetable';
 import { proxyView } from './admin/view.js';
@@ -13,8 +40,20 @@
 
 const boot = bootOrExit(program, schema);
 const log = createLog(program.name, boot.node, boot.log);
-const member = { node: boot.node, role: boot.role, area: boot.area, address: boot.listen, door: boot.role === 'shield' ? boot.listen : boot.door, admin: boot.admin, incarnation: newIncarnation() };
-const yard = new Yard({ node: member.node, address: member.address, incarnation: member.incarnation });
+const member = {
+  node: boot.node,
+  role: boot.role,
+  area: boot.area,
+  address: boot.listen,
+  door: boot.role === 'shield' ? boot.listen : boot.door,
+  admin: boot.admin,
+  incarnation: newIncarnation(),
+};
+const yard = new Yard({
+  node: member.node,
+  address: member.address,
+  incarnation: member.incarnation,
+});
 const cache = new Cache(boot.cache * 1024 * 1024);
 const desk = new Desk(cache);
 const origins = new Origins();
@@ -25,9 +64,15 @@
 const run = (effect: OwnEffect): void => {
   switch (effect.kind) {
     case 'build':
-      void inSlices(build(effect.texts, effect.offer.generation, effect.offer.hash, effect.before)).then((built) => loop.tell((at) => built.isOk
-        ? { kind: 'built', now: at, offer: effect.offer, table: built.value }
-        : { kind: 'unbuilt', now: at, offer: effect.offer, faults: built.error }));
+      void inSlices(
+        build(effect.texts, effect.offer.generation, effect.offer.hash, effect.before),
+      ).then((built) =>
+        loop.tell((at) =>
+          built.isOk
+            ? { kind: 'built', now: at, offer: effect.offer, table: built.value }
+            : { kind: 'unbuilt', now: at, offer: effect.offer, faults: built.error },
+        ),
+      );
       break;
     case 'adopt':
       break;
@@ -57,7 +102,14 @@
   }
 };
 
-const loop = runLoop<ReturnType<typeof newProxy>, ProxyEvent, OwnEffect>(proxyStep, newProxy(member, boot.seeds, newDice()), yard, log, run, isOwnWire);
+const loop = runLoop<ReturnType<typeof newProxy>, ProxyEvent, OwnEffect>(
+  proxyStep,
+  newProxy(member, boot.seeds, newDice()),
+  yard,
+  log,
+  run,
+  isOwnWire,
+);
 const state = loop.store.state;
 const cab: Cab = { now, state, tell: loop.tell };
 
@@ -77,7 +129,16 @@
 };
 
 const edge = new EdgeLine(`${boot.node}.${member.incarnation.toString(36)}`, desk, dial, cab);
-const shield = new ShieldLine(origins, desk, cab, (instance, why) => log.write('warn', 'a result is not trusted', new Map([['instance', instance], ['why', why]])));
+const shield = new ShieldLine(origins, desk, cab, (instance, why) =>
+  log.write(
+    'warn',
+    'a result is not trusted',
+    new Map([
+      ['instance', instance],
+      ['why', why],
+    ]),
+  ),
+);
 yard.on('data', (channel) => {
   const ears = shield.dock.take(channel, now);
   channel.on('frame', (frame: Frame) => ears.frame(frame));
@@ -87,19 +148,33 @@
 const probeAt = (one: Extract<OwnEffect, { kind: 'probe' }>): void => {
   const { service, instance } = one;
   const since = now();
-  void probe(`http://${one.address}${one.path}`, service, instance).then((good) => loop.tell((at) => ({ kind: 'probed', now: at, service, instance, good, ms: at - since })));
+  void probe(`http://${one.address}${one.path}`, service, instance).then((good) =>
+    loop.tell((at) => ({ kind: 'probed', now: at, service, instance, good, ms: at - since })),
+  );
 };
 
 let worstLag = 0;
 const readings = (): readonly Reading[] => {
   const cabin = state().cabin;
   worstLag = Math.max(worstLag, loop.lag());
-  const counted = (side: string, counts: ReadonlyMap<string, number>): readonly Reading[] => [...counts].map(([what, value]) => ({ name: `${side}_total`, labels: new Map([['what', what]]), value }));
+  const counted = (side: string, counts: ReadonlyMap<string, number>): readonly Reading[] =>
+    [...counts].map(([what, value]) => ({
+      name: `${side}_total`,
+      labels: new Map([['what', what]]),
+      value,
+    }));
   return [
-    plain('ready', isReady(cabin, now()) ? 1 : 0), plain('generation', cabin.table?.generation ?? 0), plain('purged', cabin.purged),
-    plain('cache_bytes', cache.bytes), plain('cache_objects', cache.size), plain('forwarding', state().forward.wagons.size),
-    plain('loop_lag_worst_ms', worstLag), plain('foreign_channels_total', yard.foreign), plain('memory_bytes', process.memoryUsage.rss()),
-    ...counted('edge', edge.counts), ...counted('shield', shield.counts),
+    plain('ready', isReady(cabin, now()) ? 1 : 0),
+    plain('generation', cabin.table?.generation ?? 0),
+    plain('purged', cabin.purged),
+    plain('cache_bytes', cache.bytes),
+    plain('cache_objects', cache.size),
+    plain('forwarding', state().forward.wagons.size),
+    plain('loop_lag_worst_ms', worstLag),
+    plain('foreign_channels_total', yard.foreign),
+    plain('memory_bytes', process.memoryUsage.rss()),
+    ...counted('edge', edge.counts),
+    ...counted('shield', shield.counts),
   ];
 };
 
@@ -109,12 +184,30 @@
   await serveCaller(edge, ctx);
 });
 
-const admin = await openDoor(adminApp(() => isReady(state().cabin, now()), readings, () => proxyView(state())), boot.admin);
+const admin = await openDoor(
+  adminApp(
+    () => isReady(state().cabin, now()),
+    readings,
+    () => proxyView(state()),
+  ),
+  boot.admin,
+);
 await yard.listen();
 const door = boot.role === 'edge' ? await openDoor(app, boot.door) : undefined;
-log.write('info', 'started', new Map<string, string>([['role', boot.role], ['listen', boot.listen], ['door', boot.door]]));
+log.write(
+  'info',
+  'started',
+  new Map<string, string>([
+    ['role', boot.role],
+    ['listen', boot.listen],
+    ['door', boot.door],
+  ]),
+);
 
-const openHere = (): number => edge.open + shield.dock.size + [...state().keepers.values()].reduce((sum, one) => sum + one.legs.size, 0);
+const openHere = (): number =>
+  edge.open +
+  shield.dock.size +
+  [...state().keepers.values()].reduce((sum, one) => sum + one.legs.size, 0);
 
 onStop(log, async () => {
   const since = now();
@@ -124,14 +217,25 @@
   let phase = look();
   for (; phase === 'serving' || phase === 'ending'; phase = look()) {
     if (phase === 'ending') door?.shut();
-    await new Promise<void>((done) => { setTimeout(done, 20); });
+    await new Promise<void>((done) => {
+      setTimeout(done, 20);
+    });
   }
   door?.shut();
   if (phase === 'broken') {
     // What takes longer than a stop may take ends visibly broken, never as if whole.
     const many = edge.breakAll('this node stops');
-    log.write('warn', 'results are broken off by the stop', new Map([['edge', many], ['shield', shield.dock.size]]));
-    await new Promise<void>((done) => { setTimeout(done, 100); });
+    log.write(
+      'warn',
+      'results are broken off by the stop',
+      new Map([
+        ['edge', many],
+        ['shield', shield.dock.size],
+      ]),
+    );
+    await new Promise<void>((done) => {
+      setTimeout(done, 100);
+    });
   }
   loop.end();
   admin.shut();
--- a/packages/waybill/src/cabin/duties.ts
+++ b/packages/waybill/src/cabin/duties.ts
@@ -1,7 +1,26 @@
 import { createHash } from 'node:crypto';
-import { type Moment, type ServiceName, type Step, drop, join, keeperOf, put, step } from '@switchwheel/gauge';
+import {
+  type Moment,
+  type ServiceName,
+  type Step,
+  drop,
+  join,
+  keeperOf,
+  put,
+  step,
+} from '@switchwheel/gauge';
 import { type FrameOf, type Holder, type Member, send } from '@switchwheel/coupling';
-import { type Poll, type Stand, count, hear, heldEpoch, holds, lay, newStand, pass } from '@switchwheel/ballot';
+import {
+  type Poll,
+  type Stand,
+  count,
+  hear,
+  heldEpoch,
+  holds,
+  lay,
+  newStand,
+  pass,
+} from '@switchwheel/ballot';
 import { highest } from '@switchwheel/roster';
 import type { Cabin, CabinEffect } from './state.js';
 
@@ -10,7 +29,8 @@
 /** Callers wait while a service has no keeper, so its lease is shorter than the primary's. */
 const keeperLease = 600;
 
-const weight = (service: ServiceName, node: string): string => createHash('sha1').update(`${service} ${node}`).digest('hex');
+const weight = (service: ServiceName, node: string): string =>
+  createHash('sha1').update(`${service} ${node}`).digest('hex');
 
 /** The shields in the order in which they should keep a service: spread by name, the areas taking turns. */
 export const order = (service: ServiceName, shields: readonly Member[]): readonly Member[] =>
@@ -18,23 +38,31 @@
 
 const shields = (state: Cabin): readonly Member[] => {
   const near = state.berth.members.filter((one) => one.role === 'shield');
-  return near.some((one) => one.node === state.berth.member.node) ? near : [...near, state.berth.member];
+  return near.some((one) => one.node === state.berth.member.node)
+    ? near
+    : [...near, state.berth.member];
 };
 
 /** This shield's stand towards a service: one that rests if it never stood. */
-const standOf = (state: Cabin, service: ServiceName): Stand => state.stands.get(service) ?? newStand(state.berth.member.node, keeperOf(service), [], keeperLease);
+const standOf = (state: Cabin, service: ServiceName): Stand =>
+  state.stands.get(service) ??
+  newStand(state.berth.member.node, keeperOf(service), [], keeperLease);
 
 const poll = (state: Cabin, service: ServiceName): Poll | undefined => {
   const { fleet, electorate, member } = state.berth;
   if (fleet === undefined || electorate === undefined) return undefined;
   const held: Holder = {
-    duty: keeperOf(service), epoch: highest(state.berth, keeperOf(service)), node: member.node, address: member.address,
+    duty: keeperOf(service),
+    epoch: highest(state.berth, keeperOf(service)),
+    node: member.node,
+    address: member.address,
     ...(member.door === undefined ? {} : { door: member.door }),
   };
   return { fleet, electorate, held, trustBlank: true };
 };
 
-const heldBy = (state: Cabin, service: ServiceName): Holder | undefined => state.berth.holders.get(keeperOf(service));
+const heldBy = (state: Cabin, service: ServiceName): Holder | undefined =>
+  state.berth.holders.get(keeperOf(service));
 
 /** Whether this shield should stand now: at once if it is first in order, the others after it in turn. */
 const keen = (state: Cabin, service: ServiceName, now: Moment): boolean => {
@@ -43,17 +71,38 @@
   const holder = heldBy(state, service);
   const near = holder !== undefined && state.berth.members.some((one) => one.node === holder.node);
   const since = state.vacant.get(duty);
-  if (holder !== undefined && near && holder.node !== state.berth.member.node && since === undefined) return false;
-  const row = order(service, shields(state).filter((one) => one.node === state.berth.member.node || holder?.node !== one.node));
+  if (
+    holder !== undefined &&
+    near &&
+    holder.node !== state.berth.member.node &&
+    since === undefined
+  )
+    return false;
+  const row = order(
+    service,
+    shields(state).filter(
+      (one) => one.node === state.berth.member.node || holder?.node !== one.node,
+    ),
+  );
   const rank = row.findIndex((one) => one.node === state.berth.member.node);
   return since !== undefined && now - since >= rank * rankSpan;
 };
 
-const follow = (state: Cabin, service: ServiceName, before: Stand, after: Stand, now: Moment): Done => {
+const follow = (
+  state: Cabin,
+  service: ServiceName,
+  before: Stand,
+  after: Stand,
+  now: Moment,
+): Done => {
   const was = before.phase.phase === 'holding';
   const is = after.phase.phase === 'holding';
   const next = { ...state, stands: put(state.stands, service, after) };
-  if (!was && is && holds(after, now)) return step({ ...next, vacant: drop(next.vacant, keeperOf(service)) }, { kind: 'kept', service, stand: after });
+  if (!was && is && holds(after, now))
+    return step(
+      { ...next, vacant: drop(next.vacant, keeperOf(service)) },
+      { kind: 'kept', service, stand: after },
+    );
   if (was && !is) return step(next, { kind: 'unkept', service });
   return step(next);
 };
@@ -63,7 +112,8 @@
   for (const service of state.table?.services.keys() ?? []) {
     const duty = keeperOf(service);
     const holder = heldBy(state, service);
-    const open = holder === undefined || !state.berth.members.some((one) => one.node === holder.node);
+    const open =
+      holder === undefined || !state.berth.members.some((one) => one.node === holder.node);
     if (open && !vacant.has(duty)) vacant = put(vacant, duty, now);
   }
   return vacant === state.vacant ? state : { ...state, vacant };
@@ -77,7 +127,8 @@
   for (const service of state.table?.services.keys() ?? []) {
     const duty = keeperOf(service);
     const holder = heldBy(state, service);
-    const near = holder !== undefined && state.berth.members.some((one) => one.node === holder.node);
+    const near =
+      holder !== undefined && state.berth.members.some((one) => one.node === holder.node);
     if (told.has(duty)) vacant = vacant.has(duty) ? vacant : put(vacant, duty, now);
     else if (near) vacant = drop(vacant, duty);
   }
@@ -99,11 +150,20 @@
       // Somebody remembers a higher epoch than the witnesses that voted: this holding would be fenced off, a new one is stood for.
       const given = lay(stand, own, now, 0);
       const followed = follow(state, service, known, given.state, now);
-      next = join([...next.effects, ...given.effects], { ...followed, state: { ...followed.state, vacant: put(followed.state.vacant, duty, now) } });
+      next = join([...next.effects, ...given.effects], {
+        ...followed,
+        state: { ...followed.state, vacant: put(followed.state.vacant, duty, now) },
+      });
       continue;
     }
     const passed = pass(stand, own, keen(state, service, now), state.dice, now);
-    const followed = follow({ ...state, dice: passed.state.dice }, service, stand, passed.state.stand, now);
+    const followed = follow(
+      { ...state, dice: passed.state.dice },
+      service,
+      stand,
+      passed.state.stand,
+      now,
+    );
     next = join([...next.effects, ...passed.effects], followed);
   }
   for (const [service, stand] of next.state.stands) {
@@ -111,19 +171,27 @@
     // The service left the description: its duty is laid down.
     const given = lay(stand, poll(next.state, service), now, 1000);
     const dropped = { ...next.state, stands: drop(next.state.stands, service) };
-    next = join([...next.effects, ...given.effects], step(dropped, { kind: 'unkept' as const, service }));
+    next = join(
+      [...next.effects, ...given.effects],
+      step(dropped, { kind: 'unkept' as const, service }),
+    );
   }
   return next;
 };
 
 export const onVote = (state: Cabin, word: FrameOf<'vote'>, now: Moment): Done => {
   const known = state.berth.electorate;
-  const berth = word.electorate !== undefined && (known === undefined || word.electorate.serial > known.serial) ? { ...state.berth, electorate: word.electorate } : state.berth;
+  const berth =
+    word.electorate !== undefined && (known === undefined || word.electorate.serial > known.serial)
+      ? { ...state.berth, electorate: word.electorate }
+      : state.berth;
   const base = { ...state, berth };
   for (const [service, stand] of base.stands) {
     if (stand.duty !== word.duty) continue;
     const own = poll(base, service);
-    return own === undefined ? step(base) : follow(base, service, stand, count(stand, own, word, now), now);
+    return own === undefined
+      ? step(base)
+      : follow(base, service, stand, count(stand, own, word, now), now);
   }
   return step(base);
 };
@@ -135,9 +203,21 @@
     if (!holds(stand, now)) continue;
     const heir = order(service, shields(state)).find((one) => one.node !== state.berth.member.node);
     const given = lay(stand, poll(state, service), now, 60_000);
-    const told = heir === undefined ? [] : [send(heir.address, { kind: 'handover' as const, duty: stand.duty, epoch: heldEpoch(stand) })];
+    const told =
+      heir === undefined
+        ? []
+        : [
+            send(heir.address, {
+              kind: 'handover' as const,
+              duty: stand.duty,
+              epoch: heldEpoch(stand),
+            }),
+          ];
     const after = { ...next.state, stands: put(next.state.stands, service, given.state) };
-    next = join([...next.effects, ...given.effects, ...told], step(after, { kind: 'unkept' as const, service }));
+    next = join(
+      [...next.effects, ...given.effects, ...told],
+      step(after, { kind: 'unkept' as const, service }),
+    );
   }
   return next;
 };
@@ -150,14 +230,22 @@
     if (own === undefined || state.stopping) return step(state);
     const stand = hear(standOf(state, service), word.epoch);
     const passed = pass(stand, own, true, state.dice, now);
-    return step({ ...state, dice: passed.state.dice, vacant: put(state.vacant, word.duty, now), stands: put(state.stands, service, passed.state.stand) }, ...passed.effects);
+    return step(
+      {
+        ...state,
+        dice: passed.state.dice,
+        vacant: put(state.vacant, word.duty, now),
+        stands: put(state.stands, service, passed.state.stand),
+      },
+      ...passed.effects,
+    );
   }
   return step(state);
 };
 
 /** The duties held now, as told to registries. */
-export const heldNow = (state: Cabin, now: Moment): Holder[] => [...state.stands].flatMap(([service, stand]) => {
-  const own = holds(stand, now) ? poll(state, service)?.held : undefined;
-  return own === undefined ? [] : [{ ...own, epoch: heldEpoch(stand) }];
-});
-
+export const heldNow = (state: Cabin, now: Moment): Holder[] =>
+  [...state.stands].flatMap(([service, stand]) => {
+    const own = holds(stand, now) ? poll(state, service)?.held : undefined;
+    return own === undefined ? [] : [{ ...own, epoch: heldEpoch(stand) }];
+  });
--- a/packages/waybill/src/cabin/machine.ts
+++ b/packages/waybill/src/cabin/machine.ts
@@ -1,6 +1,33 @@
-import { type Moment, type Step, join, noGeneration, put, sift, step, toMoment } from '@switchwheel/gauge';
-import { type Colleague, type Frame, type FrameOf, type Offer, type ReleaseState, type Report, log, send } from '@switchwheel/coupling';
-import { type Words, adrift, drift, hail, moored, releasesDigest, takeHeard, takeRoster } from '@switchwheel/roster';
+import {
+  type Moment,
+  type Step,
+  join,
+  noGeneration,
+  put,
+  sift,
+  step,
+  toMoment,
+} from '@switchwheel/gauge';
+import {
+  type Colleague,
+  type Frame,
+  type FrameOf,
+  type Offer,
+  type ReleaseState,
+  type Report,
+  log,
+  send,
+} from '@switchwheel/coupling';
+import {
+  type Words,
+  adrift,
+  drift,
+  hail,
+  moored,
+  releasesDigest,
+  takeHeard,
+  takeRoster,
+} from '@switchwheel/roster';
 import { hashOf } from '@switchwheel/timetable';
 import { handOver, heldNow, onHandover, onVote, passDuties, takeVacant } from './duties.js';
 import type { Cabin, CabinEffect, CabinEvent } from './state.js';
@@ -14,26 +41,46 @@
 
 /** Whether callers that come all the same are served: the platform needs a moment to see that a node is stopping. */
 export const takes = (state: Cabin, now: Moment): boolean =>
-  state.table !== undefined && state.failed === undefined && (state.stopping || moored(state.berth, now));
+  state.table !== undefined &&
+  state.failed === undefined &&
+  (state.stopping || moored(state.berth, now));
 
 /** Whether this node reports ready: it runs the newest it knows of, its session stands, and it is not stopping. */
 export const isReady = (state: Cabin, now: Moment): boolean => takes(state, now) && !state.stopping;
 
 /** Whether results may be told from a cache now. */
-export const mayServe = (state: Cabin, now: Moment): boolean => state.asOf !== undefined && now - state.asOf < cacheLease;
+export const mayServe = (state: Cabin, now: Moment): boolean =>
+  state.asOf !== undefined && now - state.asOf < cacheLease;
 
 const reportOf = (state: Cabin, now: Moment): Report => {
   const table = state.table;
   const failed = state.failed;
-  const phase = state.fitting.phase !== 'idle' && failed === undefined ? 'applying' as const : failed !== undefined ? 'failed' as const : table === undefined ? 'none' as const : 'applied' as const;
+  const phase =
+    state.fitting.phase !== 'idle' && failed === undefined
+      ? ('applying' as const)
+      : failed !== undefined
+        ? ('failed' as const)
+        : table === undefined
+          ? ('none' as const)
+          : ('applied' as const);
   return {
     generation: table?.generation ?? noGeneration,
     ...(table === undefined ? {} : { hash: table.hash }),
     phase: phase === 'applying' && table === undefined ? 'none' : phase,
-    ...(failed === undefined ? {} : { failed: { generation: failed.offer.generation, hash: failed.offer.hash, text: failed.text } }),
+    ...(failed === undefined
+      ? {}
+      : {
+          failed: {
+            generation: failed.offer.generation,
+            hash: failed.offer.hash,
+            text: failed.text,
+          },
+        }),
     ready: isReady(state, now),
     fitness: {
-      name: 'proxy', fit: failed === undefined, text: failed === undefined ? '' : failed.text,
+      name: 'proxy',
+      fit: failed === undefined,
+      text: failed === undefined ? '' : failed.text,
       parts: [{ name: 'cache', fit: mayServe(state, now), text: '', parts: [] }],
     },
   };
@@ -47,8 +94,13 @@
   return known;
 };
 
-const words = (state: Cabin, now: Moment, bye = false): Words =>
-  ({ report: reportOf(state, now), held: [...heldNow(state, now), ...state.berth.holders.values()], purged: state.purged, bye, releases: digestOf(state.releases) });
+const words = (state: Cabin, now: Moment, bye = false): Words => ({
+  report: reportOf(state, now),
+  held: [...heldNow(state, now), ...state.berth.holders.values()],
+  purged: state.purged,
+  bye,
+  releases: digestOf(state.releases),
+});
 
 const speak = (state: Cabin, now: Moment): Done => {
   const hailed = hail(state.berth, words(state, now), now);
@@ -59,14 +111,41 @@
 const fit = (state: Cabin, offer: Offer, now: Moment): Done => {
   const missing = offer.pieces.filter((one) => !state.pieces.has(one));
   const fitting = state.fitting;
-  const since = fitting.phase === 'fetching' && fitting.offer.generation === offer.generation ? fitting.since : now;
+  const since =
+    fitting.phase === 'fetching' && fitting.offer.generation === offer.generation
+      ? fitting.since
+      : now;
   if (missing.length === 0) {
     const texts = offer.pieces.map((one) => state.pieces.get(one) ?? '');
-    return step({ ...state, fitting: { phase: 'compiling', offer, since, whole: now } }, { kind: 'build', offer, texts, before: state.table });
+    return step(
+      { ...state, fitting: { phase: 'compiling', offer, since, whole: now } },
+      { kind: 'build', offer, texts, before: state.table },
+    );
   }
   const to = state.berth.moor?.address;
-  const asked = to === undefined ? [] : [send(to, { kind: 'want', node: state.berth.member.node, hashes: missing.slice(0, wantMost) })];
-  return step({ ...state, fitting: { phase: 'fetching', offer, since, asked: now, awaited: Math.min(wantMost, missing.length) } }, ...asked);
+  const asked =
+    to === undefined
+      ? []
+      : [
+          send(to, {
+            kind: 'want',
+            node: state.berth.member.node,
+            hashes: missing.slice(0, wantMost),
+          }),
+        ];
+  return step(
+    {
+      ...state,
+      fitting: {
+        phase: 'fetching',
+        offer,
+        since,
+        asked: now,
+        awaited: Math.min(wantMost, missing.length),
+      },
+    },
+    ...asked,
+  );
 };
 
 /** Takes an offer; never one that is lower than what runs or is being fitted. */
@@ -74,68 +153,150 @@
   if (state.table !== undefined && offer.generation <= state.table.generation) return step(state);
   const fitting = state.fitting;
   if (fitting.phase !== 'idle' && offer.generation <= fitting.offer.generation) return step(state);
-  if (state.failed !== undefined && offer.generation < state.failed.offer.generation) return step(state);
+  if (state.failed !== undefined && offer.generation < state.failed.offer.generation)
+    return step(state);
   return fit(state, offer, now);
 };
 
 const onPurges = (state: Cabin, word: FrameOf<'heard'>): Done => {
   if (word.top <= state.purged) return step(state);
-  const fresh = word.purges.filter((one) => one.seq > state.purged).sort((one, two) => one.seq - two.seq);
+  const fresh = word.purges
+    .filter((one) => one.seq > state.purged)
+    .sort((one, two) => one.seq - two.seq);
   const first = fresh[0];
-  const whole = first !== undefined && first.seq === state.purged + 1 && fresh.length === word.top - state.purged;
+  const whole =
+    first !== undefined &&
+    first.seq === state.purged + 1 &&
+    fresh.length === word.top - state.purged;
   const lost = state.purged + 1 < word.floor;
-  if (whole) return step({ ...state, purged: word.top }, { kind: 'purge', purges: fresh, flush: false, top: word.top });
+  if (whole)
+    return step(
+      { ...state, purged: word.top },
+      { kind: 'purge', purges: fresh, flush: false, top: word.top },
+    );
   // Too old to catch up: all that is cached goes.
-  if (lost || state.purged === 0) return step({ ...state, purged: word.top }, { kind: 'purge', purges: [], flush: true, top: word.top });
+  if (lost || state.purged === 0)
+    return step(
+      { ...state, purged: word.top },
+      { kind: 'purge', purges: [], flush: true, top: word.top },
+    );
   return step(state);
 };
 
 /** Only the highest state of a service counts, whoever tells it. */
-const learnReleases = (known: Cabin['releases'], told: readonly ReleaseState[]): Cabin['releases'] => {
+const learnReleases = (
+  known: Cabin['releases'],
+  told: readonly ReleaseState[],
+): Cabin['releases'] => {
   const fresh = told.filter((one) => one.serial >= (known.get(one.service)?.serial ?? 0));
-  return fresh.length === 0 ? known : new Map([...known, ...fresh.map((one) => [one.service, one] as const)]);
+  return fresh.length === 0
+    ? known
+    : new Map([...known, ...fresh.map((one) => [one.service, one] as const)]);
 };
 
 const onHeard = (before: Cabin, from: Colleague, word: FrameOf<'heard'>, now: Moment): Done => {
   const berth = takeHeard(before.berth, from, word, now);
-  const purged = onPurges({ ...takeVacant({ ...before, berth }, word, now), verdicts: word.verdicts, releases: learnReleases(before.releases, word.releases), releasesAt: word.age === undefined ? before.releasesAt : now }, word);
+  const purged = onPurges(
+    {
+      ...takeVacant({ ...before, berth }, word, now),
+      verdicts: word.verdicts,
+      releases: learnReleases(before.releases, word.releases),
+      releasesAt: word.age === undefined ? before.releasesAt : now,
+    },
+    word,
+  );
   let state = purged.state;
-  if (word.age !== undefined && word.at > 0 && state.purged >= word.top && before.berth.moor?.address === from.address) {
+  if (
+    word.age !== undefined &&
+    word.at > 0 &&
+    state.purged >= word.top &&
+    before.berth.moor?.address === from.address
+  ) {
     const asOf = toMoment(word.at - word.age);
     if (state.asOf === undefined || asOf > state.asOf) state = { ...state, asOf };
   }
-  const offered = word.offer === undefined ? step<Cabin, CabinEffect>(state) : onOffer(state, word.offer, now);
+  const offered =
+    word.offer === undefined ? step<Cabin, CabinEffect>(state) : onOffer(state, word.offer, now);
   return join(purged.effects, offered);
 };
 
 const onPiece = (state: Cabin, word: FrameOf<'piece'>, now: Moment): Done => {
   const fitting = state.fitting;
-  if (fitting.phase !== 'fetching' || !fitting.offer.pieces.includes(word.hash) || hashOf(word.data) !== word.hash) return step(state);
+  if (
+    fitting.phase !== 'fetching' ||
+    !fitting.offer.pieces.includes(word.hash) ||
+    hashOf(word.data) !== word.hash
+  )
+    return step(state);
   if (state.pieces.has(word.hash)) return step(state);
-  const next = { ...state, pieces: put(state.pieces, word.hash, word.data), fitting: { ...fitting, asked: now, awaited: fitting.awaited - 1 } };
+  const next = {
+    ...state,
+    pieces: put(state.pieces, word.hash, word.data),
+    fitting: { ...fitting, asked: now, awaited: fitting.awaited - 1 },
+  };
   return next.fitting.awaited <= 0 ? fit(next, fitting.offer, now) : step(next);
 };
 
-const onBuilt = (state: Cabin, offer: Offer, event: Extract<CabinEvent, { kind: 'built' }>): Done => {
+const onBuilt = (
+  state: Cabin,
+  offer: Offer,
+  event: Extract<CabinEvent, { kind: 'built' }>,
+): Done => {
   const fitting = state.fitting;
   if (fitting.phase === 'idle' || fitting.offer.generation !== offer.generation) return step(state);
   const keep = new Set(offer.pieces);
-  const spans = fitting.phase === 'compiling' ? [['fetchMs', Math.round(fitting.whole - fitting.since)] as const, ['compileMs', Math.round(event.now - fitting.whole)] as const] : [];
-  const next: Cabin = { ...state, table: event.table, fitting: { phase: 'idle' }, failed: undefined, pieces: sift(state.pieces, (_, hash) => keep.has(hash)) };
-  return join([{ kind: 'adopt', table: event.table }, log('info', 'in force', ['generation', offer.generation], ...spans)], speak(next, event.now));
+  const spans =
+    fitting.phase === 'compiling'
+      ? [
+          ['fetchMs', Math.round(fitting.whole - fitting.since)] as const,
+          ['compileMs', Math.round(event.now - fitting.whole)] as const,
+        ]
+      : [];
+  const next: Cabin = {
+    ...state,
+    table: event.table,
+    fitting: { phase: 'idle' },
+    failed: undefined,
+    pieces: sift(state.pieces, (_, hash) => keep.has(hash)),
+  };
+  return join(
+    [
+      { kind: 'adopt', table: event.table },
+      log('info', 'in force', ['generation', offer.generation], ...spans),
+    ],
+    speak(next, event.now),
+  );
 };
 
 const onUnbuilt = (state: Cabin, event: Extract<CabinEvent, { kind: 'unbuilt' }>): Done => {
-  const text = event.faults.slice(0, 5).map((one) => `${one.path}: ${one.text}`).join('; ');
-  const next: Cabin = { ...state, fitting: { phase: 'idle' }, failed: { offer: event.offer, text } };
-  return join([log('error', 'a description can not be applied; bouncing until one can', ['generation', event.offer.generation], ['why', text])], speak(next, event.now));
+  const text = event.faults
+    .slice(0, 5)
+    .map((one) => `${one.path}: ${one.text}`)
+    .join('; ');
+  const next: Cabin = {
+    ...state,
+    fitting: { phase: 'idle' },
+    failed: { offer: event.offer, text },
+  };
+  return join(
+    [
+      log(
+        'error',
+        'a description can not be applied; bouncing until one can',
+        ['generation', event.offer.generation],
+        ['why', text],
+      ),
+    ],
+    speak(next, event.now),
+  );
 };
 
 const onTick = (state: Cabin, now: Moment): Done => {
   const drifted = drift(state.berth, words(state, now), now);
   let next: Done = step({ ...state, berth: drifted.state }, ...drifted.effects);
   const fitting = next.state.fitting;
-  if (fitting.phase === 'fetching' && now - fitting.asked >= wantSpan) next = join(next.effects, fit(next.state, fitting.offer, now));
+  if (fitting.phase === 'fetching' && now - fitting.asked >= wantSpan)
+    next = join(next.effects, fit(next.state, fitting.offer, now));
   return join(next.effects, passDuties(next.state, now));
 };
 
@@ -152,9 +313,25 @@
     case 'handover':
       return onHandover(state, frame, now);
     case 'tried':
-      return step({ ...state, verdicts: [...state.verdicts.filter((one) => one.service !== frame.verdict.service || one.release !== frame.verdict.release), frame.verdict] });
+      return step({
+        ...state,
+        verdicts: [
+          ...state.verdicts.filter(
+            (one) => one.service !== frame.verdict.service || one.release !== frame.verdict.release,
+          ),
+          frame.verdict,
+        ],
+      });
     default:
-      return step(state, log('warn', 'a frame this program does not take', ['frame', frame.kind], ['from', from.node]));
+      return step(
+        state,
+        log(
+          'warn',
+          'a frame this program does not take',
+          ['frame', frame.kind],
+          ['from', from.node],
+        ),
+      );
   }
 };
 
@@ -178,4 +355,3 @@
     }
   }
 };
-
--- a/packages/waybill/src/cabin/state.ts
+++ b/packages/waybill/src/cabin/state.ts
@@ -1,7 +1,23 @@
 import {
-  type Address, type Dice, type Duty, type Hash, type Moment, type Seq, type ServiceName, noSeq, start,
+  type Address,
+  type Dice,
+  type Duty,
+  type Hash,
+  type Moment,
+  type Seq,
+  type ServiceName,
+  noSeq,
+  start,
 } from '@switchwheel/gauge';
-import type { Member, Offer, Purge, ReleaseState, Verdict, WireEffect, WireEvent } from '@switchwheel/coupling';
+import type {
+  Member,
+  Offer,
+  Purge,
+  ReleaseState,
+  Verdict,
+  WireEffect,
+  WireEvent,
+} from '@switchwheel/coupling';
 import type { Stand } from '@switchwheel/ballot';
 import { type Berth, newBerth } from '@switchwheel/roster';
 import type { Fault, Table } from '@switchwheel/timetable';
@@ -9,8 +25,19 @@
 /** What a node is doing about an offered description. */
 export type Fitting =
   | { readonly phase: 'idle' }
-  | { readonly phase: 'fetching'; readonly offer: Offer; readonly since: Moment; readonly asked: Moment; readonly awaited: number }
-  | { readonly phase: 'compiling'; readonly offer: Offer; readonly since: Moment; readonly whole: Moment };
+  | {
+      readonly phase: 'fetching';
+      readonly offer: Offer;
+      readonly since: Moment;
+      readonly asked: Moment;
+      readonly awaited: number;
+    }
+  | {
+      readonly phase: 'compiling';
+      readonly offer: Offer;
+      readonly since: Moment;
+      readonly whole: Moment;
+    };
 
 /** The control side of a proxy: its session, its description, its purges and its duties. */
 export interface Cabin {
@@ -37,19 +64,45 @@
 export type CabinEvent =
   | WireEvent
   | { readonly kind: 'built'; readonly now: Moment; readonly offer: Offer; readonly table: Table }
-  | { readonly kind: 'unbuilt'; readonly now: Moment; readonly offer: Offer; readonly faults: readonly Fault[] }
+  | {
+      readonly kind: 'unbuilt';
+      readonly now: Moment;
+      readonly offer: Offer;
+      readonly faults: readonly Fault[];
+    }
   | { readonly kind: 'stop'; readonly now: Moment };
 
 export type CabinEffect =
   | WireEffect
-  | { readonly kind: 'build'; readonly offer: Offer; readonly texts: readonly string[]; readonly before: Table | undefined }
+  | {
+      readonly kind: 'build';
+      readonly offer: Offer;
+      readonly texts: readonly string[];
+      readonly before: Table | undefined;
+    }
   | { readonly kind: 'adopt'; readonly table: Table }
-  | { readonly kind: 'purge'; readonly purges: readonly Purge[]; readonly flush: boolean; readonly top: Seq }
+  | {
+      readonly kind: 'purge';
+      readonly purges: readonly Purge[];
+      readonly flush: boolean;
+      readonly top: Seq;
+    }
   | { readonly kind: 'kept'; readonly service: ServiceName; readonly stand: Stand }
   | { readonly kind: 'unkept'; readonly service: ServiceName };
 
 export const newCabin = (member: Member, seeds: readonly Address[], dice: Dice): Cabin => ({
-  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x2545f491 }), table: undefined, fitting: { phase: 'idle' }, pieces: new Map(), failed: undefined,
-  purged: noSeq, asOf: undefined, verdicts: [], releases: new Map(), releasesAt: start, stands: new Map(), vacant: new Map(), stopping: false, dice,
+  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x2545f491 }),
+  table: undefined,
+  fitting: { phase: 'idle' },
+  pieces: new Map(),
+  failed: undefined,
+  purged: noSeq,
+  asOf: undefined,
+  verdicts: [],
+  releases: new Map(),
+  releasesAt: start,
+  stands: new Map(),
+  vacant: new Map(),
+  stopping: false,
+  dice,
 });
-
--- a/packages/waybill/src/cache/cache.test.ts
+++ b/packages/waybill/src/cache/cache.test.ts
@@ -7,18 +7,61 @@
 
 const now = toMoment(1000);
 const key: CacheKey = { route: 'r', host: 'h', path: '/p', query: '' };
-const put = (cache: Cache, text: string, change: { readonly fields?: Fields; readonly request?: Fields; readonly key?: CacheKey; readonly tags?: readonly string[]; readonly since?: number; readonly born?: Moment } = {}): boolean =>
-  cache.store({ key: change.key ?? key, status: 200, fields: change.fields ?? [], body: Buffer.from(text), digest: digestOf(Buffer.from(text)), born: change.born ?? now, lifetime: 1000, tags: change.tags ?? [] }, change.request ?? [], [], toSeq(change.since ?? 0), now) !== undefined;
-const find = (cache: Cache, request: Fields = [], at = now): string | undefined => cache.find(key, request, at)?.body.toString();
+const put = (
+  cache: Cache,
+  text: string,
+  change: {
+    readonly fields?: Fields;
+    readonly request?: Fields;
+    readonly key?: CacheKey;
+    readonly tags?: readonly string[];
+    readonly since?: number;
+    readonly born?: Moment;
+  } = {},
+): boolean =>
+  cache.store(
+    {
+      key: change.key ?? key,
+      status: 200,
+      fields: change.fields ?? [],
+      body: Buffer.from(text),
+      digest: digestOf(Buffer.from(text)),
+      born: change.born ?? now,
+      lifetime: 1000,
+      tags: change.tags ?? [],
+    },
+    change.request ?? [],
+    [],
+    toSeq(change.since ?? 0),
+    now,
+  ) !== undefined;
+const find = (cache: Cache, request: Fields = [], at = now): string | undefined =>
+  cache.find(key, request, at)?.body.toString();
 
 void test('results that vary are told only to requests with the same values; lifetimes count from when they were made', () => {
   const cache = new Cache(1_000_000);
-  put(cache, 'german', { fields: [['vary', 'Accept-Language']], request: [['accept-language', 'de']] });
-  put(cache, 'english', { fields: [['vary', 'Accept-Language']], request: [['accept-language', 'en']] });
-  assert.deepEqual([find(cache, [['accept-language', 'de']]), find(cache, [['accept-language', 'en']]), find(cache)], ['german', 'english', undefined]);
+  put(cache, 'german', {
+    fields: [['vary', 'Accept-Language']],
+    request: [['accept-language', 'de']],
+  });
+  put(cache, 'english', {
+    fields: [['vary', 'Accept-Language']],
+    request: [['accept-language', 'en']],
+  });
+  assert.deepEqual(
+    [
+      find(cache, [['accept-language', 'de']]),
+      find(cache, [['accept-language', 'en']]),
+      find(cache),
+    ],
+    ['german', 'english', undefined],
+  );
   const old = new Cache(1_000_000);
   put(old, 'x', { born: toMoment(500) });
-  assert.deepEqual([find(old, [], later(now, 499)), find(old, [], later(now, 500))], ['x', undefined]);
+  assert.deepEqual(
+    [find(old, [], later(now, 499)), find(old, [], later(now, 500))],
+    ['x', undefined],
+  );
 });
 
 void test('purges by object, by tag and of all; what was fetched before a purge is not kept after it', () => {
@@ -39,11 +82,19 @@
 });
 
 void test('what may be kept: never private, authorised or set-cookie results, the shorter of two lifetimes', () => {
-  const kept = (fields: Fields, authorised = false, own?: number): number | undefined => lifetimeOf(200, fields, authorised, own);
+  const kept = (fields: Fields, authorised = false, own?: number): number | undefined =>
+    lifetimeOf(200, fields, authorised, own);
   assert.equal(kept([['cache-control', 'max-age=5']]), 5000);
   assert.equal(kept([['cache-control', 'max-age=60, s-maxage=9']], false, 4000), 4000);
   assert.equal(kept([], false, 700), 700);
-  for (const fields of [[['cache-control', 'private, max-age=5']], [['cache-control', 'no-store']], [['set-cookie', 'a=b']], [['vary', '*']], []] satisfies Fields[]) assert.equal(kept(fields, false, fields.length === 0 ? undefined : 500), undefined);
+  for (const fields of [
+    [['cache-control', 'private, max-age=5']],
+    [['cache-control', 'no-store']],
+    [['set-cookie', 'a=b']],
+    [['vary', '*']],
+    [],
+  ] satisfies Fields[])
+    assert.equal(kept(fields, false, fields.length === 0 ? undefined : 500), undefined);
   assert.equal(kept([['cache-control', 'max-age=5']], true), undefined);
   assert.equal(kept([['cache-control', 'public, max-age=5']], true), 5000);
   assert.equal(lifetimeOf(500, [['cache-control', 'max-age=5']], false, undefined), undefined);
@@ -51,7 +102,8 @@
 
 void test('the least recently used go first when room runs out', () => {
   const cache = new Cache(80_000);
-  for (let at = 0; at < 12; at += 1) put(cache, 'x'.repeat(9000), { key: { ...key, path: `/${at}` } });
+  for (let at = 0; at < 12; at += 1)
+    put(cache, 'x'.repeat(9000), { key: { ...key, path: `/${at}` } });
   assert.ok(cache.bytes <= 80_000 && cache.size < 12);
   assert.equal(cache.find({ ...key, path: '/0' }, [], now), undefined);
   assert.ok(cache.find({ ...key, path: '/11' }, [], now) !== undefined);
--- a/packages/waybill/src/cache/cache.ts
+++ b/packages/waybill/src/cache/cache.ts
@@ -26,7 +26,8 @@
 }
 
 const idOf = (key: CacheKey): string => `${key.route}\n${key.host}\n${key.path}\n${key.query}`;
-export const digestOf = (body: Uint8Array): string => createHash('sha256').update(body).digest('base64');
+export const digestOf = (body: Uint8Array): string =>
+  createHash('sha256').update(body).digest('base64');
 
 const matches = (key: CacheKey, tags: readonly string[], aim: Aim): boolean => {
   switch (aim.by) {
@@ -79,7 +80,9 @@
     const id = idOf(key);
     const row = this.#rows.get(id);
     if (row === undefined) return undefined;
-    const found = row.find((one) => [...one.vary].every(([name, value]) => (fieldOf(request, name) ?? '') === value));
+    const found = row.find((one) =>
+      [...one.vary].every(([name, value]) => (fieldOf(request, name) ?? '') === value),
+    );
     if (found === undefined) return undefined;
     if (now - found.born >= found.lifetime) {
       this.#remove(id, found);
@@ -91,13 +94,31 @@
   }
 
   /** Stores a result, unless a purge that came since it was fetched is meant for it. */
-  store(entry: Omit<Entry, 'vary'>, request: Fields, extraVary: readonly string[], fetchedAt: Seq, now: Moment): Entry | undefined {
+  store(
+    entry: Omit<Entry, 'vary'>,
+    request: Fields,
+    extraVary: readonly string[],
+    fetchedAt: Seq,
+    now: Moment,
+  ): Entry | undefined {
     const { key, tags } = entry;
-    if (entry.body.length > this.#most / 8 || now - entry.born >= entry.lifetime || this.purgedSince(key, tags, fetchedAt)) return undefined;
-    const whole: Entry = { ...entry, vary: varyValues([...new Set([...varyOf(entry.fields), ...extraVary])], request) };
+    if (
+      entry.body.length > this.#most / 8 ||
+      now - entry.born >= entry.lifetime ||
+      this.purgedSince(key, tags, fetchedAt)
+    )
+      return undefined;
+    const whole: Entry = {
+      ...entry,
+      vary: varyValues([...new Set([...varyOf(entry.fields), ...extraVary])], request),
+    };
     const id = idOf(key);
     const row = this.#rows.get(id) ?? [];
-    const same = row.find((one) => one.vary.size === whole.vary.size && [...one.vary].every(([name, value]) => whole.vary.get(name) === value));
+    const same = row.find(
+      (one) =>
+        one.vary.size === whole.vary.size &&
+        [...one.vary].every(([name, value]) => whole.vary.get(name) === value),
+    );
     if (same !== undefined) this.#remove(id, same);
     const rest = this.#rows.get(id) ?? [];
     this.#rows.delete(id);
@@ -112,7 +133,9 @@
   /** Whether a purge after the one named is meant for an object. */
   purgedSince(key: CacheKey, tags: readonly string[], since: Seq): boolean {
     if (since < this.#flushed) return true;
-    return this.#recent.some((purge) => purge.seq > since && purge.aims.some((aim) => matches(key, tags, aim)));
+    return this.#recent.some(
+      (purge) => purge.seq > since && purge.aims.some((aim) => matches(key, tags, aim)),
+    );
   }
 
   /** Acts on purges; `flush` empties the cache, as some were missed. */
@@ -142,9 +165,13 @@
   }
 
   #aimAt(aim: Aim): void {
-    const ids = aim.by === 'all' ? [...this.#rows.keys()] : [...((aim.by === 'tag' ? this.#byTag.get(aim.tag) : this.#byPath.get(aim.path)) ?? [])];
+    const ids =
+      aim.by === 'all'
+        ? [...this.#rows.keys()]
+        : [...((aim.by === 'tag' ? this.#byTag.get(aim.tag) : this.#byPath.get(aim.path)) ?? [])];
     for (const id of ids) {
-      for (const one of [...(this.#rows.get(id) ?? [])]) if (matches(one.key, one.tags, aim)) this.#remove(id, one);
+      for (const one of [...(this.#rows.get(id) ?? [])])
+        if (matches(one.key, one.tags, aim)) this.#remove(id, one);
     }
   }
 
@@ -170,7 +197,8 @@
       this.#rows.delete(id);
       this.#unindex(this.#byPath, entry.key.path, id);
     }
-    for (const tag of entry.tags) if (!rest.some((one) => one.tags.includes(tag))) this.#unindex(this.#byTag, tag, id);
+    for (const tag of entry.tags)
+      if (!rest.some((one) => one.tags.includes(tag))) this.#unindex(this.#byTag, tag, id);
   }
 
   #trim(): void {
--- a/packages/waybill/src/forward/forward.test.ts
+++ b/packages/waybill/src/forward/forward.test.ts
@@ -1,6 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Duty, keeperOf, later, noGeneration, noSeq, toAddress, toAskId, toClassName, toEpoch, toMoment, toNodeId, toServiceName, isRouteName } from '@switchwheel/gauge';
+import {
+  type Duty,
+  keeperOf,
+  later,
+  noGeneration,
+  noSeq,
+  toAddress,
+  toAskId,
+  toClassName,
+  toEpoch,
+  toMoment,
+  toNodeId,
+  toServiceName,
+  isRouteName,
+} from '@switchwheel/gauge';
 import type { Holder } from '@switchwheel/coupling';
 import { forwardStep } from './forward.js';
 import { type Forward, type ForwardEffect, type ForwardEvent, newForward } from './state.js';
@@ -23,19 +37,50 @@
     const route = 'route';
     assert.ok(isRouteName(route));
     this.tell({
-      kind: 'take', now: start,
-      wagon: { id: toAskId(name), service, generation: noGeneration, route, group: toClassName('any'), method: 'GET', host: 'h', path: '/', fields: [], repeatable, storable: false, until: later(start, 5000), purged: noSeq },
+      kind: 'take',
+      now: start,
+      wagon: {
+        id: toAskId(name),
+        service,
+        generation: noGeneration,
+        route,
+        group: toClassName('any'),
+        method: 'GET',
+        host: 'h',
+        path: '/',
+        fields: [],
+        repeatable,
+        storable: false,
+        until: later(start, 5000),
+        purged: noSeq,
+      },
     });
   }
 
   keeper(epoch: number, spot: string, at = start): readonly ForwardEffect[] {
     const duty = keeperOf(service);
-    const holder: Holder = { duty, epoch: toEpoch(epoch), node: toNodeId(`k${epoch}`), address: toAddress(spot) };
-    return this.tell({ kind: 'keepers', now: at, keepers: new Map<Duty, Holder>([[duty, holder]]) });
+    const holder: Holder = {
+      duty,
+      epoch: toEpoch(epoch),
+      node: toNodeId(`k${epoch}`),
+      address: toAddress(spot),
+    };
+    return this.tell({
+      kind: 'keepers',
+      now: at,
+      keepers: new Map<Duty, Holder>([[duty, holder]]),
+    });
   }
 }
 
-const kinds = (list: readonly ForwardEffect[]): readonly string[] => list.map((one) => (one.kind === 'fail' ? `${one.id} ${one.breakdown}` : one.kind === 'ask' ? `${one.ask.id} to ${one.to}` : `${one.id} ${one.kind}`));
+const kinds = (list: readonly ForwardEffect[]): readonly string[] =>
+  list.map((one) =>
+    one.kind === 'fail'
+      ? `${one.id} ${one.breakdown}`
+      : one.kind === 'ask'
+        ? `${one.ask.id} to ${one.to}`
+        : `${one.id} ${one.kind}`,
+  );
 
 void test('a new keeper: what may run twice moves there, what may not stays and is never asked again', () => {
   const bench = new Bench();
@@ -43,7 +88,12 @@
   bench.take('read', true);
   bench.take('act', false);
   assert.deepEqual(kinds(bench.keeper(2, '10.0.0.2:1')), ['read cancel', 'read to 10.0.0.2:1']);
-  const lost = bench.tell({ kind: 'lost', now: start, keeper: toAddress('10.0.0.1:1'), unsent: new Set() });
+  const lost = bench.tell({
+    kind: 'lost',
+    now: start,
+    keeper: toAddress('10.0.0.1:1'),
+    unsent: new Set(),
+  });
   assert.deepEqual(kinds(lost), ['act unknown']);
 });
 
@@ -53,14 +103,42 @@
   bench.take('act', false);
   bench.take('read', true);
   bench.tell({ kind: 'begun', now: start, from: toAddress('10.0.0.1:1'), id: toAskId('read') });
-  bench.tell({ kind: 'lost', now: start, keeper: toAddress('10.0.0.1:1'), unsent: new Set([toAskId('act')]) });
+  bench.tell({
+    kind: 'lost',
+    now: start,
+    keeper: toAddress('10.0.0.1:1'),
+    unsent: new Set([toAskId('act')]),
+  });
   const moved = bench.keeper(2, '10.0.0.2:1');
   assert.deepEqual(kinds(moved).toSorted(), ['act to 10.0.0.2:1', 'read to 10.0.0.2:1']);
-  assert.deepEqual(moved.flatMap((one) => (one.kind === 'ask' ? [[one.ask.id, one.ask.again, one.ask.extra]] : [])).toSorted(), [['act', false, false], ['read', true, true]]);
+  assert.deepEqual(
+    moved
+      .flatMap((one) => (one.kind === 'ask' ? [[one.ask.id, one.ask.again, one.ask.extra]] : []))
+      .toSorted(),
+    [
+      ['act', false, false],
+      ['read', true, true],
+    ],
+  );
   for (const id of ['act', 'read']) {
-    bench.tell({ kind: 'bounce', now: start, from: toAddress('10.0.0.2:1'), frame: { kind: 'bounce', id: toAskId(id), breakdown: 'bounced', text: '', retryAfter: 1, moved: false } });
+    bench.tell({
+      kind: 'bounce',
+      now: start,
+      from: toAddress('10.0.0.2:1'),
+      frame: {
+        kind: 'bounce',
+        id: toAskId(id),
+        breakdown: 'bounced',
+        text: '',
+        retryAfter: 1,
+        moved: false,
+      },
+    });
   }
-  assert.deepEqual(kinds(bench.effects).filter((one) => !one.includes(' to ')), ['act bounced', 'read lost']);
+  assert.deepEqual(
+    kinds(bench.effects).filter((one) => !one.includes(' to ')),
+    ['act bounced', 'read lost'],
+  );
 });
 
 void test('without a keeper a request waits for as long as a change takes, and is then told at once', () => {
--- a/packages/waybill/src/forward/forward.ts
+++ b/packages/waybill/src/forward/forward.ts
@@ -1,4 +1,16 @@
-import { type Address, type AskId, type Kind, type Moment, type Step, drop, join, keeperOf, put, step, toSpan } from '@switchwheel/gauge';
+import {
+  type Address,
+  type AskId,
+  type Kind,
+  type Moment,
+  type Step,
+  drop,
+  join,
+  keeperOf,
+  put,
+  step,
+  toSpan,
+} from '@switchwheel/gauge';
 import type { Forward, ForwardEffect, ForwardEvent, Wagon } from './state.js';
 import { maxWagons } from './state.js';
 
@@ -9,61 +21,147 @@
 const strandSpan = 2000;
 
 /** A request of which an earlier leg may have run is never told as refused. */
-const fail = (wagon: Pick<Wagon, 'id' | 'again'>, breakdown: Kind, text: string, retryMs: number): ForwardEffect =>
-  ({ kind: 'fail', id: wagon.id, breakdown: breakdown === 'bounced' && wagon.again ? 'lost' : breakdown, text, retryMs });
+const fail = (
+  wagon: Pick<Wagon, 'id' | 'again'>,
+  breakdown: Kind,
+  text: string,
+  retryMs: number,
+): ForwardEffect => ({
+  kind: 'fail',
+  id: wagon.id,
+  breakdown: breakdown === 'bounced' && wagon.again ? 'lost' : breakdown,
+  text,
+  retryMs,
+});
 const end = (state: Forward, id: AskId): Forward => ({ ...state, wagons: drop(state.wagons, id) });
 
 /** Sends a request to the keeper of its service, if one is known that has not just passed it back. */
 const dispatch = (state: Forward, wagon: Wagon, less: number, now: Moment): Done => {
   const keeper = state.keepers.get(keeperOf(wagon.service));
   if (keeper === undefined || keeper.epoch < less) {
-    const bare = put(state.bare, wagon.service, { since: state.bare.get(wagon.service)?.since ?? now, tried: now });
-    return step({ ...state, bare, wagons: put(state.wagons, wagon.id, { ...wagon, stage: { stage: 'waiting', since: now } }) });
+    const bare = put(state.bare, wagon.service, {
+      since: state.bare.get(wagon.service)?.since ?? now,
+      tried: now,
+    });
+    return step({
+      ...state,
+      bare,
+      wagons: put(state.wagons, wagon.id, { ...wagon, stage: { stage: 'waiting', since: now } }),
+    });
   }
   const to = keeper.door ?? keeper.address;
   const next: Wagon = { ...wagon, stage: { stage: 'asked', keeper: to, epoch: keeper.epoch } };
-  const { id, service, generation, route, group, method, host, path, fields, repeatable, storable, again, begun, purged } = next;
-  return step({ ...state, wagons: put(state.wagons, wagon.id, next) }, {
-    kind: 'ask', to, ask: {
-      kind: 'ask', id, service, generation, route, group, method, host, path, fields, repeatable, storable, again, extra: begun, purged,
-      epoch: keeper.epoch, left: toSpan(Math.max(1, wagon.until - now)),
+  const {
+    id,
+    service,
+    generation,
+    route,
+    group,
+    method,
+    host,
+    path,
+    fields,
+    repeatable,
+    storable,
+    again,
+    begun,
+    purged,
+  } = next;
+  return step(
+    { ...state, wagons: put(state.wagons, wagon.id, next) },
+    {
+      kind: 'ask',
+      to,
+      ask: {
+        kind: 'ask',
+        id,
+        service,
+        generation,
+        route,
+        group,
+        method,
+        host,
+        path,
+        fields,
+        repeatable,
+        storable,
+        again,
+        extra: begun,
+        purged,
+        epoch: keeper.epoch,
+        left: toSpan(Math.max(1, wagon.until - now)),
+      },
     },
-  });
+  );
 };
 
-const late = (wagon: Wagon): ForwardEffect => wagon.stage.stage === 'asked'
-  ? fail(wagon, wagon.repeatable ? 'slow' : 'unknown', 'no result in time', 0)
-  : fail(wagon, 'bounced', 'no keeper in time', 1000);
+const late = (wagon: Wagon): ForwardEffect =>
+  wagon.stage.stage === 'asked'
+    ? fail(wagon, wagon.repeatable ? 'slow' : 'unknown', 'no result in time', 0)
+    : fail(wagon, 'bounced', 'no keeper in time', 1000);
 
 /** A keeper took a request of a service: it has one. */
-const found = (state: Forward, service: Wagon['service']): Forward => (state.bare.has(service) ? { ...state, bare: drop(state.bare, service) } : state);
+const found = (state: Forward, service: Wagon['service']): Forward =>
+  state.bare.has(service) ? { ...state, bare: drop(state.bare, service) } : state;
 
-const onTake = (state: Forward, wagon: Omit<Wagon, 'stage' | 'again' | 'begun'>, now: Moment): Done => {
+const onTake = (
+  state: Forward,
+  wagon: Omit<Wagon, 'stage' | 'again' | 'begun'>,
+  now: Moment,
+): Done => {
   const bare = state.bare.get(wagon.service);
   if (bare !== undefined && now - bare.since > strandSpan) {
     // Now and then one is sent to see whether a keeper is there again; the others are told at once.
-    if (now - bare.tried < askAgain) return step(state, fail({ id: wagon.id, again: false }, 'bounced', 'no keeper for a while', 1000));
-    return dispatch({ ...state, bare: put(state.bare, wagon.service, { ...bare, tried: now }) }, { ...wagon, again: false, begun: false, stage: { stage: 'waiting', since: now } }, 0, now);
+    if (now - bare.tried < askAgain)
+      return step(
+        state,
+        fail({ id: wagon.id, again: false }, 'bounced', 'no keeper for a while', 1000),
+      );
+    return dispatch(
+      { ...state, bare: put(state.bare, wagon.service, { ...bare, tried: now }) },
+      { ...wagon, again: false, begun: false, stage: { stage: 'waiting', since: now } },
+      0,
+      now,
+    );
   }
   let same = 0;
   for (const one of state.wagons.values()) if (one.group === wagon.group) same += 1;
-  if (state.wagons.size >= maxWagons || same >= maxWagons / 2) return step(state, fail({ id: wagon.id, again: false }, 'bounced', 'too many requests are under way', 1000));
-  return dispatch(state, { ...wagon, again: false, begun: false, stage: { stage: 'waiting', since: now } }, 0, now);
+  if (state.wagons.size >= maxWagons || same >= maxWagons / 2)
+    return step(
+      state,
+      fail({ id: wagon.id, again: false }, 'bounced', 'too many requests are under way', 1000),
+    );
+  return dispatch(
+    state,
+    { ...wagon, again: false, begun: false, stage: { stage: 'waiting', since: now } },
+    0,
+    now,
+  );
 };
 
 const onKeepers = (state: Forward, event: Extract<ForwardEvent, { kind: 'keepers' }>): Done => {
   let next: Done = step({ ...state, keepers: event.keepers });
   for (const service of state.bare.keys()) {
-    if (event.keepers.get(keeperOf(service)) !== state.keepers.get(keeperOf(service))) next = step(found(next.state, service));
+    if (event.keepers.get(keeperOf(service)) !== state.keepers.get(keeperOf(service)))
+      next = step(found(next.state, service));
   }
   for (const wagon of state.wagons.values()) {
     const keeper = event.keepers.get(keeperOf(wagon.service));
-    if (keeper === undefined || keeper === state.keepers.get(keeperOf(wagon.service)) || wagon.stage.stage === 'answering') continue;
-    if (wagon.stage.stage === 'waiting') next = join(next.effects, dispatch(next.state, wagon, 0, event.now));
+    if (
+      keeper === undefined ||
+      keeper === state.keepers.get(keeperOf(wagon.service)) ||
+      wagon.stage.stage === 'answering'
+    )
+      continue;
+    if (wagon.stage.stage === 'waiting')
+      next = join(next.effects, dispatch(next.state, wagon, 0, event.now));
     else if (wagon.repeatable && wagon.stage.epoch < keeper.epoch) {
       // The keeper that was asked holds the service no more and may be frozen: what may run twice is asked of the new one.
       const left: ForwardEffect = { kind: 'cancel', to: wagon.stage.keeper, id: wagon.id };
-      next = join([...next.effects, left], dispatch(next.state, { ...wagon, again: true }, 0, event.now));
+      next = join(
+        [...next.effects, left],
+        dispatch(next.state, { ...wagon, again: true }, 0, event.now),
+      );
     }
   }
   return next;
@@ -80,7 +178,10 @@
   const wagon = state.wagons.get(frame.id);
   if (wagon?.stage.stage !== 'asked' || wagon.stage.keeper !== event.from) return step(state);
   if (frame.moved) return retry(state, wagon, wagon.stage.epoch + 1, now);
-  return step(end(found(state, wagon.service), frame.id), fail(wagon, frame.breakdown, frame.text, frame.retryAfter));
+  return step(
+    end(found(state, wagon.service), frame.id),
+    fail(wagon, frame.breakdown, frame.text, frame.retryAfter),
+  );
 };
 
 const onLost = (state: Forward, keeper: Address, unsent: ReadonlySet<AskId>, now: Moment): Done => {
@@ -88,9 +189,20 @@
   for (const wagon of state.wagons.values()) {
     if (wagon.stage.stage !== 'asked' || wagon.stage.keeper !== keeper) continue;
     const safe = unsent.has(wagon.id) || wagon.repeatable;
-    next = join(next.effects, safe
-      ? retry(next.state, { ...wagon, again: wagon.again || !unsent.has(wagon.id) }, wagon.stage.epoch + 1, now)
-      : step(end(next.state, wagon.id), fail(wagon, 'unknown', 'the channel to the keeper ended before a result', 0)));
+    next = join(
+      next.effects,
+      safe
+        ? retry(
+            next.state,
+            { ...wagon, again: wagon.again || !unsent.has(wagon.id) },
+            wagon.stage.epoch + 1,
+            now,
+          )
+        : step(
+            end(next.state, wagon.id),
+            fail(wagon, 'unknown', 'the channel to the keeper ended before a result', 0),
+          ),
+    );
   }
   return next;
 };
@@ -100,10 +212,20 @@
   for (const wagon of state.wagons.values()) {
     if (wagon.stage.stage === 'answering') continue;
     if (now >= wagon.until) {
-      const cancel: readonly ForwardEffect[] = wagon.stage.stage === 'asked' ? [{ kind: 'cancel', to: wagon.stage.keeper, id: wagon.id }] : [];
+      const cancel: readonly ForwardEffect[] =
+        wagon.stage.stage === 'asked'
+          ? [{ kind: 'cancel', to: wagon.stage.keeper, id: wagon.id }]
+          : [];
       next = step(end(next.state, wagon.id), ...next.effects, ...cancel, late(wagon));
-    } else if (wagon.stage.stage === 'waiting' && now - (state.bare.get(wagon.service)?.since ?? now) > strandSpan) {
-      next = step(end(next.state, wagon.id), ...next.effects, fail(wagon, 'bounced', 'no keeper for a while', 1000));
+    } else if (
+      wagon.stage.stage === 'waiting' &&
+      now - (state.bare.get(wagon.service)?.since ?? now) > strandSpan
+    ) {
+      next = step(
+        end(next.state, wagon.id),
+        ...next.effects,
+        fail(wagon, 'bounced', 'no keeper for a while', 1000),
+      );
     } else if (wagon.stage.stage === 'waiting' && now - wagon.stage.since > askAgain) {
       // Passed back by a keeper that is still the one known: it is asked again after a little while.
       next = join(next.effects, dispatch(next.state, wagon, 0, now));
@@ -122,12 +244,25 @@
     case 'result': {
       const wagon = state.wagons.get(event.frame.id);
       if (wagon?.stage.stage !== 'asked' || wagon.stage.keeper !== event.from) return step(state);
-      return step({ ...found(state, wagon.service), wagons: put(state.wagons, wagon.id, { ...wagon, stage: { stage: 'answering', keeper: wagon.stage.keeper } }) }, { kind: 'begin', to: event.from, id: wagon.id, frame: event.frame });
+      return step(
+        {
+          ...found(state, wagon.service),
+          wagons: put(state.wagons, wagon.id, {
+            ...wagon,
+            stage: { stage: 'answering', keeper: wagon.stage.keeper },
+          }),
+        },
+        { kind: 'begin', to: event.from, id: wagon.id, frame: event.frame },
+      );
     }
     case 'begun': {
       const wagon = state.wagons.get(event.id);
-      if (wagon?.stage.stage !== 'asked' || wagon.stage.keeper !== event.from || wagon.begun) return step(state);
-      return step({ ...found(state, wagon.service), wagons: put(state.wagons, wagon.id, { ...wagon, begun: true }) });
+      if (wagon?.stage.stage !== 'asked' || wagon.stage.keeper !== event.from || wagon.begun)
+        return step(state);
+      return step({
+        ...found(state, wagon.service),
+        wagons: put(state.wagons, wagon.id, { ...wagon, begun: true }),
+      });
     }
     case 'bounce':
       return onBounce(state, event);
@@ -140,14 +275,24 @@
       if (wagon === undefined) return step(state);
       return step(
         end(state, event.id),
-        ...(wagon.stage.stage === 'waiting' ? [] : [{ kind: 'cancel' as const, to: wagon.stage.keeper, id: event.id }]),
+        ...(wagon.stage.stage === 'waiting'
+          ? []
+          : [{ kind: 'cancel' as const, to: wagon.stage.keeper, id: event.id }]),
         // Of what was asked of a keeper nobody can say that it did not run.
-        fail(wagon, wagon.stage.stage === 'waiting' ? 'bounced' : 'unknown', event.text, wagon.stage.stage === 'waiting' ? 1000 : 0),
+        fail(
+          wagon,
+          wagon.stage.stage === 'waiting' ? 'bounced' : 'unknown',
+          event.text,
+          wagon.stage.stage === 'waiting' ? 1000 : 0,
+        ),
       );
     }
     case 'adrift': {
       const waiting = [...state.wagons.values()].filter((one) => one.stage.stage === 'waiting');
-      return step(waiting.reduce((next, one) => end(next, one.id), state), ...waiting.map((one) => fail(one, 'bounced', 'this node is out of touch', 1000)));
+      return step(
+        waiting.reduce((next, one) => end(next, one.id), state),
+        ...waiting.map((one) => fail(one, 'bounced', 'this node is out of touch', 1000)),
+      );
     }
     case 'tick':
       return onTick(state, event.now);
--- a/packages/waybill/src/forward/state.ts
+++ b/packages/waybill/src/forward/state.ts
@@ -1,4 +1,16 @@
-import type { Address, AskId, ClassName, Duty, Epoch, Generation, Kind, Moment, RouteName, Seq, ServiceName } from '@switchwheel/gauge';
+import type {
+  Address,
+  AskId,
+  ClassName,
+  Duty,
+  Epoch,
+  Generation,
+  Kind,
+  Moment,
+  RouteName,
+  Seq,
+  ServiceName,
+} from '@switchwheel/gauge';
 import type { Ask, Fields, FrameOf, Holder } from '@switchwheel/coupling';
 
 /** A request that an edge has taken on, without its body. */
@@ -37,14 +49,33 @@
 export const maxWagons = 2048;
 
 export type ForwardEvent =
-  | { readonly kind: 'take'; readonly now: Moment; readonly wagon: Omit<Wagon, 'stage' | 'again' | 'begun'> }
+  | {
+      readonly kind: 'take';
+      readonly now: Moment;
+      readonly wagon: Omit<Wagon, 'stage' | 'again' | 'begun'>;
+    }
   | { readonly kind: 'keepers'; readonly now: Moment; readonly keepers: ReadonlyMap<Duty, Holder> }
-  | { readonly kind: 'result'; readonly now: Moment; readonly from: Address; readonly frame: FrameOf<'result'> }
-  | { readonly kind: 'bounce'; readonly now: Moment; readonly from: Address; readonly frame: FrameOf<'bounce'> }
+  | {
+      readonly kind: 'result';
+      readonly now: Moment;
+      readonly from: Address;
+      readonly frame: FrameOf<'result'>;
+    }
+  | {
+      readonly kind: 'bounce';
+      readonly now: Moment;
+      readonly from: Address;
+      readonly frame: FrameOf<'bounce'>;
+    }
   | { readonly kind: 'begun'; readonly now: Moment; readonly from: Address; readonly id: AskId }
   | { readonly kind: 'done'; readonly now: Moment; readonly id: AskId }
   /** A channel to a keeper ended; `unsent` names asks of which no byte left. */
-  | { readonly kind: 'lost'; readonly now: Moment; readonly keeper: Address; readonly unsent: ReadonlySet<AskId> }
+  | {
+      readonly kind: 'lost';
+      readonly now: Moment;
+      readonly keeper: Address;
+      readonly unsent: ReadonlySet<AskId>;
+    }
   | { readonly kind: 'quit'; readonly now: Moment; readonly id: AskId; readonly text: string }
   /** This node is out of touch: it gives up what waits. */
   | { readonly kind: 'adrift'; readonly now: Moment }
@@ -54,5 +85,16 @@
   /** The shell adds the body and hands it over. */
   | { readonly kind: 'ask'; readonly to: Address; readonly ask: Omit<Ask, 'body'> }
   | { readonly kind: 'cancel'; readonly to: Address; readonly id: AskId }
-  | { readonly kind: 'begin'; readonly to: Address; readonly id: AskId; readonly frame: FrameOf<'result'> }
-  | { readonly kind: 'fail'; readonly id: AskId; readonly breakdown: Kind; readonly text: string; readonly retryMs: number };
+  | {
+      readonly kind: 'begin';
+      readonly to: Address;
+      readonly id: AskId;
+      readonly frame: FrameOf<'result'>;
+    }
+  | {
+      readonly kind: 'fail';
+      readonly id: AskId;
+      readonly breakdown: Kind;
+      readonly text: string;
+      readonly retryMs: number;
+    };
--- a/packages/waybill/src/keeper/bays.ts
+++ b/packages/waybill/src/keeper/bays.ts
@@ -9,7 +9,14 @@
 const slowTimes = 4;
 const slowFloor = 40;
 
-const newFit = (now: Moment): Fit => ({ streak: 0, typical: 0, samples: 0, barredUntil: now, barred: 0, probe: 'unknown' });
+const newFit = (now: Moment): Fit => ({
+  streak: 0,
+  typical: 0,
+  samples: 0,
+  barredUntil: now,
+  barred: 0,
+  probe: 'unknown',
+});
 
 /** Takes the origins of the service in as they are known now. */
 export const takeOrigins = (state: Keeper, origins: Origins, now: Moment): Keeper => {
@@ -20,11 +27,19 @@
     const up = standing(one, now);
     if (!up && known === undefined) continue;
     bays.set(one.instance, {
-      instance: one.instance, address: one.address, release: one.release, slots: one.slots,
-      used: known?.used ?? 0, lastLeg: known?.lastLeg ?? 0, probed: known?.probed, up, fit: known?.fit ?? newFit(now),
+      instance: one.instance,
+      address: one.address,
+      release: one.release,
+      slots: one.slots,
+      used: known?.used ?? 0,
+      lastLeg: known?.lastLeg ?? 0,
+      probed: known?.probed,
+      up,
+      fit: known?.fit ?? newFit(now),
     });
   }
-  for (const [id, bay] of state.bays) if (!bays.has(id) && bay.used > 0) bays.set(id, { ...bay, up: false });
+  for (const [id, bay] of state.bays)
+    if (!bays.has(id) && bay.used > 0) bays.set(id, { ...bay, up: false });
   return { ...state, bays };
 };
 
@@ -32,7 +47,8 @@
 export const roomOf = (state: Keeper, bay: Bay, now: Moment): number =>
   now - state.opened < rampSpan ? Math.max(1, Math.ceil(bay.slots / 2)) : bay.slots;
 
-export const isFit = (bay: Bay, now: Moment): boolean => bay.up && now >= bay.fit.barredUntil && bay.fit.probe !== 'bad';
+export const isFit = (bay: Bay, now: Moment): boolean =>
+  bay.up && now >= bay.fit.barredUntil && bay.fit.probe !== 'bad';
 
 export const totalRoom = (state: Keeper, now: Moment): number => {
   let sum = 0;
@@ -42,27 +58,48 @@
 
 const bar = (fit: Fit, now: Moment): Fit => {
   const barred = Math.min(6, fit.barred + 1);
-  return { ...fit, barred, streak: 0, barredUntil: later(now, Math.min(longestBar, firstBar * 2 ** (barred - 1))) };
+  return {
+    ...fit,
+    barred,
+    streak: 0,
+    barredUntil: later(now, Math.min(longestBar, firstBar * 2 ** (barred - 1))),
+  };
 };
 
-const median = (list: readonly number[]): number => [...list].sort((one, two) => one - two)[Math.floor(list.length / 2)] ?? 0;
+const median = (list: readonly number[]): number =>
+  [...list].sort((one, two) => one - two)[Math.floor(list.length / 2)] ?? 0;
 
 /** Whether a bay is far slower than the others of its service. */
 const outlier = (state: Keeper, bay: Bay, now: Moment): boolean => {
-  const others = [...state.bays.values()].filter((one) => one.instance !== bay.instance && isFit(one, now) && one.fit.samples >= 5).map((one) => one.fit.typical);
+  const others = [...state.bays.values()]
+    .filter((one) => one.instance !== bay.instance && isFit(one, now) && one.fit.samples >= 5)
+    .map((one) => one.fit.typical);
   if (others.length === 0 || bay.fit.samples < 5) return false;
   return bay.fit.typical > Math.max(slowFloor, slowTimes * median(others));
 };
 
 /** Draws what became of a leg into the fitness of its bay. */
-export const judgeBay = (state: Keeper, instance: InstanceId, how: LegEnd, ms: number, now: Moment): { readonly state: Keeper; readonly barred: string | undefined } => {
+export const judgeBay = (
+  state: Keeper,
+  instance: InstanceId,
+  how: LegEnd,
+  ms: number,
+  now: Moment,
+): { readonly state: Keeper; readonly barred: string | undefined } => {
   const bay = state.bays.get(instance);
   if (bay === undefined) return { state, barred: undefined };
   let fit = bay.fit;
   let text: string | undefined;
   if (how.end === 'good' || how.end === 'slow') {
     const typical = fit.samples === 0 ? ms : fit.typical * 0.8 + ms * 0.2;
-    fit = { ...fit, typical, samples: Math.min(1000, fit.samples + 1), streak: how.end === 'good' ? 0 : fit.streak + 1, barred: how.end === 'good' && fit.samples % 50 === 0 ? Math.max(0, fit.barred - 1) : fit.barred };
+    fit = {
+      ...fit,
+      typical,
+      samples: Math.min(1000, fit.samples + 1),
+      streak: how.end === 'good' ? 0 : fit.streak + 1,
+      barred:
+        how.end === 'good' && fit.samples % 50 === 0 ? Math.max(0, fit.barred - 1) : fit.barred,
+    };
     if (how.end === 'good' && outlier({ ...state }, { ...bay, fit }, now)) {
       fit = { ...bar(fit, now), samples: 0 };
       text = `slow: ${Math.round(typical)} ms`;
@@ -94,8 +131,10 @@
   for (const bay of state.bays.values()) {
     const room = roomOf(state, bay, now);
     if (!isFit(bay, now) || bay.used >= room || !may(bay)) continue;
-    open.push({ bay, load: (bay.used + 1) / room * (1 + bay.fit.typical / 50) });
+    open.push({ bay, load: ((bay.used + 1) / room) * (1 + bay.fit.typical / 50) });
   }
   const least = Math.min(...open.map((one) => one.load));
-  return open.filter((one) => one.load <= least * even).sort((one, two) => one.bay.lastLeg - two.bay.lastLeg)[0]?.bay;
+  return open
+    .filter((one) => one.load <= least * even)
+    .sort((one, two) => one.bay.lastLeg - two.bay.lastLeg)[0]?.bay;
 };
--- a/packages/waybill/src/keeper/keeper.test.ts
+++ b/packages/waybill/src/keeper/keeper.test.ts
@@ -1,7 +1,19 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
-import { type ClassName, later, noGeneration, toAddress, toAskId, toClassName, toEpoch, toInstanceId, toMoment, toRelease, toServiceName } from '@switchwheel/gauge';
+import {
+  type ClassName,
+  later,
+  noGeneration,
+  toAddress,
+  toAskId,
+  toClassName,
+  toEpoch,
+  toInstanceId,
+  toMoment,
+  toRelease,
+  toServiceName,
+} from '@switchwheel/gauge';
 import { build, cut, finish } from '@switchwheel/timetable';
 import { keeperStep } from './keeper.js';
 import { type Keeper, type KeeperEffect, type KeeperEvent, newKeeper } from './state.js';
@@ -9,14 +21,32 @@
 const service = toServiceName('shop');
 const [quick, slow] = [toClassName('quick'), toClassName('slow')];
 
-const classes = [{ name: 'quick', latencyMs: 100, share: 0.6, lendsTo: ['slow'] }, { name: 'slow', share: 0.2 }, { name: 'elsewhere', share: 0.9 }];
+const classes = [
+  { name: 'quick', latencyMs: 100, share: 0.6, lendsTo: ['slow'] },
+  { name: 'slow', share: 0.2 },
+  { name: 'elsewhere', share: 0.9 },
+];
 const routes = [
-  { name: 'a', prefix: '/a/', service: 'shop', class: 'quick' }, { name: 'b', prefix: '/b/', service: 'shop', class: 'slow' }, { name: 'c', prefix: '/c/', service: 'other', class: 'elsewhere' },
+  { name: 'a', prefix: '/a/', service: 'shop', class: 'quick' },
+  { name: 'b', prefix: '/b/', service: 'shop', class: 'slow' },
+  { name: 'c', prefix: '/c/', service: 'other', class: 'elsewhere' },
 ];
 
 const meeting = (): Keeper['groups'] => {
-  const bundle = finish(cut({ format: 1, classes, services: [{ name: 'shop' }, { name: 'other' }], routes })).unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)); });
-  const table = finish(build(bundle.order.map((hash) => bundle.pieces.get(hash) ?? ''), noGeneration, bundle.hash)).unwrapOrElse((faults) => { throw new Error(JSON.stringify(faults)); });
+  const bundle = finish(
+    cut({ format: 1, classes, services: [{ name: 'shop' }, { name: 'other' }], routes }),
+  ).unwrapOrElse((faults) => {
+    throw new Error(JSON.stringify(faults));
+  });
+  const table = finish(
+    build(
+      bundle.order.map((hash) => bundle.pieces.get(hash) ?? ''),
+      noGeneration,
+      bundle.hash,
+    ),
+  ).unwrapOrElse((faults) => {
+    throw new Error(JSON.stringify(faults));
+  });
   return table.meeting.get(service) ?? new Map();
 };
 
@@ -26,8 +56,22 @@
   now = toMoment(10_000);
 
   constructor(groups: Keeper['groups'], slots: number) {
-    this.state = newKeeper(service, toEpoch(1), { name: service, waitlist: 500, probe: { path: '/health', everyMs: 500 } }, groups, toMoment(0));
-    const origin = { service, instance: toInstanceId('shop.1'), address: toAddress('10.0.0.1:80'), release: toRelease('r1'), slots, state: 'up' as const, at: this.now };
+    this.state = newKeeper(
+      service,
+      toEpoch(1),
+      { name: service, waitlist: 500, probe: { path: '/health', everyMs: 500 } },
+      groups,
+      toMoment(0),
+    );
+    const origin = {
+      service,
+      instance: toInstanceId('shop.1'),
+      address: toAddress('10.0.0.1:80'),
+      release: toRelease('r1'),
+      slots,
+      state: 'up' as const,
+      at: this.now,
+    };
     this.tell({ kind: 'origins', now: this.now, origins: new Map([[origin.instance, origin]]) });
   }
 
@@ -38,17 +82,29 @@
   }
 
   arrive(id: number, group: ClassName): void {
-    this.tell({ kind: 'arrive', now: this.now, id: toAskId(`a${id}`), group, repeatable: true, again: false, extra: false, left: 60_000 });
+    this.tell({
+      kind: 'arrive',
+      now: this.now,
+      id: toAskId(`a${id}`),
+      group,
+      repeatable: true,
+      again: false,
+      extra: false,
+      left: 60_000,
+    });
   }
 
   running(group: ClassName): number {
-    return [...this.state.legs.values()].filter((leg) => this.state.running.get(leg.ask)?.group === group).length;
+    return [...this.state.legs.values()].filter(
+      (leg) => this.state.running.get(leg.ask)?.group === group,
+    ).length;
   }
 
   endOne(): void {
     const leg = [...this.state.legs.keys()][0];
     this.now = later(this.now, 20);
-    if (leg !== undefined) this.tell({ kind: 'ended', now: this.now, leg, how: { end: 'good', status: 200 }, ms: 20 });
+    if (leg !== undefined)
+      this.tell({ kind: 'ended', now: this.now, leg, how: { end: 'good', status: 200 }, ms: 20 });
   }
 }
 
@@ -69,16 +125,29 @@
   assert.equal(bench.running(quick), 1, 'at once');
   for (let at = 101; at < 110; at += 1) bench.arrive(at, quick);
   for (let at = 0; at < 8; at += 1) bench.endOne();
-  assert.ok(bench.running(quick) >= 6, `${bench.running(quick)} of the lender run after one round of results`);
+  assert.ok(
+    bench.running(quick) >= 6,
+    `${bench.running(quick)} of the lender run after one round of results`,
+  );
 });
 
 void test('a request that can not be served in its time any more is told at once, with when to come back', () => {
   const bench = new Bench(meeting(), 2);
   for (let at = 0; at < 2; at += 1) bench.arrive(at, quick);
-  bench.tell({ kind: 'arrive', now: bench.now, id: toAskId('late'), group: quick, repeatable: true, again: false, extra: false, left: 5000 });
+  bench.tell({
+    kind: 'arrive',
+    now: bench.now,
+    id: toAskId('late'),
+    group: quick,
+    repeatable: true,
+    again: false,
+    extra: false,
+    left: 5000,
+  });
   // The only origin leaves: nothing will serve what waits.
   bench.tell({ kind: 'origins', now: bench.now, origins: new Map() });
-  const told = (): KeeperEffect | undefined => bench.effects.find((one) => one.kind === 'turnAway' && one.ask === 'late');
+  const told = (): KeeperEffect | undefined =>
+    bench.effects.find((one) => one.kind === 'turnAway' && one.ask === 'late');
   bench.now = later(bench.now, 900);
   bench.tell({ kind: 'tick', now: bench.now });
   assert.equal(told(), undefined, 'another one may come up');
@@ -89,16 +158,29 @@
 });
 
 void test('never more legs than slots, never a class with work kept below its share while slots are free', () => {
-  fc.assert(fc.property(fc.array(fc.oneof(fc.constant('quick'), fc.constant('slow'), fc.constant('end')), { maxLength: 120 }), fc.integer({ min: 1, max: 12 }), (acts, slots) => {
-    const bench = new Bench(meeting(), slots);
-    acts.forEach((act, at) => {
-      if (act === 'end') bench.endOne();
-      else bench.arrive(at, act === 'quick' ? quick : slow);
-      assert.ok(bench.state.legs.size <= slots);
-      for (const [group, share] of [[quick, 0.6], [slow, 0.2]] as const) {
-        const waits = bench.state.waiting.get(group)?.length ?? 0;
-        if (waits > 0 && bench.running(group) < Math.floor(share * slots)) assert.equal(bench.state.legs.size, slots);
-      }
-    });
-  }), { seed: 7, numRuns: 200 });
+  fc.assert(
+    fc.property(
+      fc.array(fc.oneof(fc.constant('quick'), fc.constant('slow'), fc.constant('end')), {
+        maxLength: 120,
+      }),
+      fc.integer({ min: 1, max: 12 }),
+      (acts, slots) => {
+        const bench = new Bench(meeting(), slots);
+        acts.forEach((act, at) => {
+          if (act === 'end') bench.endOne();
+          else bench.arrive(at, act === 'quick' ? quick : slow);
+          assert.ok(bench.state.legs.size <= slots);
+          for (const [group, share] of [
+            [quick, 0.6],
+            [slow, 0.2],
+          ] as const) {
+            const waits = bench.state.waiting.get(group)?.length ?? 0;
+            if (waits > 0 && bench.running(group) < Math.floor(share * slots))
+              assert.equal(bench.state.legs.size, slots);
+          }
+        });
+      },
+    ),
+    { seed: 7, numRuns: 200 },
+  );
 });
--- a/packages/waybill/src/keeper/keeper.ts
+++ b/packages/waybill/src/keeper/keeper.ts
@@ -1,4 +1,16 @@
-import { type AskId, type ClassName, type Moment, type Step, drop, join, later, put, step, tally, toAskId } from '@switchwheel/gauge';
+import {
+  type AskId,
+  type ClassName,
+  type Moment,
+  type Step,
+  drop,
+  join,
+  later,
+  put,
+  step,
+  tally,
+  toAskId,
+} from '@switchwheel/gauge';
 import { elect, judgeBay, judgeProbe, takeOrigins, totalRoom } from './bays.js';
 import { affords, fill, tokensAfter } from './ceiling.js';
 import type { Bay, Keeper, KeeperEffect, KeeperEvent, Leg, LegEnd, Load } from './state.js';
@@ -18,7 +30,8 @@
 
 /** Whether one more leg may be sent beyond each request's first. */
 export const mayExtra = (state: Keeper, now: Moment): boolean => {
-  const base = now - state.opened < extraSpan ? Math.floor(firstBase / 2 ** (state.holdings - 1)) : extraBase;
+  const base =
+    now - state.opened < extraSpan ? Math.floor(firstBase / 2 ** (state.holdings - 1)) : extraBase;
   return sumOf(state.extra, now) + 1 <= base + extraShare * sumOf(state.traffic, now);
 };
 
@@ -32,7 +45,12 @@
 };
 
 /** What must stay free for the other classes while one more request of this class is let in. */
-const reserved = (state: Keeper, group: ClassName, room: number, used: ReadonlyMap<ClassName, number>): number => {
+const reserved = (
+  state: Keeper,
+  group: ClassName,
+  room: number,
+  used: ReadonlyMap<ClassName, number>,
+): number => {
   let sum = 0;
   for (const [name, one] of state.groups) {
     if (name === group) continue;
@@ -51,49 +69,78 @@
   if (free <= 0) return false;
   const own = state.groups.get(group);
   const used = usedBy(state);
-  if (own !== undefined && (used.get(group) ?? 0) < Math.max(1, Math.floor(own.share * room + 1e-9))) return true;
+  if (
+    own !== undefined &&
+    (used.get(group) ?? 0) < Math.max(1, Math.floor(own.share * room + 1e-9))
+  )
+    return true;
   return free > reserved(state, group, room, used);
 };
 
 const launch = (state: Keeper, load: Load, bay: Bay, now: Moment): Done => {
-  const leg: Leg = { id: state.nextLeg, ask: load.id, instance: bay.instance, release: bay.release, since: now };
+  const leg: Leg = {
+    id: state.nextLeg,
+    ask: load.id,
+    instance: bay.instance,
+    release: bay.release,
+    since: now,
+  };
   const extra = load.legs > 0;
   const next: Keeper = {
     ...spend(state, bay.release),
     nextLeg: state.nextLeg + 1,
     legs: put(state.legs, leg.id, leg),
     bays: put(state.bays, bay.instance, { ...bay, used: bay.used + 1, lastLeg: leg.id }),
-    running: put(state.running, load.id, { ...load, legs: load.legs + 1, tried: new Set([...load.tried, bay.instance]) }),
+    running: put(state.running, load.id, {
+      ...load,
+      legs: load.legs + 1,
+      tried: new Set([...load.tried, bay.instance]),
+    }),
     tokens: tokensAfter(state),
     traffic: extra ? state.traffic : addTo(state.traffic, now, 1),
     extra: extra ? addTo(state.extra, now, 1) : state.extra,
   };
   return step(next, {
-    kind: 'leg', leg: leg.id, ask: load.id, instance: bay.instance, address: bay.address, release: bay.release, spanMs: Math.max(1, load.until - now),
+    kind: 'leg',
+    leg: leg.id,
+    ask: load.id,
+    instance: bay.instance,
+    address: bay.address,
+    release: bay.release,
+    spanMs: Math.max(1, load.until - now),
   });
 };
 
 const open = (state: Keeper): boolean => !state.closing && affords(state);
 
 const pick = (state: Keeper, load: Load, now: Moment): Bay | undefined =>
-  elect(state, (bay) => !load.tried.has(bay.instance) && mayTry(state, bay.release), now)
-  ?? (load.begun ? undefined : elect(state, (bay) => mayTry(state, bay.release), now));
+  elect(state, (bay) => !load.tried.has(bay.instance) && mayTry(state, bay.release), now) ??
+  (load.begun ? undefined : elect(state, (bay) => mayTry(state, bay.release), now));
 
 const leastShare = 0.05;
-const shareOf = (state: Keeper, group: ClassName): number => Math.max(leastShare, state.groups.get(group)?.share ?? 0);
+const shareOf = (state: Keeper, group: ClassName): number =>
+  Math.max(leastShare, state.groups.get(group)?.share ?? 0);
 const paidOf = (state: Keeper, group: ClassName): number => state.paid.get(group) ?? 0;
 
 /** The classes that wait, in the order of their turns: under a ceiling whoever has had least of it for its share goes first. */
 const turns = (state: Keeper): readonly ClassName[] => {
   const names = [...state.waiting.keys()];
-  return state.rules.perSecond === undefined ? names : names.sort((one, two) => paidOf(state, one) - paidOf(state, two));
+  return state.rules.perSecond === undefined
+    ? names
+    : names.sort((one, two) => paidOf(state, one) - paidOf(state, two));
 };
 
 /** A class that begins to wait has no claim on turns from before. */
 const joinTurns = (state: Keeper, group: ClassName): Keeper => {
   if (state.rules.perSecond === undefined || state.waiting.has(group)) return state;
   const others = [...state.waiting.keys()].map((name) => paidOf(state, name));
-  return { ...state, paid: others.length === 0 ? new Map() : put(state.paid, group, Math.max(paidOf(state, group), Math.min(...others))) };
+  return {
+    ...state,
+    paid:
+      others.length === 0
+        ? new Map()
+        : put(state.paid, group, Math.max(paidOf(state, group), Math.min(...others))),
+  };
 };
 
 /** Lets in what may run, class by class, each in its order. */
@@ -110,8 +157,13 @@
       const bay = pick(next.state, load, now);
       if (bay === undefined) continue;
       const rest = list.filter((one) => one !== load);
-      const waiting = rest.length === 0 ? drop(next.state.waiting, group) : put(next.state.waiting, group, rest);
-      const paid = put(next.state.paid, group, paidOf(next.state, group) + 1 / shareOf(next.state, group));
+      const waiting =
+        rest.length === 0 ? drop(next.state.waiting, group) : put(next.state.waiting, group, rest);
+      const paid = put(
+        next.state.paid,
+        group,
+        paidOf(next.state, group) + 1 / shareOf(next.state, group),
+      );
       next = join(next.effects, launch({ ...next.state, waiting, paid }, load, bay, now));
       moved = true;
       if (next.state.rules.perSecond !== undefined) break;
@@ -120,18 +172,23 @@
   return next;
 };
 
-const away = (id: AskId, breakdown: 'bounced' | 'unknown' | 'slow' | 'lost', text: string, retryMs: number, moved = false): KeeperEffect =>
-  ({ kind: 'turnAway', ask: id, breakdown, text, retryMs, moved });
+const away = (
+  id: AskId,
+  breakdown: 'bounced' | 'unknown' | 'slow' | 'lost',
+  text: string,
+  retryMs: number,
+  moved = false,
+): KeeperEffect => ({ kind: 'turnAway', ask: id, breakdown, text, retryMs, moved });
 
 /** How long a request of a class waits with so many of its class ahead: for slots, and for its part of the ceiling. */
 const waitFor = (state: Keeper, group: ClassName, ahead: number, room: number): number => {
   const share = Math.max(state.groups.get(group)?.share ?? 0, 1 / Math.max(1, room));
-  const bySlots = ahead / Math.max(1, room * share) * state.typical;
+  const bySlots = (ahead / Math.max(1, room * share)) * state.typical;
   const rate = state.rules.perSecond;
   if (rate === undefined) return bySlots;
   let sum = shareOf(state, group);
   for (const name of state.waiting.keys()) if (name !== group) sum += shareOf(state, name);
-  return Math.max(bySlots, ahead / (rate * shareOf(state, group) / sum) * 1000);
+  return Math.max(bySlots, (ahead / ((rate * shareOf(state, group)) / sum)) * 1000);
 };
 
 /** How long a request of a class that comes now would wait. */
@@ -145,32 +202,62 @@
 /** How long requests wait for an origin to come up at all, and when to ask again after that. */
 const bareSpan = 1000;
 const bareRetry = 500;
-const isBare = (state: Keeper, now: Moment): boolean => state.bare !== undefined && now - state.bare > bareSpan;
+const isBare = (state: Keeper, now: Moment): boolean =>
+  state.bare !== undefined && now - state.bare > bareSpan;
 
 const onArrive = (state: Keeper, event: Extract<KeeperEvent, { kind: 'arrive' }>): Done => {
   const { now, id, group } = event;
   if (state.closing) return step(state, away(id, 'bounced', 'the keeper is closing', 0, true));
-  if (state.running.has(id) || [...state.waiting.values()].some((list) => list.some((one) => one.id === id))) return step(state);
-  if (isBare(state, now)) return step({ ...state, sent: state.sent + 1 }, away(id, event.again ? 'lost' : 'bounced', 'no origin for a while', bareRetry));
+  if (
+    state.running.has(id) ||
+    [...state.waiting.values()].some((list) => list.some((one) => one.id === id))
+  )
+    return step(state);
+  if (isBare(state, now))
+    return step(
+      { ...state, sent: state.sent + 1 },
+      away(id, event.again ? 'lost' : 'bounced', 'no origin for a while', bareRetry),
+    );
   const wait = estimate(state, group, now);
   // Each class has a waitlist of its own: one that floods does not fill another's.
-  if ((state.waiting.get(group)?.length ?? 0) >= state.rules.waitlist) return step(state, away(id, 'bounced', 'the waitlist is full', Math.max(250, wait)));
-  if (wait + Math.min(state.typical, event.left / 2) > event.left) return step(state, away(id, 'bounced', 'the deadline can not be met', Math.max(250, wait)));
-  const load: Load = { id, group, repeatable: event.repeatable, came: now, until: later(now, event.left), legs: event.extra ? 1 : 0, tried: new Set(), begun: event.again };
+  if ((state.waiting.get(group)?.length ?? 0) >= state.rules.waitlist)
+    return step(state, away(id, 'bounced', 'the waitlist is full', Math.max(250, wait)));
+  if (wait + Math.min(state.typical, event.left / 2) > event.left)
+    return step(state, away(id, 'bounced', 'the deadline can not be met', Math.max(250, wait)));
+  const load: Load = {
+    id,
+    group,
+    repeatable: event.repeatable,
+    came: now,
+    until: later(now, event.left),
+    legs: event.extra ? 1 : 0,
+    tried: new Set(),
+    begun: event.again,
+  };
   const base = joinTurns({ ...state, sent: state.sent + 1 }, group);
-  return pump({ ...base, waiting: put(base.waiting, group, [...(base.waiting.get(group) ?? []), load]) }, now);
+  return pump(
+    { ...base, waiting: put(base.waiting, group, [...(base.waiting.get(group) ?? []), load]) },
+    now,
+  );
 };
 
 const endLeg = (state: Keeper, leg: Leg): Keeper => {
   const bay = state.bays.get(leg.instance);
-  const bays = bay === undefined ? state.bays : !bay.up && bay.used <= 1 ? drop(state.bays, leg.instance) : put(state.bays, leg.instance, { ...bay, used: Math.max(0, bay.used - 1) });
+  const bays =
+    bay === undefined
+      ? state.bays
+      : !bay.up && bay.used <= 1
+        ? drop(state.bays, leg.instance)
+        : put(state.bays, leg.instance, { ...bay, used: Math.max(0, bay.used - 1) });
   return { ...state, legs: drop(state.legs, leg.id), bays };
 };
 
-const others = (state: Keeper, ask: AskId): readonly Leg[] => [...state.legs.values()].filter((one) => one.ask === ask);
+const others = (state: Keeper, ask: AskId): readonly Leg[] =>
+  [...state.legs.values()].filter((one) => one.ask === ask);
 
 /** Whether another leg is allowed after one ended: nothing ran for certain, or running twice does no harm. */
-const maySend = (load: Load, how: LegEnd): boolean => how.end === 'unrun' || how.end === 'unopened' || load.repeatable;
+const maySend = (load: Load, how: LegEnd): boolean =>
+  how.end === 'unrun' || how.end === 'unopened' || load.repeatable;
 
 const onEnded = (before: Keeper, event: Extract<KeeperEvent, { kind: 'ended' }>): Done => {
   const { now, how, ms } = event;
@@ -179,7 +266,8 @@
   const judged = judgeBay(endLeg(before, leg), leg.instance, how, ms, now);
   const tried = judgeTrial(judged.state, leg.release, how, now);
   const effects: KeeperEffect[] = [...tried.effects];
-  if (judged.barred !== undefined) effects.push({ kind: 'barred', instance: leg.instance, text: judged.barred });
+  if (judged.barred !== undefined)
+    effects.push({ kind: 'barred', instance: leg.instance, text: judged.barred });
   let state = tried.state;
   if (how.end === 'good') state = { ...state, typical: state.typical * 0.95 + ms * 0.05 };
   const load = state.running.get(leg.ask);
@@ -187,20 +275,56 @@
   const left = others(state, leg.ask);
   const begun = load.begun || (how.end !== 'unrun' && how.end !== 'unopened');
   const settled = { ...state, running: drop(state.running, leg.ask) };
-  if (how.end === 'good' || (how.end === 'bad' && (!load.repeatable || load.legs >= maxLegs || !mayExtra(state, now) || pick(state, load, now) === undefined))) {
-    if (how.end === 'bad' && left.length > 0) return join(effects, pump({ ...state, running: put(state.running, load.id, { ...load, begun }) }, now));
-    effects.push({ kind: 'use', leg: leg.id, ask: leg.ask }, ...left.map((one): KeeperEffect => ({ kind: 'cut', leg: one.id })));
+  if (
+    how.end === 'good' ||
+    (how.end === 'bad' &&
+      (!load.repeatable ||
+        load.legs >= maxLegs ||
+        !mayExtra(state, now) ||
+        pick(state, load, now) === undefined))
+  ) {
+    if (how.end === 'bad' && left.length > 0)
+      return join(
+        effects,
+        pump({ ...state, running: put(state.running, load.id, { ...load, begun }) }, now),
+      );
+    effects.push(
+      { kind: 'use', leg: leg.id, ask: leg.ask },
+      ...left.map((one): KeeperEffect => ({ kind: 'cut', leg: one.id })),
+    );
     return join(effects, pump(settled, now));
   }
-  if (left.length > 0) return join(effects, pump({ ...state, running: put(state.running, load.id, { ...load, begun }) }, now));
-  if (state.closing && !begun && maySend(load, how)) return join(effects, step(settled, away(leg.ask, 'bounced', 'the keeper moved', 0, true)));
-  const again = !state.closing && maySend(load, how) && now < load.until && load.legs < maxLegs && mayExtra(state, now);
+  if (left.length > 0)
+    return join(
+      effects,
+      pump({ ...state, running: put(state.running, load.id, { ...load, begun }) }, now),
+    );
+  if (state.closing && !begun && maySend(load, how))
+    return join(effects, step(settled, away(leg.ask, 'bounced', 'the keeper moved', 0, true)));
+  const again =
+    !state.closing &&
+    maySend(load, how) &&
+    now < load.until &&
+    load.legs < maxLegs &&
+    mayExtra(state, now);
   if (again) {
     const list = [{ ...load, begun }, ...(settled.waiting.get(load.group) ?? [])];
-    return join(effects, pump({ ...settled, waiting: put(settled.waiting, load.group, list) }, now));
+    return join(
+      effects,
+      pump({ ...settled, waiting: put(settled.waiting, load.group, list) }, now),
+    );
   }
-  const text = 'text' in how ? how.text : how.end === 'unrun' ? 'the origin refused it unrun' : 'no result in time';
-  effects.push(!begun ? away(leg.ask, 'bounced', text, 500) : away(leg.ask, how.end === 'slow' ? 'slow' : 'lost', text, 0));
+  const text =
+    'text' in how
+      ? how.text
+      : how.end === 'unrun'
+        ? 'the origin refused it unrun'
+        : 'no result in time';
+  effects.push(
+    !begun
+      ? away(leg.ask, 'bounced', text, 500)
+      : away(leg.ask, how.end === 'slow' ? 'slow' : 'lost', text, 0),
+  );
   return join(effects, pump(settled, now));
 };
 
@@ -209,24 +333,42 @@
   const ask = state.legs.get(id)?.ask ?? noAsk;
   const load = state.running.get(ask);
   if (load === undefined) return step(state);
-  const cuts = others(state, ask).filter((one) => one.id !== id).map((one): KeeperEffect => ({ kind: 'cut', leg: one.id }));
-  return step({ ...state, running: put(state.running, ask, { ...load, repeatable: false, legs: maxLegs }) }, ...cuts);
+  const cuts = others(state, ask)
+    .filter((one) => one.id !== id)
+    .map((one): KeeperEffect => ({ kind: 'cut', leg: one.id }));
+  return step(
+    { ...state, running: put(state.running, ask, { ...load, repeatable: false, legs: maxLegs }) },
+    ...cuts,
+  );
 };
 
 const onQuit = (state: Keeper, id: AskId, now: Moment): Done => {
   let waiting = state.waiting;
   for (const [group, list] of state.waiting) {
-    if (list.some((one) => one.id === id)) waiting = put(waiting, group, list.filter((one) => one.id !== id));
+    if (list.some((one) => one.id === id))
+      waiting = put(
+        waiting,
+        group,
+        list.filter((one) => one.id !== id),
+      );
   }
   const load = state.running.get(id);
   // A leg that may have run an unsafe request is left to end; a repeatable one is cut to free its slot.
-  const cuts = load?.repeatable === true ? others(state, id).map((one): KeeperEffect => ({ kind: 'cut', leg: one.id })) : [];
-  const next = { ...state, waiting, running: load === undefined ? state.running : drop(state.running, id) };
+  const cuts =
+    load?.repeatable === true
+      ? others(state, id).map((one): KeeperEffect => ({ kind: 'cut', leg: one.id }))
+      : [];
+  const next = {
+    ...state,
+    waiting,
+    running: load === undefined ? state.running : drop(state.running, id),
+  };
   return join(cuts, pump(next, now));
 };
 
 /** The origins that may take a request at all, now or after a while. */
-const usable = (state: Keeper): readonly Bay[] => [...state.bays.values()].filter((bay) => bay.up && mayTry(state, bay.release));
+const usable = (state: Keeper): readonly Bay[] =>
+  [...state.bays.values()].filter((bay) => bay.up && mayTry(state, bay.release));
 
 /** Takes note of whether there is any. */
 const noteBare = (state: Keeper, now: Moment): Keeper => {
@@ -236,12 +378,21 @@
 
 /** When the first origin that is passed over may be tried again; nothing if none is up. */
 const firstOpen = (state: Keeper, now: Moment): number | undefined => {
-  const open = usable(state).map((bay) => (bay.fit.probe === 'bad' ? now + state.rules.probe.everyMs : Math.max(now, bay.fit.barredUntil)));
+  const open = usable(state).map((bay) =>
+    bay.fit.probe === 'bad' ? now + state.rules.probe.everyMs : Math.max(now, bay.fit.barredUntil),
+  );
   return open.length === 0 ? undefined : Math.min(...open);
 };
 
 /** Whether a waiting request can't be served in its time any more: then it is told at once, not at its deadline. */
-const hopeless = (state: Keeper, load: Load, place: number, room: number, open: number | undefined, now: Moment): boolean => {
+const hopeless = (
+  state: Keeper,
+  load: Load,
+  place: number,
+  room: number,
+  open: number | undefined,
+  now: Moment,
+): boolean => {
   if (now >= load.until - Math.min(state.typical, 50)) return true;
   if (open === undefined) return isBare(state, now);
   const wait = room === 0 ? 0 : waitFor(state, load.group, place, room);
@@ -260,7 +411,13 @@
     if (late.length === 0) continue;
     const rest = list.filter((one) => !late.includes(one));
     waiting = rest.length === 0 ? drop(waiting, group) : put(waiting, group, rest);
-    effects.push(...late.map((one) => one.begun ? away(one.id, 'lost', 'no further leg in time', 0) : away(one.id, 'bounced', 'no slot in time', Math.max(250, estimate(state, group, now)))));
+    effects.push(
+      ...late.map((one) =>
+        one.begun
+          ? away(one.id, 'lost', 'no further leg in time', 0)
+          : away(one.id, 'bounced', 'no slot in time', Math.max(250, estimate(state, group, now))),
+      ),
+    );
   }
   return step(waiting === state.waiting ? state : { ...state, waiting }, ...effects);
 };
@@ -272,9 +429,20 @@
   for (const leg of before.legs.values()) {
     if (now - leg.since < span) continue;
     const load = next.state.running.get(leg.ask);
-    if (load === undefined || !load.repeatable || load.legs >= 2 || !open(next.state) || !mayExtra(next.state, now)) continue;
+    if (
+      load === undefined ||
+      !load.repeatable ||
+      load.legs >= 2 ||
+      !open(next.state) ||
+      !mayExtra(next.state, now)
+    )
+      continue;
     if (!mayRun(next.state, load.group, now)) continue;
-    const bay = elect(next.state, (one) => !load.tried.has(one.instance) && mayTry(next.state, one.release), now);
+    const bay = elect(
+      next.state,
+      (one) => !load.tried.has(one.instance) && mayTry(next.state, one.release),
+      now,
+    );
     if (bay !== undefined) next = join(next.effects, launch(next.state, load, bay, now));
   }
   return next;
@@ -282,7 +450,13 @@
 
 /** Legs to origins that are known to be gone or judged bad get no new company; those under way end by themselves. */
 const onClose = (state: Keeper): Done => {
-  const effects = [...state.waiting.values()].flat().map((one) => (one.begun ? away(one.id, 'lost', 'the keeper moved', 0) : away(one.id, 'bounced', 'the keeper moved', 0, true)));
+  const effects = [...state.waiting.values()]
+    .flat()
+    .map((one) =>
+      one.begun
+        ? away(one.id, 'lost', 'the keeper moved', 0)
+        : away(one.id, 'bounced', 'the keeper moved', 0, true),
+    );
   return step({ ...state, closing: true, waiting: new Map() }, ...effects);
 };
 
@@ -292,7 +466,10 @@
   const trials = passTrials(late.state, now);
   const probes = passProbes(fill(trials.state, now), now);
   const pumped = pump(probes.state, now);
-  return join([...late.effects, ...trials.effects, ...probes.effects, ...pumped.effects], hedge(pumped.state, now));
+  return join(
+    [...late.effects, ...trials.effects, ...probes.effects, ...pumped.effects],
+    hedge(pumped.state, now),
+  );
 };
 
 /** The keeper of a service: one function for every change of its state. */
@@ -325,4 +502,3 @@
 
 /** Whether nothing of a keeper is under way any more. */
 export const atRest = (state: Keeper): boolean => state.legs.size === 0;
-
--- a/packages/waybill/src/keeper/probes.ts
+++ b/packages/waybill/src/keeper/probes.ts
@@ -9,18 +9,33 @@
 const everyOf = (state: Keeper): number => {
   const rate = state.rules.perSecond;
   const { everyMs } = state.rules.probe;
-  return rate === undefined ? everyMs : Math.max(everyMs, state.bays.size / (rate * probeShare) * 1000);
+  return rate === undefined
+    ? everyMs
+    : Math.max(everyMs, (state.bays.size / (rate * probeShare)) * 1000);
 };
 
 /** Sends the health checks that are due. */
-export const passProbes = (before: Keeper, now: Moment): { readonly state: Keeper; readonly effects: readonly KeeperEffect[] } => {
+export const passProbes = (
+  before: Keeper,
+  now: Moment,
+): { readonly state: Keeper; readonly effects: readonly KeeperEffect[] } => {
   const every = everyOf(before);
   const effects: KeeperEffect[] = [];
   let state = before;
   for (const bay of before.bays.values()) {
     if (!bay.up || !affords(state) || now - (bay.probed ?? -Infinity) < every) continue;
-    effects.push({ kind: 'probe', service: state.service, instance: bay.instance, address: bay.address, path: state.rules.probe.path });
-    state = { ...state, tokens: tokensAfter(state), bays: put(state.bays, bay.instance, { ...bay, probed: now }) };
+    effects.push({
+      kind: 'probe',
+      service: state.service,
+      instance: bay.instance,
+      address: bay.address,
+      path: state.rules.probe.path,
+    });
+    state = {
+      ...state,
+      tokens: tokensAfter(state),
+      bays: put(state.bays, bay.instance, { ...bay, probed: now }),
+    };
   }
   return { state, effects };
 };
--- a/packages/waybill/src/keeper/state.ts
+++ b/packages/waybill/src/keeper/state.ts
@@ -1,4 +1,12 @@
-import type { AskId, ClassName, Epoch, InstanceId, Moment, Release, ServiceName } from '@switchwheel/gauge';
+import type {
+  AskId,
+  ClassName,
+  Epoch,
+  InstanceId,
+  Moment,
+  Release,
+  ServiceName,
+} from '@switchwheel/gauge';
 import type { Verdict } from '@switchwheel/coupling';
 import type { Origins } from '@switchwheel/roster';
 import type { Group, Service } from '@switchwheel/timetable';
@@ -117,30 +125,112 @@
   readonly closing: boolean;
 }
 
-export const newKeeper = (service: ServiceName, epoch: Epoch, rules: Service, groups: ReadonlyMap<ClassName, Group>, now: Moment, holdings = 1): Keeper => ({
-  service, epoch, opened: now, holdings, rules, groups, bays: new Map(), waiting: new Map(), running: new Map(), legs: new Map(), nextLeg: 1, bare: undefined,
-  tokens: 0, filled: now, paid: new Map(), traffic: newSliding(10_000, 200), extra: newSliding(10_000, 200), sent: 0, trials: new Map(), typical: 30, closing: false,
+export const newKeeper = (
+  service: ServiceName,
+  epoch: Epoch,
+  rules: Service,
+  groups: ReadonlyMap<ClassName, Group>,
+  now: Moment,
+  holdings = 1,
+): Keeper => ({
+  service,
+  epoch,
+  opened: now,
+  holdings,
+  rules,
+  groups,
+  bays: new Map(),
+  waiting: new Map(),
+  running: new Map(),
+  legs: new Map(),
+  nextLeg: 1,
+  bare: undefined,
+  tokens: 0,
+  filled: now,
+  paid: new Map(),
+  traffic: newSliding(10_000, 200),
+  extra: newSliding(10_000, 200),
+  sent: 0,
+  trials: new Map(),
+  typical: 30,
+  closing: false,
 });
 
 export type KeeperEvent =
-  | { readonly kind: 'arrive'; readonly now: Moment; readonly id: AskId; readonly group: ClassName; readonly repeatable: boolean; readonly again: boolean; readonly extra: boolean; readonly left: number }
+  | {
+      readonly kind: 'arrive';
+      readonly now: Moment;
+      readonly id: AskId;
+      readonly group: ClassName;
+      readonly repeatable: boolean;
+      readonly again: boolean;
+      readonly extra: boolean;
+      readonly left: number;
+    }
   /** A leg's result is on its way to the caller in parts: nothing else may take its place. */
   | { readonly kind: 'streaming'; readonly now: Moment; readonly leg: number }
-  | { readonly kind: 'ended'; readonly now: Moment; readonly leg: number; readonly how: LegEnd; readonly ms: number }
+  | {
+      readonly kind: 'ended';
+      readonly now: Moment;
+      readonly leg: number;
+      readonly how: LegEnd;
+      readonly ms: number;
+    }
   | { readonly kind: 'quit'; readonly now: Moment; readonly id: AskId }
   | { readonly kind: 'origins'; readonly now: Moment; readonly origins: Origins }
-  | { readonly kind: 'probed'; readonly now: Moment; readonly instance: InstanceId; readonly good: boolean; readonly ms: number }
-  | { readonly kind: 'rules'; readonly now: Moment; readonly rules: Service; readonly groups: ReadonlyMap<ClassName, Group> }
+  | {
+      readonly kind: 'probed';
+      readonly now: Moment;
+      readonly instance: InstanceId;
+      readonly good: boolean;
+      readonly ms: number;
+    }
+  | {
+      readonly kind: 'rules';
+      readonly now: Moment;
+      readonly rules: Service;
+      readonly groups: ReadonlyMap<ClassName, Group>;
+    }
   | { readonly kind: 'verdicts'; readonly now: Moment; readonly verdicts: readonly Verdict[] }
   | { readonly kind: 'tick'; readonly now: Moment }
   | { readonly kind: 'close'; readonly now: Moment };
 
 export type KeeperEffect =
-  | { readonly kind: 'leg'; readonly leg: number; readonly ask: AskId; readonly instance: InstanceId; readonly address: Address; readonly release: Release; readonly spanMs: number }
+  | {
+      readonly kind: 'leg';
+      readonly leg: number;
+      readonly ask: AskId;
+      readonly instance: InstanceId;
+      readonly address: Address;
+      readonly release: Release;
+      readonly spanMs: number;
+    }
   | { readonly kind: 'cut'; readonly leg: number }
   /** The leg's result is the one the caller gets. */
   | { readonly kind: 'use'; readonly leg: number; readonly ask: AskId }
-  | { readonly kind: 'turnAway'; readonly ask: AskId; readonly breakdown: 'bounced' | 'unknown' | 'slow' | 'lost'; readonly text: string; readonly retryMs: number; readonly moved: boolean }
-  | { readonly kind: 'trial'; readonly service: ServiceName; readonly release: Release; readonly spent: number; readonly bad: number; readonly good: number; readonly seen: number; readonly state: 'trial' | 'good' | 'bad' }
-  | { readonly kind: 'probe'; readonly service: ServiceName; readonly instance: InstanceId; readonly address: Address; readonly path: string }
+  | {
+      readonly kind: 'turnAway';
+      readonly ask: AskId;
+      readonly breakdown: 'bounced' | 'unknown' | 'slow' | 'lost';
+      readonly text: string;
+      readonly retryMs: number;
+      readonly moved: boolean;
+    }
+  | {
+      readonly kind: 'trial';
+      readonly service: ServiceName;
+      readonly release: Release;
+      readonly spent: number;
+      readonly bad: number;
+      readonly good: number;
+      readonly seen: number;
+      readonly state: 'trial' | 'good' | 'bad';
+    }
+  | {
+      readonly kind: 'probe';
+      readonly service: ServiceName;
+      readonly instance: InstanceId;
+      readonly address: Address;
+      readonly path: string;
+    }
   | { readonly kind: 'barred'; readonly instance: InstanceId; readonly text: string };
--- a/packages/waybill/src/keeper/window.ts
+++ b/packages/waybill/src/keeper/window.ts
@@ -7,8 +7,11 @@
   readonly head: number;
 }
 
-export const newSliding = (spanMs: number, slotMs: number): Sliding =>
-  ({ slotMs, slots: Array.from({ length: Math.ceil(spanMs / slotMs) + 1 }, () => 0), head: 0 });
+export const newSliding = (spanMs: number, slotMs: number): Sliding => ({
+  slotMs,
+  slots: Array.from({ length: Math.ceil(spanMs / slotMs) + 1 }, () => 0),
+  head: 0,
+});
 
 const turn = (window: Sliding, now: Moment): Sliding => {
   const head = Math.floor(now / window.slotMs);
@@ -29,4 +32,5 @@
   return { ...fresh, slots };
 };
 
-export const sumOf = (window: Sliding, now: Moment): number => turn(window, now).slots.reduce((sum, one) => sum + one, 0);
+export const sumOf = (window: Sliding, now: Moment): number =>
+  turn(window, now).slots.reduce((sum, one) => sum + one, 0);
--- a/packages/waybill/src/line/digest.ts
+++ b/packages/waybill/src/line/digest.ts
@@ -3,7 +3,10 @@
 import type { Fields } from '@switchwheel/coupling';
 import { fieldOf } from '../cache/fields.js';
 
-const names = new Map([['sha-256', 'sha256'], ['sha-512', 'sha512']]);
+const names = new Map([
+  ['sha-256', 'sha256'],
+  ['sha-512', 'sha512'],
+]);
 
 interface Claim {
   readonly sum: Hash;
@@ -19,11 +22,18 @@
     for (const name of ['content-digest', 'repr-digest']) {
       const raw = fieldOf(fields, name);
       // The representation's digest is not that of a coded or partial body.
-      if (raw === undefined || (name === 'repr-digest' && (fieldOf(fields, 'content-encoding') !== undefined || fieldOf(fields, 'content-range') !== undefined))) continue;
+      if (
+        raw === undefined ||
+        (name === 'repr-digest' &&
+          (fieldOf(fields, 'content-encoding') !== undefined ||
+            fieldOf(fields, 'content-range') !== undefined))
+      )
+        continue;
       try {
         for (const [key, [value]] of parseDictionary(raw)) {
           const kind = names.get(key);
-          if (kind !== undefined && value instanceof ArrayBuffer) this.#claims.push({ sum: createHash(kind), told: Buffer.from(value) });
+          if (kind !== undefined && value instanceof ArrayBuffer)
+            this.#claims.push({ sum: createHash(kind), told: Buffer.from(value) });
         }
       } catch {
         this.#legible = false;
--- a/packages/waybill/src/line/dock.ts
+++ b/packages/waybill/src/line/dock.ts
@@ -61,7 +61,15 @@
     const frame = (word: Frame): void => {
       if (word.kind === 'ask') {
         if (this.#open.has(word.id)) return;
-        const one: Inbound = { ask: word, channel, came: clock(), credit: this.#measures.ahead, wake: undefined, begun: false, streaming: false };
+        const one: Inbound = {
+          ask: word,
+          channel,
+          came: clock(),
+          credit: this.#measures.ahead,
+          wake: undefined,
+          begun: false,
+          streaming: false,
+        };
         this.#open.set(word.id, one);
         mine.add(word.id);
         this.#asked(one);
@@ -71,7 +79,9 @@
       } else if (word.kind === 'credit') this.#refill(word.id, word.bytes);
       else channel.hang(`foreign: ${word.kind} on a data channel`);
     };
-    const closed = (): void => { for (const id of mine) this.#leave(id); };
+    const closed = (): void => {
+      for (const id of mine) this.#leave(id);
+    };
     return { frame, closed };
   }
 
@@ -96,19 +106,46 @@
     this.#open.delete(id);
     const { status, fields, body, digest, age, from, purged } = told;
     const { chunk } = this.#measures;
-    one.channel.send({ kind: 'result', id, status, fields, length: body.length, age: toSpan(age), from, purged, streamed: false });
-    for (let at = 0; at < body.length; at += chunk) one.channel.send({ kind: 'chunk', id, bytes: body.subarray(at, at + chunk) });
+    one.channel.send({
+      kind: 'result',
+      id,
+      status,
+      fields,
+      length: body.length,
+      age: toSpan(age),
+      from,
+      purged,
+      streamed: false,
+    });
+    for (let at = 0; at < body.length; at += chunk)
+      one.channel.send({ kind: 'chunk', id, bytes: body.subarray(at, at + chunk) });
     one.channel.send({ kind: 'done', id, digest, length: body.length });
   }
 
   /** Opens a result that goes back in parts, no faster than the caller takes it. */
-  stream(id: AskId, status: number, fields: Fields, length: number | undefined, purged: Seq): Outflow | undefined {
+  stream(
+    id: AskId,
+    status: number,
+    fields: Fields,
+    length: number | undefined,
+    purged: Seq,
+  ): Outflow | undefined {
     const one = this.#open.get(id);
     if (one === undefined || one.streaming) return undefined;
     one.streaming = true;
     const sum = createHash('sha256');
     let size = 0;
-    one.channel.send({ kind: 'result', id, status, fields, ...(length === undefined ? {} : { length }), age: toSpan(0), from: 'origin', purged, streamed: true });
+    one.channel.send({
+      kind: 'result',
+      id,
+      status,
+      fields,
+      ...(length === undefined ? {} : { length }),
+      age: toSpan(0),
+      from: 'origin',
+      purged,
+      streamed: true,
+    });
     return {
       part: (bytes, more) => {
         if (this.#open.get(id) !== one) return false;
@@ -123,8 +160,17 @@
       end: (whole) => {
         if (this.#open.get(id) !== one) return;
         this.#open.delete(id);
-        if (whole) one.channel.send({ kind: 'done', id, digest: sum.digest('base64'), length: size });
-        else one.channel.send({ kind: 'bounce', id, breakdown: 'lost', text: 'the result broke off', retryAfter: 0, moved: false });
+        if (whole)
+          one.channel.send({ kind: 'done', id, digest: sum.digest('base64'), length: size });
+        else
+          one.channel.send({
+            kind: 'bounce',
+            id,
+            breakdown: 'lost',
+            text: 'the result broke off',
+            retryAfter: 0,
+            moved: false,
+          });
       },
     };
   }
--- a/packages/waybill/src/line/edge.ts
+++ b/packages/waybill/src/line/edge.ts
@@ -1,4 +1,16 @@
-import { type Address, type AskId, type Kind, type Moment, type Seq, noGeneration, noSeq, spread, tally, toAskId, toMoment } from '@switchwheel/gauge';
+import {
+  type Address,
+  type AskId,
+  type Kind,
+  type Moment,
+  type Seq,
+  noGeneration,
+  noSeq,
+  spread,
+  tally,
+  toAskId,
+  toMoment,
+} from '@switchwheel/gauge';
 import type { Ask, Fields, Frame, FrameOf } from '@switchwheel/coupling';
 import { type Track, match, pickService } from '@switchwheel/timetable';
 import { type Desk, type Slip, bornAt, conditional, cutTarget } from '../cache/desk.js';
@@ -7,7 +19,15 @@
 import { mayServe, takes } from '../cabin/machine.js';
 import type { ProxyEffect } from '../proxy/state.js';
 import { Links } from './links.js';
-import { type Cab, type Call, type Caller, type Dial, type Measures, type Told, measures } from './port.js';
+import {
+  type Cab,
+  type Call,
+  type Caller,
+  type Dial,
+  type Measures,
+  type Told,
+  measures,
+} from './port.js';
 import { type Outcome, Trip } from './trip.js';
 
 /** A request on its way through the filters of an edge. */
@@ -30,12 +50,20 @@
   first?.(pass, (on) => chain(rest, on));
 };
 
-const fault = (kind: Kind, text: string, retryMs: number): Extract<Told, { kind: 'fault' }> => ({ kind: 'fault', fault: kind, text, retryMs });
+const fault = (kind: Kind, text: string, retryMs: number): Extract<Told, { kind: 'fault' }> => ({
+  kind: 'fault',
+  fault: kind,
+  text,
+  retryMs,
+});
 
 /** Adds whom the request came from to what earlier proxies said. */
 const withCaller = (call: Call, fields: Fields): Fields => {
   const before = fields.filter(([name]) => name === 'x-forwarded-for').map(([, value]) => value);
-  return [...fields.filter(([name]) => name !== 'x-forwarded-for'), ['x-forwarded-for', [...before, call.remote].join(', ')]];
+  return [
+    ...fields.filter(([name]) => name !== 'x-forwarded-for'),
+    ['x-forwarded-for', [...before, call.remote].join(', ')],
+  ];
 };
 
 /** What came back sooner than this is younger than any purge that must have been acted on by now. */
@@ -64,11 +92,17 @@
     this.#links = new Links(dial, {
       frame: (from, frame) => this.#hear(from, frame),
       lost: (keeper, unsent) => {
-        for (const trip of [...this.#trips.values()]) if (trip.keeper === keeper && trip.begun) this.#break(trip, 'the channel to the keeper ended');
+        for (const trip of [...this.#trips.values()])
+          if (trip.keeper === keeper && trip.begun)
+            this.#break(trip, 'the channel to the keeper ended');
         cab.tell((at) => ({ kind: 'lost', now: at, keeper, unsent }));
       },
     });
-    this.#filters = [(pass, next) => this.#kept(pass, next), (pass, next) => this.#joined(pass, next), (pass) => this.#forwarded(pass)];
+    this.#filters = [
+      (pass, next) => this.#kept(pass, next),
+      (pass, next) => this.#joined(pass, next),
+      (pass) => this.#forwarded(pass),
+    ];
   }
 
   get open(): number {
@@ -80,18 +114,26 @@
   }
 
   /** Finds the track of a request before its body is read, or says why there is none. */
-  enter(method: string, host: string, target: string): { readonly track: Track } | { readonly told: Extract<Told, { kind: 'fault' }> } {
+  enter(
+    method: string,
+    host: string,
+    target: string,
+  ): { readonly track: Track } | { readonly told: Extract<Told, { kind: 'fault' }> } {
     const { cabin } = this.#cab.state();
-    const refuse = (told: Extract<Told, { kind: 'fault' }>): { readonly told: Extract<Told, { kind: 'fault' }> } => {
+    const refuse = (
+      told: Extract<Told, { kind: 'fault' }>,
+    ): { readonly told: Extract<Told, { kind: 'fault' }> } => {
       this.bump(`fault_${told.fault}`);
       return { told };
     };
-    if (cabin.table === undefined || !takes(cabin, this.#cab.now())) return refuse(fault('unready', 'this node is not ready', 1000));
+    if (cabin.table === undefined || !takes(cabin, this.#cab.now()))
+      return refuse(fault('unready', 'this node is not ready', 1000));
     const { path } = cutTarget(target);
     if (!path.startsWith('/')) return refuse(fault('malformed', 'a path starts with /', 0));
     const found = match(cabin.table, method, host, path);
     if (found.found === 'none') return refuse(fault('absent', 'no route', 0));
-    if (found.found === 'method') return refuse({ ...fault('absent', 'no route for this method', 0), allow: found.methods });
+    if (found.found === 'method')
+      return refuse({ ...fault('absent', 'no route for this method', 0), allow: found.methods });
     return { track: found.track };
   }
 
@@ -99,9 +141,19 @@
   serve(track: Track, call: Call, caller: Caller): () => void {
     const seat: Pass['seat'] = { id: undefined };
     const slip = this.#desk.slip(track, call.method, call.host, call.target, call.fields);
-    chain(this.#filters, { call, track, caller, slip, seat, lead: undefined, until: toMoment(this.#cab.now() + track.timeoutMs) });
+    chain(this.#filters, {
+      call,
+      track,
+      caller,
+      slip,
+      seat,
+      lead: undefined,
+      until: toMoment(this.#cab.now() + track.timeoutMs),
+    });
     // Others may wait for what can be kept: it goes on without its caller.
-    return () => { if (slip === undefined && seat.id !== undefined) this.#leave(seat.id, 'the caller left'); };
+    return () => {
+      if (slip === undefined && seat.id !== undefined) this.#leave(seat.id, 'the caller left');
+    };
   }
 
   /** Breaks off all that is still under way, so that every caller sees or hears of it. */
@@ -140,11 +192,13 @@
     const seat = this.#flights.join(slip.flight, (outcome) => {
       if (this.#serveKept(pass, slip, 'edge')) return;
       if (outcome.kind === 'fault') this.#tell(pass, outcome);
-      else if (this.#cab.now() >= pass.until) this.#tell(pass, fault('bounced', 'what it waited for came too late', 1000));
+      else if (this.#cab.now() >= pass.until)
+        this.#tell(pass, fault('bounced', 'what it waited for came too late', 1000));
       else next(pass);
     });
     if (seat === 'joined') this.bump('joined');
-    else if (seat === 'full') this.#tell(pass, fault('bounced', 'too many wait for results under way', 1000));
+    else if (seat === 'full')
+      this.#tell(pass, fault('bounced', 'too many wait for results under way', 1000));
     else next({ ...pass, lead: this.#flights.lead(slip.flight) });
   }
 
@@ -157,18 +211,42 @@
     const sentAt = this.#cab.now();
     const purged = this.#desk.cache.top;
     pass.seat.id = id;
-    const late = (arrived: Fields): boolean => slip !== undefined && this.#isLate(slip, arrived, sentAt, purged);
-    this.#trips.set(id, new Trip(id, call.body, pass.caller, this.#measures.whole + this.#measures.chunk, late, (outcome) => {
-      this.#ended(pass, sentAt, outcome);
-      lead?.(outcome);
-    }));
+    const late = (arrived: Fields): boolean =>
+      slip !== undefined && this.#isLate(slip, arrived, sentAt, purged);
+    this.#trips.set(
+      id,
+      new Trip(
+        id,
+        call.body,
+        pass.caller,
+        this.#measures.whole + this.#measures.chunk,
+        late,
+        (outcome) => {
+          this.#ended(pass, sentAt, outcome);
+          lead?.(outcome);
+        },
+      ),
+    );
     this.#cab.tell((at) => ({
-      kind: 'take', now: at,
+      kind: 'take',
+      now: at,
       wagon: {
-        id, service: pickService(track, spread(id)), generation: table?.generation ?? noGeneration, route: track.name, group: track.group,
-        method: call.method === 'HEAD' && storable ? 'GET' : call.method, host: call.host, path: call.target,
-        fields: withCaller(call, handOn(call.fields, storable ? [...conditional, ...ownFields] : ownFields)),
-        repeatable: track.repeatable, storable, until: pass.until, purged,
+        id,
+        service: pickService(track, spread(id)),
+        generation: table?.generation ?? noGeneration,
+        route: track.name,
+        group: track.group,
+        method: call.method === 'HEAD' && storable ? 'GET' : call.method,
+        host: call.host,
+        path: call.target,
+        fields: withCaller(
+          call,
+          handOn(call.fields, storable ? [...conditional, ...ownFields] : ownFields),
+        ),
+        repeatable: track.repeatable,
+        storable,
+        until: pass.until,
+        purged,
       },
     }));
   }
@@ -184,7 +262,11 @@
       case 'whole': {
         const { status, fields, body, digest, age, purged, from } = outcome;
         if (pass.slip !== undefined) {
-          this.#desk.keep(pass.slip, { status, fields, body, digest, born: bornAt(sentAt, age), purged }, this.#cab.now());
+          this.#desk.keep(
+            pass.slip,
+            { status, fields, body, digest, born: bornAt(sentAt, age), purged },
+            this.#cab.now(),
+          );
           if (this.#serveKept(pass, pass.slip, from)) return;
         }
         this.#tell(pass, { kind: 'whole', status, fields, body, from });
@@ -198,7 +280,10 @@
     const { cabin, woke } = this.#cab.state();
     const at = this.#cab.now();
     if (woke > sentAt) return true;
-    return at - sentAt > sureSpan && (!mayServe(cabin, at) || this.#desk.cache.purgedSince(slip.key, tagsOf(fields), purged));
+    return (
+      at - sentAt > sureSpan &&
+      (!mayServe(cabin, at) || this.#desk.cache.purgedSince(slip.key, tagsOf(fields), purged))
+    );
   }
 
   #leave(id: AskId, text: string): void {
@@ -272,7 +357,9 @@
     const trip = this.#coming(from, frame.id);
     if (trip === undefined) return;
     const bytes = Buffer.from(frame.bytes);
-    const turn = trip.add(bytes, () => this.#links.tell(from, { kind: 'credit', id: frame.id, bytes: bytes.length }));
+    const turn = trip.add(bytes, () =>
+      this.#links.tell(from, { kind: 'credit', id: frame.id, bytes: bytes.length }),
+    );
     if (turn === 'broken') this.#break(trip, 'more bytes than told');
   }
 
--- a/packages/waybill/src/line/links.ts
+++ b/packages/waybill/src/line/links.ts
@@ -49,7 +49,8 @@
         for (const ask of link.waiting.splice(0)) link.channel?.send(ask);
       },
       frame: (frame) => {
-        if (!this.#ears.frame(to, frame)) link.channel?.hang(`foreign: ${frame.kind} on a data channel`);
+        if (!this.#ears.frame(to, frame))
+          link.channel?.hang(`foreign: ${frame.kind} on a data channel`);
       },
       closed: () => {
         if (this.#links.get(to) === link) this.#links.delete(to);
--- a/packages/waybill/src/line/port.ts
+++ b/packages/waybill/src/line/port.ts
@@ -39,7 +39,12 @@
   /** How many requests may wait for fetches of others. */
   readonly joiners: number;
 }
-export const measures: Measures = { whole: 4 * 1024 * 1024, chunk: 64 * 1024, ahead: 512 * 1024, joiners: 2048 };
+export const measures: Measures = {
+  whole: 4 * 1024 * 1024,
+  chunk: 64 * 1024,
+  ahead: 512 * 1024,
+  joiners: 2048,
+};
 
 /** A request as it came from a caller, with its whole body. */
 export interface Call {
@@ -54,9 +59,21 @@
 
 /** What a caller is told at once. */
 export type Told =
-  | { readonly kind: 'fault'; readonly fault: Kind; readonly text: string; readonly retryMs: number; readonly allow?: readonly string[] }
+  | {
+      readonly kind: 'fault';
+      readonly fault: Kind;
+      readonly text: string;
+      readonly retryMs: number;
+      readonly allow?: readonly string[];
+    }
   | { readonly kind: 'entry'; readonly entry: Entry; readonly at: Moment; readonly from: string }
-  | { readonly kind: 'whole'; readonly status: number; readonly fields: Fields; readonly body: Buffer; readonly from: string };
+  | {
+      readonly kind: 'whole';
+      readonly status: number;
+      readonly fields: Fields;
+      readonly body: Buffer;
+      readonly from: string;
+    };
 
 /** Where a result goes that is told in parts. */
 export interface Spout {
--- a/packages/waybill/src/line/shield.ts
+++ b/packages/waybill/src/line/shield.ts
@@ -20,8 +20,10 @@
   readonly finish: (entry: Entry | undefined) => void;
 }
 
-const backFields = (fields: Fields): Fields => handOn(fields, ['content-length', 'switchwheel-instance', 'switchwheel-unrun']);
-const nameOf = (effect: { readonly keeper: string; readonly leg: number }): string => `${effect.keeper}/${effect.leg}`;
+const backFields = (fields: Fields): Fields =>
+  handOn(fields, ['content-length', 'switchwheel-instance', 'switchwheel-unrun']);
+const nameOf = (effect: { readonly keeper: string; readonly leg: number }): string =>
+  `${effect.keeper}/${effect.leg}`;
 
 /** The life of requests at a shield: what it keeps of them while its keepers decide about them. */
 export class ShieldLine {
@@ -37,14 +39,24 @@
   readonly #doubt: (instance: string, why: string) => void;
   readonly counts = new Map<string, number>();
 
-  constructor(legs: LegPort, desk: Desk, cab: Cab, doubt: (instance: string, why: string) => void, sizes: Measures = measures) {
+  constructor(
+    legs: LegPort,
+    desk: Desk,
+    cab: Cab,
+    doubt: (instance: string, why: string) => void,
+    sizes: Measures = measures,
+  ) {
     this.#legs = legs;
     this.#desk = desk;
     this.#cab = cab;
     this.#doubt = doubt;
     this.#measures = sizes;
     this.#flights = new Flights(sizes.joiners);
-    this.dock = new Dock(sizes, (one) => this.#asked(one), (id) => this.#quit(id));
+    this.dock = new Dock(
+      sizes,
+      (one) => this.#asked(one),
+      (id) => this.#quit(id),
+    );
   }
 
   /** What a keeper decided. */
@@ -62,7 +74,12 @@
       case 'turnAway':
         this.#count(`away_${effect.breakdown}`);
         this.#drop(effect.ask);
-        this.dock.bounce(effect.ask, { breakdown: effect.breakdown, text: effect.text, retryAfter: effect.retryMs, moved: effect.moved });
+        this.dock.bounce(effect.ask, {
+          breakdown: effect.breakdown,
+          text: effect.text,
+          retryAfter: effect.retryMs,
+          moved: effect.moved,
+        });
         break;
     }
   }
@@ -94,10 +111,17 @@
     if (this.#fromCache(one, slip)) return;
     const seat = this.#flights.join(slip.flight, (found) => {
       if (this.dock.find(ask.id) !== one) return;
-      if (found === undefined || !this.#fromCache(one, slip)) this.#admit(one, slip, () => undefined);
+      if (found === undefined || !this.#fromCache(one, slip))
+        this.#admit(one, slip, () => undefined);
     });
     if (seat === 'joined') this.#count('joined');
-    else if (seat === 'full') this.dock.bounce(ask.id, { breakdown: 'bounced', text: 'too many wait for results under way', retryAfter: 1000, moved: false });
+    else if (seat === 'full')
+      this.dock.bounce(ask.id, {
+        breakdown: 'bounced',
+        text: 'too many wait for results under way',
+        retryAfter: 1000,
+        moved: false,
+      });
     else this.#admit(one, slip, this.#flights.lead(slip.flight));
   }
 
@@ -106,14 +130,26 @@
     if (entry === undefined) return false;
     this.#count('from_cache');
     const { status, fields, body, digest } = entry;
-    this.dock.tell(one.ask.id, { status, fields, body, digest, age: Math.max(0, one.came - entry.born), from: 'cache', purged: this.#desk.cache.top });
+    this.dock.tell(one.ask.id, {
+      status,
+      fields,
+      body,
+      digest,
+      age: Math.max(0, one.came - entry.born),
+      from: 'cache',
+      purged: this.#desk.cache.top,
+    });
     return true;
   }
 
   #admit(one: Inbound, slip: Slip | undefined, finish: (entry: Entry | undefined) => void): void {
     this.#hands.set(one.ask.id, { one, slip, purged: this.#desk.cache.top, finish });
     // What it waited for another's fetch is gone from its time.
-    this.#cab.tell((at) => ({ kind: 'asked', now: at, ask: { ...one.ask, left: toSpan(Math.max(0, one.ask.left - (at - one.came))) } }));
+    this.#cab.tell((at) => ({
+      kind: 'asked',
+      now: at,
+      ask: { ...one.ask, left: toSpan(Math.max(0, one.ask.left - (at - one.came))) },
+    }));
   }
 
   #quit(id: AskId): void {
@@ -123,14 +159,24 @@
 
   #ended(effect: LegWord, since: Moment, came: LegResult): void {
     const name = nameOf(effect);
-    const result: LegResult = came.whole !== undefined && this.#isStale(effect.ask, since) ? { how: { end: 'dropped' }, whole: undefined } : came;
+    const result: LegResult =
+      came.whole !== undefined && this.#isStale(effect.ask, since)
+        ? { how: { end: 'dropped' }, whole: undefined }
+        : came;
     this.#count(`leg_${result.how.end}`);
     if (result.how.end === 'lost') this.#doubt(effect.instance, result.how.text);
     this.#takings.delete(name);
     this.#legs.drop(name);
     // A result in parts has gone out by then; one that is whole waits for the keeper's word.
     if (result.whole !== undefined) this.#results.set(name, { result, since });
-    this.#cab.tell((at) => ({ kind: 'legEnded', now: at, keeper: effect.keeper, leg: effect.leg, how: result.how, ms: at - since }));
+    this.#cab.tell((at) => ({
+      kind: 'legEnded',
+      now: at,
+      keeper: effect.keeper,
+      leg: effect.leg,
+      how: result.how,
+      ms: at - since,
+    }));
     this.#results.delete(name);
   }
 
@@ -143,13 +189,23 @@
     const hand = this.#hands.get(effect.ask);
     const since = this.#cab.now();
     if (hand === undefined) {
-      this.#ended(effect, since, { how: { end: 'unopened', text: 'nobody waits for it' }, whole: undefined });
+      this.#ended(effect, since, {
+        how: { end: 'unopened', text: 'nobody waits for it' },
+        whole: undefined,
+      });
       return;
     }
     const { ask } = hand.one;
     const request: LegRequest = {
-      address: effect.address, instance: effect.instance, service: ask.service, method: ask.method, target: ask.path, body: ask.body,
-      fields: handOn(ask.fields, ownFields).concat([['host', ask.host]]), spanMs: Math.ceil(effect.spanMs), repeatable: ask.repeatable,
+      address: effect.address,
+      instance: effect.instance,
+      service: ask.service,
+      method: ask.method,
+      target: ask.path,
+      body: ask.body,
+      fields: handOn(ask.fields, ownFields).concat([['host', ask.host]]),
+      spanMs: Math.ceil(effect.spanMs),
+      repeatable: ask.repeatable,
     };
     this.dock.begun(ask.id);
     let flow: Outflow | undefined;
@@ -159,7 +215,12 @@
           taking.drop();
           return;
         }
-        this.#cab.tell((at) => ({ kind: 'streaming', now: at, keeper: effect.keeper, leg: effect.leg }));
+        this.#cab.tell((at) => ({
+          kind: 'streaming',
+          now: at,
+          keeper: effect.keeper,
+          leg: effect.leg,
+        }));
         flow = this.dock.stream(ask.id, status, backFields(fields), length, hand.purged);
         hand.finish(undefined);
       },
@@ -186,9 +247,23 @@
     const fields = backFields(whole.fields);
     const digest = digestOf(body);
     const born = toMoment(held.since - ageOf(whole.fields));
-    const entry = hand.slip === undefined ? undefined : this.#desk.keep(hand.slip, { status, fields, body, digest, born, purged: hand.purged }, this.#cab.now());
-    this.dock.tell(id, { status, fields, body, digest, age: Math.max(0, hand.one.came - born), from: 'origin', purged: hand.purged });
+    const entry =
+      hand.slip === undefined
+        ? undefined
+        : this.#desk.keep(
+            hand.slip,
+            { status, fields, body, digest, born, purged: hand.purged },
+            this.#cab.now(),
+          );
+    this.dock.tell(id, {
+      status,
+      fields,
+      body,
+      digest,
+      age: Math.max(0, hand.one.came - born),
+      from: 'origin',
+      purged: hand.purged,
+    });
     hand.finish(entry);
   }
 }
-
--- a/packages/waybill/src/line/taking.ts
+++ b/packages/waybill/src/line/taking.ts
@@ -27,7 +27,8 @@
 const refusedUnrun = (status: number, fields: Fields): boolean =>
   status >= 400 && (fieldOf(fields, 'switchwheel-unrun') ?? '').toLowerCase() === 'true';
 
-const bodiless = (method: string, status: number): boolean => method === 'HEAD' || status === 204 || status === 304;
+const bodiless = (method: string, status: number): boolean =>
+  method === 'HEAD' || status === 204 || status === 304;
 
 interface Head {
   readonly status: number;
@@ -73,10 +74,14 @@
     }
     const told = fieldOf(fields, 'content-length');
     this.#head = {
-      status, fields, seal: new Seal(fields), length: told === undefined ? undefined : Number(told),
+      status,
+      fields,
+      seal: new Seal(fields),
+      length: told === undefined ? undefined : Number(told),
       chunked: (fieldOf(fields, 'transfer-encoding') ?? '').toLowerCase().includes('chunked'),
     };
-    if (bodiless(this.#request.method, status)) this.#close({ how: this.#good(status), whole: { status, fields, body: Buffer.alloc(0) } });
+    if (bodiless(this.#request.method, status))
+      this.#close({ how: this.#good(status), whole: { status, fields, body: Buffer.alloc(0) } });
   };
 
   part = (bytes: Buffer, more: () => void): void => {
@@ -111,10 +116,16 @@
     }
     const { status, fields, length, chunked, seal } = head;
     const digest = seal.verdict();
-    if (length !== undefined && this.#size !== length) this.#lost(`${this.#size} bytes of ${length}`);
+    if (length !== undefined && this.#size !== length)
+      this.#lost(`${this.#size} bytes of ${length}`);
     else if (digest === 'unlike') this.#lost('the digest does not fit');
-    else if (length === undefined && !chunked && digest === 'none') this.#lost('neither a length nor an end is told');
-    else this.#close({ how: this.#good(status), whole: this.#streaming ? undefined : { status, fields, body: Buffer.concat(this.#parts) } });
+    else if (length === undefined && !chunked && digest === 'none')
+      this.#lost('neither a length nor an end is told');
+    else
+      this.#close({
+        how: this.#good(status),
+        whole: this.#streaming ? undefined : { status, fields, body: Buffer.concat(this.#parts) },
+      });
   };
 
   broke = (how: Broke): void => {
--- a/packages/waybill/src/line/trip.ts
+++ b/packages/waybill/src/line/trip.ts
@@ -5,8 +5,22 @@
 
 /** What a forwarded request came to; a result in parts went to its caller as it came. */
 export type Outcome =
-  | { readonly kind: 'whole'; readonly status: number; readonly fields: Fields; readonly body: Buffer; readonly digest: string; readonly age: number; readonly purged: Seq; readonly from: string }
-  | { readonly kind: 'fault'; readonly fault: FrameOf<'bounce'>['breakdown']; readonly text: string; readonly retryMs: number }
+  | {
+      readonly kind: 'whole';
+      readonly status: number;
+      readonly fields: Fields;
+      readonly body: Buffer;
+      readonly digest: string;
+      readonly age: number;
+      readonly purged: Seq;
+      readonly from: string;
+    }
+  | {
+      readonly kind: 'fault';
+      readonly fault: FrameOf<'bounce'>['breakdown'];
+      readonly text: string;
+      readonly retryMs: number;
+    }
   | { readonly kind: 'streamed' };
 
 /** What became of what came in for a trip; a late result is right, but not sure to be good any more. */
@@ -33,7 +47,14 @@
   #held: { readonly bytes: Buffer; readonly more: () => void } | undefined;
   keeper: Address | undefined;
 
-  constructor(id: AskId, body: Uint8Array, caller: Caller, most: number, late: (fields: Fields) => boolean, end: (outcome: Outcome) => void) {
+  constructor(
+    id: AskId,
+    body: Uint8Array,
+    caller: Caller,
+    most: number,
+    late: (fields: Fields) => boolean,
+    end: (outcome: Outcome) => void,
+  ) {
     this.id = id;
     this.body = body;
     this.#caller = caller;
@@ -50,7 +71,11 @@
     this.#stage = { stage: 'holding', result: frame, parts: [] };
     if (!frame.streamed) return 'on';
     if (this.#late(frame.fields)) return 'late';
-    this.#stage = { stage: 'streaming', result: frame, spout: this.#caller.stream(frame.status, frame.fields, frame.length) };
+    this.#stage = {
+      stage: 'streaming',
+      result: frame,
+      spout: this.#caller.stream(frame.status, frame.fields, frame.length),
+    };
     this.end({ kind: 'streamed' });
     return 'on';
   }
@@ -79,12 +104,24 @@
     if (stage.stage === 'asked') return 'on';
     const { result } = stage;
     const digest = this.#sum.digest('base64');
-    const fits = digest === frame.digest && this.#size === frame.length && (result.length === undefined || result.length === this.#size);
+    const fits =
+      digest === frame.digest &&
+      this.#size === frame.length &&
+      (result.length === undefined || result.length === this.#size);
     if (!fits) return 'broken';
     if (stage.stage === 'holding') {
       const { status, fields, age, purged } = result;
       if (this.#late(fields)) return 'late';
-      this.end({ kind: 'whole', status, fields, body: Buffer.concat(stage.parts), digest, age, purged, from: result.from === 'cache' ? 'shield' : 'origin' });
+      this.end({
+        kind: 'whole',
+        status,
+        fields,
+        body: Buffer.concat(stage.parts),
+        digest,
+        age,
+        purged,
+        from: result.from === 'cache' ? 'shield' : 'origin',
+      });
       return 'over';
     }
     if (this.#held !== undefined) stage.spout.write(this.#held.bytes, () => undefined);
--- a/packages/waybill/src/proxy/depart.ts
+++ b/packages/waybill/src/proxy/depart.ts
@@ -9,7 +9,12 @@
 export type Departure = 'serving' | 'ending' | 'broken' | 'over';
 
 /** What a process that was asked to stop does now, by what is still open here. */
-export const departure = (role: 'edge' | 'shield', since: Moment, open: number, now: Moment): Departure => {
+export const departure = (
+  role: 'edge' | 'shield',
+  since: Moment,
+  open: number,
+  now: Moment,
+): Departure => {
   const spent = now - since;
   if (spent < (role === 'edge' ? graceSpan : 100)) return 'serving';
   if (open === 0) return 'over';
--- a/packages/waybill/src/proxy/heights.ts
+++ b/packages/waybill/src/proxy/heights.ts
@@ -8,7 +8,11 @@
 const backSpan = 10_000;
 
 /** Takes note of the holders that are known now. */
-export const noteHeights = (heights: Heights, holders: ReadonlyMap<Duty, Holder>, now: Moment): Heights => {
+export const noteHeights = (
+  heights: Heights,
+  holders: ReadonlyMap<Duty, Holder>,
+  now: Moment,
+): Heights => {
   let next = heights;
   for (const [duty, { epoch }] of holders) {
     const marks = next.get(duty) ?? [];
@@ -16,13 +20,18 @@
     if (last !== undefined && last.epoch >= epoch) continue;
     // Of those from before the span only the newest matters.
     const old = marks.filter((one) => now - one.at > backSpan).slice(-1);
-    next = put(next, duty, [...old, ...marks.filter((one) => now - one.at <= backSpan), { epoch, at: now }]);
+    next = put(next, duty, [
+      ...old,
+      ...marks.filter((one) => now - one.at <= backSpan),
+      { epoch, at: now },
+    ]);
   }
   return next;
 };
 
 /** How many holdings of a duty there may have been in the last ten seconds, this one among them: what was not heard of counts. */
 export const holdingsOf = (heights: Heights, duty: Duty, epoch: Epoch, now: Moment): number => {
-  const before = (heights.get(duty) ?? []).filter((one) => now - one.at > backSpan).at(-1)?.epoch ?? noEpoch;
+  const before =
+    (heights.get(duty) ?? []).filter((one) => now - one.at > backSpan).at(-1)?.epoch ?? noEpoch;
   return Math.max(1, epoch - before);
 };
--- a/packages/waybill/src/proxy/machine.ts
+++ b/packages/waybill/src/proxy/machine.ts
@@ -1,4 +1,15 @@
-import { type Moment, type ServiceName, type Step, drop, join, keeperOf, primary, put, start, step } from '@switchwheel/gauge';
+import {
+  type Moment,
+  type ServiceName,
+  type Step,
+  drop,
+  join,
+  keeperOf,
+  primary,
+  put,
+  start,
+  step,
+} from '@switchwheel/gauge';
 import { type FrameOf, log, send } from '@switchwheel/coupling';
 import { heldEpoch, holds } from '@switchwheel/ballot';
 import { standing } from '@switchwheel/roster';
@@ -12,24 +23,60 @@
 import type { Proxy, ProxyEffect, ProxyEvent } from './state.js';
 
 type Done = Step<Proxy, ProxyEffect>;
-const then = (first: Done, next: (state: Proxy) => Done): Done => join(first.effects, next(first.state));
+const then = (first: Done, next: (state: Proxy) => Done): Done =>
+  join(first.effects, next(first.state));
 
 const wrap = (state: Proxy, name: string, effect: KeeperEffect): readonly ProxyEffect[] => {
-  if (effect.kind === 'barred') return [log('warn', 'an origin is passed over for a while', ['instance', effect.instance], ['why', effect.text])];
+  if (effect.kind === 'barred')
+    return [
+      log(
+        'warn',
+        'an origin is passed over for a while',
+        ['instance', effect.instance],
+        ['why', effect.text],
+      ),
+    ];
   if (effect.kind === 'probe') return [effect];
   if (effect.kind !== 'trial') return [{ ...effect, keeper: name }];
   const store = state.cabin.berth.holders.get(primary);
   if (store === undefined) return [];
   const { service, release, spent, bad, good, seen, state: verdict } = effect;
-  const word: FrameOf<'trial'> = { kind: 'trial', service, release, spent, bad, good, seen, state: verdict, at: state.cabin.berth.hailed, node: state.cabin.berth.member.node };
-  return [send(store.address, word), ...(verdict === 'bad' ? [log('error', 'a release is judged bad', ['service', service], ['release', release], ['bad', bad])] : [])];
+  const word: FrameOf<'trial'> = {
+    kind: 'trial',
+    service,
+    release,
+    spent,
+    bad,
+    good,
+    seen,
+    state: verdict,
+    at: state.cabin.berth.hailed,
+    node: state.cabin.berth.member.node,
+  };
+  return [
+    send(store.address, word),
+    ...(verdict === 'bad'
+      ? [
+          log(
+            'error',
+            'a release is judged bad',
+            ['service', service],
+            ['release', release],
+            ['bad', bad],
+          ),
+        ]
+      : []),
+  ];
 };
 
 const tellKeeper = (state: Proxy, name: string, event: KeeperEvent): Done => {
   const keeper = state.keepers.get(name);
   if (keeper === undefined) return step(state);
   const done = keeperStep(keeper, event);
-  const keepers = done.state.closing && atRest(done.state) ? drop(state.keepers, name) : put(state.keepers, name, done.state);
+  const keepers =
+    done.state.closing && atRest(done.state)
+      ? drop(state.keepers, name)
+      : put(state.keepers, name, done.state);
   const next = { ...state, keepers };
   return step(next, ...done.effects.flatMap((one) => wrap(next, name, one)));
 };
@@ -40,21 +87,50 @@
   for (const [service, name] of state.active) {
     const stand = state.cabin.stands.get(service);
     const keeper = state.keepers.get(name);
-    if (stand !== undefined && keeper !== undefined && holds(stand, now) && heldEpoch(stand) === keeper.epoch) continue;
-    next = then(next, (one) => tellKeeper({ ...one, active: drop(one.active, service) }, name, { kind: 'close', now }));
+    if (
+      stand !== undefined &&
+      keeper !== undefined &&
+      holds(stand, now) &&
+      heldEpoch(stand) === keeper.epoch
+    )
+      continue;
+    next = then(next, (one) =>
+      tellKeeper({ ...one, active: drop(one.active, service) }, name, { kind: 'close', now }),
+    );
   }
   return next;
 };
 
-const openKeeper = (state: Proxy, service: ServiceName, epoch: Keeper['epoch'], now: Moment): Done => {
+const openKeeper = (
+  state: Proxy,
+  service: ServiceName,
+  epoch: Keeper['epoch'],
+  now: Moment,
+): Done => {
   const rules = state.cabin.table?.services.get(service);
   if (rules === undefined || state.cabin.table === undefined) return step(state);
   const name = `${service}#${epoch}`;
   const holdings = holdingsOf(state.heights, keeperOf(service), epoch, now);
-  const keeper = newKeeper(service, epoch, rules, state.cabin.table.meeting.get(service) ?? new Map(), now, holdings);
-  const opened: Proxy = { ...state, keepers: put(state.keepers, name, keeper), active: put(state.active, service, name) };
-  const taught = then(step(opened, log('info', 'keeps a service', ['service', service], ['epoch', epoch])), (one) => tellKeeper(one, name, { kind: 'verdicts', now, verdicts: one.cabin.verdicts }));
-  return then(taught, (one) => tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.berth.origins }));
+  const keeper = newKeeper(
+    service,
+    epoch,
+    rules,
+    state.cabin.table.meeting.get(service) ?? new Map(),
+    now,
+    holdings,
+  );
+  const opened: Proxy = {
+    ...state,
+    keepers: put(state.keepers, name, keeper),
+    active: put(state.active, service, name),
+  };
+  const taught = then(
+    step(opened, log('info', 'keeps a service', ['service', service], ['epoch', epoch])),
+    (one) => tellKeeper(one, name, { kind: 'verdicts', now, verdicts: one.cabin.verdicts }),
+  );
+  return then(taught, (one) =>
+    tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.berth.origins }),
+  );
 };
 
 const onCabinEffect = (state: Proxy, effect: CabinEffect, now: Moment): Done => {
@@ -67,7 +143,15 @@
       let next: Done = step(state, effect);
       for (const [service, name] of state.active) {
         const rules = effect.table.services.get(service);
-        if (rules !== undefined) next = then(next, (one) => tellKeeper(one, name, { kind: 'rules', now, rules, groups: effect.table.meeting.get(service) ?? new Map() }));
+        if (rules !== undefined)
+          next = then(next, (one) =>
+            tellKeeper(one, name, {
+              kind: 'rules',
+              now,
+              rules,
+              groups: effect.table.meeting.get(service) ?? new Map(),
+            }),
+          );
       }
       return next;
     }
@@ -88,15 +172,25 @@
   const is = state.cabin;
   if (was.berth.holders !== is.berth.holders) {
     const heights = noteHeights(state.heights, is.berth.holders, now);
-    next = then(step({ ...state, heights }), (one) => tellForward(one, { kind: 'keepers', now, keepers: is.berth.holders }));
+    next = then(step({ ...state, heights }), (one) =>
+      tellForward(one, { kind: 'keepers', now, keepers: is.berth.holders }),
+    );
   }
   if (was.berth.origins !== is.berth.origins) {
-    for (const name of state.active.values()) next = then(next, (one) => tellKeeper(one, name, { kind: 'origins', now, origins: is.berth.origins }));
-    const up = new Set([...is.berth.origins.values()].filter((one) => standing(one, now)).map((one) => one.instance));
+    for (const name of state.active.values())
+      next = then(next, (one) =>
+        tellKeeper(one, name, { kind: 'origins', now, origins: is.berth.origins }),
+      );
+    const up = new Set(
+      [...is.berth.origins.values()].filter((one) => standing(one, now)).map((one) => one.instance),
+    );
     next = then(next, (one) => step(one, { kind: 'gates', standing: up }));
   }
   if (was.verdicts !== is.verdicts) {
-    for (const name of state.active.values()) next = then(next, (one) => tellKeeper(one, name, { kind: 'verdicts', now, verdicts: is.verdicts }));
+    for (const name of state.active.values())
+      next = then(next, (one) =>
+        tellKeeper(one, name, { kind: 'verdicts', now, verdicts: is.verdicts }),
+      );
   }
   return next;
 };
@@ -104,32 +198,59 @@
 const onCabin = (state: Proxy, event: Parameters<typeof cabinStep>[1]): Done => {
   const done = cabinStep(state.cabin, event);
   let next: Done = step({ ...state, cabin: done.state });
-  for (const effect of done.effects) next = then(next, (one) => onCabinEffect(one, effect, event.now));
+  for (const effect of done.effects)
+    next = then(next, (one) => onCabinEffect(one, effect, event.now));
   return then(next, (one) => carry(state, one, event.now));
 };
 
 const onTick = (state: Proxy, now: Moment): Done => {
   let next = onCabin(state, { kind: 'tick', now });
   for (const [name, keeper] of next.state.keepers) {
-    if (!keeper.closing) next = then(next, (one) => tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.berth.origins }));
+    if (!keeper.closing)
+      next = then(next, (one) =>
+        tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.berth.origins }),
+      );
     next = then(next, (one) => tellKeeper(one, name, { kind: 'tick', now }));
   }
   next = then(next, (one) => tellForward(one, { kind: 'tick', now }));
-  return next.state.forward.wagons.size === 0 || takes(next.state.cabin, now) ? next : then(next, (one) => tellForward(one, { kind: 'adrift', now }));
+  return next.state.forward.wagons.size === 0 || takes(next.state.cabin, now)
+    ? next
+    : then(next, (one) => tellForward(one, { kind: 'adrift', now }));
 };
 
 const onAsked = (state: Proxy, event: Extract<ProxyEvent, { kind: 'asked' }>): Done => {
   const { ask, now } = event;
   const name = state.active.get(ask.service);
   const keeper = name === undefined ? undefined : state.keepers.get(name);
-  const moved = { kind: 'turnAway' as const, keeper: '', ask: ask.id, breakdown: 'bounced' as const, text: 'not the keeper', retryMs: 0, moved: true };
-  if (name === undefined || keeper === undefined || ask.epoch > keeper.epoch) return step(state, moved);
-  return tellKeeper(state, name, { kind: 'arrive', now, id: ask.id, group: ask.group, repeatable: ask.repeatable, again: ask.again, extra: ask.extra, left: ask.left });
+  const moved = {
+    kind: 'turnAway' as const,
+    keeper: '',
+    ask: ask.id,
+    breakdown: 'bounced' as const,
+    text: 'not the keeper',
+    retryMs: 0,
+    moved: true,
+  };
+  if (name === undefined || keeper === undefined || ask.epoch > keeper.epoch)
+    return step(state, moved);
+  return tellKeeper(state, name, {
+    kind: 'arrive',
+    now,
+    id: ask.id,
+    group: ask.group,
+    repeatable: ask.repeatable,
+    again: ask.again,
+    extra: ask.extra,
+    left: ask.left,
+  });
 };
 
 const onQuit = (state: Proxy, event: Extract<ProxyEvent, { kind: 'quitAsk' }>): Done => {
   let next: Done = step(state);
-  for (const name of state.keepers.keys()) next = then(next, (one) => tellKeeper(one, name, { kind: 'quit', now: event.now, id: event.id }));
+  for (const name of state.keepers.keys())
+    next = then(next, (one) =>
+      tellKeeper(one, name, { kind: 'quit', now: event.now, id: event.id }),
+    );
   return next;
 };
 
@@ -152,10 +273,24 @@
     case 'streaming':
       return tellKeeper(state, event.keeper, { kind: 'streaming', now: event.now, leg: event.leg });
     case 'legEnded':
-      return tellKeeper(state, event.keeper, { kind: 'ended', now: event.now, leg: event.leg, how: event.how, ms: event.ms });
+      return tellKeeper(state, event.keeper, {
+        kind: 'ended',
+        now: event.now,
+        leg: event.leg,
+        how: event.how,
+        ms: event.ms,
+      });
     case 'probed': {
       const name = state.active.get(event.service);
-      return name === undefined ? step(state) : tellKeeper(state, name, { kind: 'probed', now: event.now, instance: event.instance, good: event.good, ms: event.ms });
+      return name === undefined
+        ? step(state)
+        : tellKeeper(state, name, {
+            kind: 'probed',
+            now: event.now,
+            instance: event.instance,
+            good: event.good,
+            ms: event.ms,
+          });
     }
     case 'result':
     case 'begun':
@@ -169,8 +304,12 @@
 
 /** A process that did nothing for so long slept, was stopped, or was held up. */
 const sleepSpan = 1500;
-const notice = (state: Proxy, now: Moment): Proxy =>
-  ({ ...state, acted: now, woke: state.acted > start && now - state.acted > sleepSpan ? now : state.woke });
+const notice = (state: Proxy, now: Moment): Proxy => ({
+  ...state,
+  acted: now,
+  woke: state.acted > start && now - state.acted > sleepSpan ? now : state.woke,
+});
 
 /** The proxy: one function for every change of its state. */
-export const proxyStep = (state: Proxy, event: ProxyEvent): Done => then(fence(notice(state, event.now), event.now), (one) => act(one, event));
+export const proxyStep = (state: Proxy, event: ProxyEvent): Done =>
+  then(fence(notice(state, event.now), event.now), (one) => act(one, event));
--- a/packages/waybill/src/proxy/state.ts
+++ b/packages/waybill/src/proxy/state.ts
@@ -1,4 +1,12 @@
-import { type Address, type AskId, type Dice, type InstanceId, type Moment, type ServiceName, start } from '@switchwheel/gauge';
+import {
+  type Address,
+  type AskId,
+  type Dice,
+  type InstanceId,
+  type Moment,
+  type ServiceName,
+  start,
+} from '@switchwheel/gauge';
 import type { Ask, FrameOf, Member } from '@switchwheel/coupling';
 import { type Cabin, type CabinEffect, type CabinEvent, newCabin } from '../cabin/state.js';
 import { type Forward, type ForwardEffect, type Wagon, newForward } from '../forward/state.js';
@@ -19,23 +27,68 @@
   readonly woke: Moment;
 }
 
-export const newProxy = (member: Member, seeds: readonly Address[], dice: Dice): Proxy =>
-  ({ cabin: newCabin(member, seeds, dice), keepers: new Map(), active: new Map(), forward: newForward, heights: new Map(), acted: start, woke: start });
+export const newProxy = (member: Member, seeds: readonly Address[], dice: Dice): Proxy => ({
+  cabin: newCabin(member, seeds, dice),
+  keepers: new Map(),
+  active: new Map(),
+  forward: newForward,
+  heights: new Map(),
+  acted: start,
+  woke: start,
+});
 
 export type ProxyEvent =
   | CabinEvent
-  | { readonly kind: 'take'; readonly now: Moment; readonly wagon: Omit<Wagon, 'stage' | 'again' | 'begun'> }
+  | {
+      readonly kind: 'take';
+      readonly now: Moment;
+      readonly wagon: Omit<Wagon, 'stage' | 'again' | 'begun'>;
+    }
   | { readonly kind: 'asked'; readonly now: Moment; readonly ask: Omit<Ask, 'body'> }
   | { readonly kind: 'quitAsk'; readonly now: Moment; readonly id: AskId }
-  | { readonly kind: 'streaming'; readonly now: Moment; readonly keeper: string; readonly leg: number }
-  | { readonly kind: 'legEnded'; readonly now: Moment; readonly keeper: string; readonly leg: number; readonly how: LegEnd; readonly ms: number }
-  | { readonly kind: 'probed'; readonly now: Moment; readonly service: ServiceName; readonly instance: InstanceId; readonly good: boolean; readonly ms: number }
-  | { readonly kind: 'result'; readonly now: Moment; readonly from: Address; readonly frame: FrameOf<'result'> }
-  | { readonly kind: 'bounce'; readonly now: Moment; readonly from: Address; readonly frame: FrameOf<'bounce'> }
+  | {
+      readonly kind: 'streaming';
+      readonly now: Moment;
+      readonly keeper: string;
+      readonly leg: number;
+    }
+  | {
+      readonly kind: 'legEnded';
+      readonly now: Moment;
+      readonly keeper: string;
+      readonly leg: number;
+      readonly how: LegEnd;
+      readonly ms: number;
+    }
+  | {
+      readonly kind: 'probed';
+      readonly now: Moment;
+      readonly service: ServiceName;
+      readonly instance: InstanceId;
+      readonly good: boolean;
+      readonly ms: number;
+    }
+  | {
+      readonly kind: 'result';
+      readonly now: Moment;
+      readonly from: Address;
+      readonly frame: FrameOf<'result'>;
+    }
+  | {
+      readonly kind: 'bounce';
+      readonly now: Moment;
+      readonly from: Address;
+      readonly frame: FrameOf<'bounce'>;
+    }
   | { readonly kind: 'begun'; readonly now: Moment; readonly from: Address; readonly id: AskId }
   | { readonly kind: 'done'; readonly now: Moment; readonly id: AskId }
   | { readonly kind: 'quit'; readonly now: Moment; readonly id: AskId; readonly text: string }
-  | { readonly kind: 'lost'; readonly now: Moment; readonly keeper: Address; readonly unsent: ReadonlySet<AskId> };
+  | {
+      readonly kind: 'lost';
+      readonly now: Moment;
+      readonly keeper: Address;
+      readonly unsent: ReadonlySet<AskId>;
+    };
 
 export type ProxyEffect =
   | Exclude<CabinEffect, { kind: 'kept' | 'unkept' }>
--- a/packages/yardmaster/src/boot.ts
+++ b/packages/yardmaster/src/boot.ts
@@ -15,5 +15,13 @@
 export const schema = v.strictObject({
   ...common,
   door: address,
-  limit: v.optional(v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(1, 'at least 1'), v.maxValue(1024, 'at most 1024')), 64),
+  limit: v.optional(
+    v.pipe(
+      v.number('a number'),
+      v.integer('a whole number'),
+      v.minValue(1, 'at least 1'),
+      v.maxValue(1024, 'at most 1024'),
+    ),
+    64,
+  ),
 });
--- a/packages/yardmaster/src/main.ts
+++ b/packages/yardmaster/src/main.ts
@@ -5,5 +5,7 @@
 
 const boot = bootOrExit(program, schema);
 const log = createLog(program.name, boot.node, boot.log);
-const running = await startRegistry(boot, log, ({ ask, ready, metrics }) => outsideApp(ask, boot.limit * 1024 * 1024, ready, metrics));
+const running = await startRegistry(boot, log, ({ ask, ready, metrics }) =>
+  outsideApp(ask, boot.limit * 1024 * 1024, ready, metrics),
+);
 onStop(log, running.stop);
--- a/packages/yardmaster/src/outside/app.ts
+++ b/packages/yardmaster/src/outside/app.ts
@@ -1,7 +1,18 @@
 import { randomUUID } from 'node:crypto';
 import Koa from 'koa';
 import * as v from 'valibot';
-import { type CallId, type Generation, type Hash, type Kind, isCallId, isGeneration, isServiceName, noGeneration, tell, toCallId } from '@switchwheel/gauge';
+import {
+  type CallId,
+  type Generation,
+  type Hash,
+  type Kind,
+  isCallId,
+  isGeneration,
+  isServiceName,
+  noGeneration,
+  tell,
+  toCallId,
+} from '@switchwheel/gauge';
 import { type Fault, build, cut, readInto } from '@switchwheel/timetable';
 import type { Outside } from '@switchwheel/roster';
 import { inSlices, readBody } from '@switchwheel/footplate';
@@ -10,7 +21,15 @@
 /** Hands a call to the machine; settles with its answer. */
 export type Ask = (call: Outside) => Promise<{ readonly status: number; readonly body: string }>;
 
-const views: ReadonlySet<string> = new Set(['description', 'rollouts', 'nodes', 'purges', 'verdicts', 'releases', 'store']);
+const views: ReadonlySet<string> = new Set([
+  'description',
+  'rollouts',
+  'nodes',
+  'purges',
+  'verdicts',
+  'releases',
+  'store',
+]);
 const smallLimit = 4 * 1024 * 1024;
 
 const fail = (ctx: Koa.Context, kind: Kind, text: string, faults?: readonly Fault[]): void => {
@@ -31,12 +50,19 @@
     const raw: unknown = JSON.parse(body.value.toString('utf8'));
     return raw;
   } catch (problem) {
-    fail(ctx, 'malformed', `not JSON: ${problem instanceof Error ? problem.message : 'unreadable'}`);
+    fail(
+      ctx,
+      'malformed',
+      `not JSON: ${problem instanceof Error ? problem.message : 'unreadable'}`,
+    );
     return undefined;
   }
 };
 
-const readForm = async <T>(ctx: Koa.Context, schema: v.GenericSchema<unknown, T>): Promise<T | undefined> => {
+const readForm = async <T>(
+  ctx: Koa.Context,
+  schema: v.GenericSchema<unknown, T>,
+): Promise<T | undefined> => {
   const raw = await readJson(ctx, smallLimit);
   if (raw === undefined) return undefined;
   const faults: Fault[] = [];
@@ -62,7 +88,10 @@
   return undefined;
 };
 
-const tellResult = (ctx: Koa.Context, result: { readonly status: number; readonly body: string }): void => {
+const tellResult = (
+  ctx: Koa.Context,
+  result: { readonly status: number; readonly body: string },
+): void => {
   ctx.status = result.status;
   if (result.status === 503) ctx.set('retry-after', '1');
   ctx.type = 'application/json';
@@ -82,17 +111,44 @@
   | { readonly handed: 'told'; readonly status: number; readonly body: string };
 
 /** Checks a whole description here with the nodes' own code, and hands it on in pieces. */
-export const handIn = async (raw: unknown, ask: Ask, call: HandIn, only: 'check' | 'apply'): Promise<Handed> => {
+export const handIn = async (
+  raw: unknown,
+  ask: Ask,
+  call: HandIn,
+  only: 'check' | 'apply',
+): Promise<Handed> => {
   const bundle = await inSlices(cut(raw));
   if (bundle.isErr) return { handed: 'refused', faults: bundle.error };
   const { hash, order, pieces } = bundle.value;
-  const built = await inSlices(build(order.map((one) => pieces.get(one) ?? ''), noGeneration, hash));
+  const built = await inSlices(
+    build(
+      order.map((one) => pieces.get(one) ?? ''),
+      noGeneration,
+      hash,
+    ),
+  );
   if (built.isErr) return { handed: 'refused', faults: built.error };
   if (only === 'check') return { handed: 'fits', hash, routes: built.value.routes };
-  return { handed: 'told', ...await ask({ verb: 'apply', id: call.id, base: call.base, number: call.number, hash, order, pieces }) };
+  return {
+    handed: 'told',
+    ...(await ask({
+      verb: 'apply',
+      id: call.id,
+      base: call.base,
+      number: call.number,
+      hash,
+      order,
+      pieces,
+    })),
+  };
 };
 
-const description = async (ctx: Koa.Context, ask: Ask, limit: number, only: 'check' | 'apply'): Promise<void> => {
+const description = async (
+  ctx: Koa.Context,
+  ask: Ask,
+  limit: number,
+  only: 'check' | 'apply',
+): Promise<void> => {
   const id = callIdOf(ctx);
   const base = baseOf(ctx);
   if (id === undefined || base === undefined) return;
@@ -113,7 +169,12 @@
 };
 
 /** The outside calls of a core machine: for operators, for origins, for itself and for the store. */
-export const outsideApp = (ask: Ask, limit: number, ready: () => boolean, metrics: () => string): Koa => {
+export const outsideApp = (
+  ask: Ask,
+  limit: number,
+  ready: () => boolean,
+  metrics: () => string,
+): Koa => {
   const app = new Koa();
   app.silent = true;
   app.use(async (ctx) => {
@@ -144,22 +205,52 @@
       case 'POST /v1/purges': {
         const form = await readForm(ctx, purgeForm);
         const id = form?.id ?? callIdOf(ctx);
-        if (form !== undefined && id !== undefined) tellResult(ctx, await ask({ verb: 'purge', id, aims: form.aims }));
+        if (form !== undefined && id !== undefined)
+          tellResult(ctx, await ask({ verb: 'purge', id, aims: form.aims }));
         return;
       }
       case 'POST /v1/releases': {
         const form = await readForm(ctx, releaseForm);
-        if (form !== undefined) tellResult(ctx, await ask({ verb: 'release', id: form.id ?? toCallId(randomUUID()), service: form.service, target: form.target, spanMs: form.spanMs }));
+        if (form !== undefined)
+          tellResult(
+            ctx,
+            await ask({
+              verb: 'release',
+              id: form.id ?? toCallId(randomUUID()),
+              service: form.service,
+              target: form.target,
+              spanMs: form.spanMs,
+            }),
+          );
         return;
       }
       case 'POST /v1/fleet': {
         const form = await readForm(ctx, foundForm);
-        if (form !== undefined) tellResult(ctx, await ask({ verb: 'found', id: form.id ?? toCallId(randomUUID()), fleet: form.fleet, stores: form.stores, witnesses: form.witnesses }));
+        if (form !== undefined)
+          tellResult(
+            ctx,
+            await ask({
+              verb: 'found',
+              id: form.id ?? toCallId(randomUUID()),
+              fleet: form.fleet,
+              stores: form.stores,
+              witnesses: form.witnesses,
+            }),
+          );
         return;
       }
       case 'POST /v1/electorate': {
         const form = await readForm(ctx, electorateForm);
-        if (form !== undefined) tellResult(ctx, await ask({ verb: 'electorate', id: form.id ?? toCallId(randomUUID()), add: form.add, remove: form.remove }));
+        if (form !== undefined)
+          tellResult(
+            ctx,
+            await ask({
+              verb: 'electorate',
+              id: form.id ?? toCallId(randomUUID()),
+              add: form.add,
+              remove: form.remove,
+            }),
+          );
         return;
       }
       case 'GET /v1/fleet':
@@ -179,10 +270,19 @@
     return;
   }
   if (version === 'v1' && ctx.method === 'GET' && family === 'releases' && isServiceName(name)) {
-    tellResult(ctx, await ask({ verb: 'view', id: toCallId(randomUUID()), what: `release/${name}` }));
+    tellResult(
+      ctx,
+      await ask({ verb: 'view', id: toCallId(randomUUID()), what: `release/${name}` }),
+    );
     return;
   }
-  if (version === 'v1' && ctx.method === 'GET' && family !== undefined && name === undefined && views.has(family)) {
+  if (
+    version === 'v1' &&
+    ctx.method === 'GET' &&
+    family !== undefined &&
+    name === undefined &&
+    views.has(family)
+  ) {
     tellResult(ctx, await ask({ verb: 'view', id: toCallId(randomUUID()), what: family }));
     return;
   }
--- a/packages/yardmaster/src/outside/forms.ts
+++ b/packages/yardmaster/src/outside/forms.ts
@@ -8,20 +8,41 @@
   instance: g.instanceId,
   address: g.address,
   release: v.optional(g.release, g.toRelease('unnamed')),
-  slots: v.pipe(v.number('a number'), v.integer('a whole number'), v.minValue(1, 'at least 1'), v.maxValue(10_000, 'at most 10000')),
+  slots: v.pipe(
+    v.number('a number'),
+    v.integer('a whole number'),
+    v.minValue(1, 'at least 1'),
+    v.maxValue(10_000, 'at most 10000'),
+  ),
   state: v.optional(v.picklist(['up', 'leaving', 'gone'], 'up, leaving or gone'), 'up'),
 });
 
-export const purgeForm = v.strictObject({ id: v.optional(g.callId), aims: v.pipe(v.array(aim), v.minLength(1, 'at least one'), v.maxLength(10_000, 'at most 10000')) });
+export const purgeForm = v.strictObject({
+  id: v.optional(g.callId),
+  aims: v.pipe(v.array(aim), v.minLength(1, 'at least one'), v.maxLength(10_000, 'at most 10000')),
+});
 
 export const foundForm = v.strictObject({
-  id: v.optional(g.callId), fleet: g.fleetId, stores: v.optional(v.array(g.nodeId), []), witnesses: v.optional(v.array(g.nodeId), []),
+  id: v.optional(g.callId),
+  fleet: g.fleetId,
+  stores: v.optional(v.array(g.nodeId), []),
+  witnesses: v.optional(v.array(g.nodeId), []),
 });
 
-export const electorateForm = v.strictObject({ id: v.optional(g.callId), add: v.optional(g.nodeId), remove: v.optional(g.nodeId) });
+export const electorateForm = v.strictObject({
+  id: v.optional(g.callId),
+  add: v.optional(g.nodeId),
+  remove: v.optional(g.nodeId),
+});
 
 /** An order to move a service to origins of a release. */
 export const releaseForm = v.strictObject({
-  id: v.optional(g.callId), service: g.serviceName, target: g.release,
-  spanMs: v.pipe(v.number('a number'), v.minValue(1000, 'at least 1000'), v.maxValue(86_400_000, 'at most a day')),
+  id: v.optional(g.callId),
+  service: g.serviceName,
+  target: g.release,
+  spanMs: v.pipe(
+    v.number('a number'),
+    v.minValue(1000, 'at least 1000'),
+    v.maxValue(86_400_000, 'at most a day'),
+  ),
 });
--- a/packages/yardmaster/src/run.ts
+++ b/packages/yardmaster/src/run.ts
@@ -1,8 +1,29 @@
 import type Koa from 'koa';
 import type { Address, AreaName, NodeId } from '@switchwheel/gauge';
 import { type WireEffect, Yard } from '@switchwheel/coupling';
-import { type Outside, type Proposal, type Registry, type RegistryEffect, type RegistryEvent, inTouch, newRegistry, registryStep } from '@switchwheel/roster';
-import { type Log, type Running, isWireEffect, metricsText, newDice, newIncarnation, now, openDoor, plainReading as plain, runLoop, wait } from '@switchwheel/footplate';
+import {
+  type Outside,
+  type Proposal,
+  type Registry,
+  type RegistryEffect,
+  type RegistryEvent,
+  inTouch,
+  newRegistry,
+  registryStep,
+} from '@switchwheel/roster';
+import {
+  type Log,
+  type Running,
+  isWireEffect,
+  metricsText,
+  newDice,
+  newIncarnation,
+  now,
+  openDoor,
+  plainReading as plain,
+  runLoop,
+  wait,
+} from '@switchwheel/footplate';
 import type { Ask } from './outside/app.js';
 
 /** What a registry needs to know of its place. */
@@ -37,9 +58,26 @@
 }
 
 /** Starts a registry; `app` makes its door for origins and operators. */
-export const startRegistry = async (boot: RegistryBoot, log: Log, app: (inside: Inside) => Koa, { proposal, eager, tickMs }: RegistryWays = {}): Promise<Running> => {
-  const member = { node: boot.node, role: 'registry' as const, area: boot.area, address: boot.listen, door: boot.door, admin: boot.door, incarnation: newIncarnation() };
-  const yard = new Yard({ node: member.node, address: member.address, incarnation: member.incarnation });
+export const startRegistry = async (
+  boot: RegistryBoot,
+  log: Log,
+  app: (inside: Inside) => Koa,
+  { proposal, eager, tickMs }: RegistryWays = {},
+): Promise<Running> => {
+  const member = {
+    node: boot.node,
+    role: 'registry' as const,
+    area: boot.area,
+    address: boot.listen,
+    door: boot.door,
+    admin: boot.door,
+    incarnation: newIncarnation(),
+  };
+  const yard = new Yard({
+    node: member.node,
+    address: member.address,
+    incarnation: member.incarnation,
+  });
   const waiting = new Map<number, (answer: Answer) => void>();
   let lastRef = 0;
 
@@ -49,32 +87,60 @@
     waiting.delete(effect.ref);
   };
   const isOwnWire = (effect: RegistryEffect): effect is WireEffect => isWireEffect(effect);
-  const loop = runLoop<Registry, RegistryEvent, OwnEffect>(registryStep, newRegistry(member, boot.seeds, now(), newDice(), proposal, eager ?? false), yard, log, run, isOwnWire, tickMs);
+  const loop = runLoop<Registry, RegistryEvent, OwnEffect>(
+    registryStep,
+    newRegistry(member, boot.seeds, now(), newDice(), proposal, eager ?? false),
+    yard,
+    log,
+    run,
+    isOwnWire,
+    tickMs,
+  );
   const state = loop.store.state;
 
-  const ask = (call: Outside): Promise<Answer> => new Promise((done) => {
-    lastRef += 1;
-    const ref = lastRef;
-    waiting.set(ref, done);
-    loop.tell((at) => ({ kind: 'outside', now: at, ref, call }));
-  });
+  const ask = (call: Outside): Promise<Answer> =>
+    new Promise((done) => {
+      lastRef += 1;
+      const ref = lastRef;
+      waiting.set(ref, done);
+      loop.tell((at) => ({ kind: 'outside', now: at, ref, call }));
+    });
 
   let worstLag = 0;
   const metrics = (): string => {
     const one = state();
     worstLag = Math.max(worstLag, loop.lag());
     return metricsText([
-      plain('sessions', [...one.sessions.values()].filter((row) => row.registry === member.node).length), plain('origins', one.origins.size),
-      plain('generation', one.feed.current?.generation ?? 0), plain('purges_top', one.feed.top),
-      plain('feed_age_ms', one.feed.asOf === undefined ? -1 : Math.round(now() - one.feed.asOf)), plain('witness_blank', one.witness.blank ? 1 : 0),
-      plain('loop_lag_worst_ms', worstLag), plain('foreign_channels_total', yard.foreign), plain('memory_bytes', process.memoryUsage.rss()),
+      plain(
+        'sessions',
+        [...one.sessions.values()].filter((row) => row.registry === member.node).length,
+      ),
+      plain('origins', one.origins.size),
+      plain('generation', one.feed.current?.generation ?? 0),
+      plain('purges_top', one.feed.top),
+      plain('feed_age_ms', one.feed.asOf === undefined ? -1 : Math.round(now() - one.feed.asOf)),
+      plain('witness_blank', one.witness.blank ? 1 : 0),
+      plain('loop_lag_worst_ms', worstLag),
+      plain('foreign_channels_total', yard.foreign),
+      plain('memory_bytes', process.memoryUsage.rss()),
     ]);
   };
 
   const ready = (): boolean => !state().stopping && inTouch(state(), now());
-  const door = await openDoor(app({ ask, ready, metrics, state }), boot.door, { headersMs: 5000, requestMs: 30_000, headerBytes: 16 * 1024 });
+  const door = await openDoor(app({ ask, ready, metrics, state }), boot.door, {
+    headersMs: 5000,
+    requestMs: 30_000,
+    headerBytes: 16 * 1024,
+  });
   await yard.listen();
-  log.write('info', 'started', new Map<string, string>([['listen', boot.listen], ['door', boot.door]]));
+  log.write(
+    'info',
+    'started',
+    new Map<string, string>([
+      ['listen', boot.listen],
+      ['door', boot.door],
+    ]),
+  );
 
   return {
     stop: async () => {
