--- a/packages/interchange/src/nginx/carry.test.ts
+++ b/packages/config-import/src/nginx/carry.test.ts
@@ -3,8 +3,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { noGeneration } from '@switchwheel/gauge';
-import { build, cut, finish } from '@switchwheel/timetable';
+import { noGeneration } from '@switchwheel/types';
+import { build, cut, finish } from '@switchwheel/configuration';
 import { carry } from './carry.js';
 import { readNginx } from './read.js';
 
--- a/packages/timetable/src/control/control.ts
+++ b/packages/configuration/src/control/control.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
+import * as g from '@switchwheel/types';
 import {
   type Offer,
   type Origin,
@@ -12,7 +12,7 @@
   purge,
   report,
   verdict,
-} from '@switchwheel/coupling';
+} from '@switchwheel/transport';
 import { policy } from '../description/schema.js';
 import { type ReleaseOrder, releaseOrder } from '../release/order.js';
 
--- a/packages/timetable/src/description/check.ts
+++ b/packages/configuration/src/description/check.ts
@@ -1,4 +1,4 @@
-import type { ClassName, ServiceName } from '@switchwheel/gauge';
+import type { ClassName, ServiceName } from '@switchwheel/types';
 import { type Fault, fault } from './fault.js';
 import type { Group, Head } from './schema.js';
 
--- a/packages/timetable/src/description/compile.ts
+++ b/packages/configuration/src/description/compile.ts
@@ -1,5 +1,5 @@
 import { type Result, ok, err } from 'true-myth/result';
-import type { ClassName, Generation, Hash, RouteName, ServiceName } from '@switchwheel/gauge';
+import type { ClassName, Generation, Hash, RouteName, ServiceName } from '@switchwheel/types';
 import { checkHead, checkShares } from './check.js';
 import { type Fault, fault, readInto } from './fault.js';
 import {
--- a/packages/timetable/src/description/patch.test.ts
+++ b/packages/configuration/src/description/patch.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import * as fc from 'fast-check';
-import { noGeneration } from '@switchwheel/gauge';
+import { noGeneration } from '@switchwheel/types';
 import { build, cut } from './piece.js';
 import { finish } from './compile.js';
 import type { Table } from './table.js';
--- a/packages/timetable/src/description/piece.ts
+++ b/packages/configuration/src/description/piece.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { type Result, ok, err } from 'true-myth/result';
-import { type Generation, type Hash, toHash } from '@switchwheel/gauge';
+import { type Generation, type Hash, toHash } from '@switchwheel/types';
 import { compile, patch } from './compile.js';
 import { type Fault, fault } from './fault.js';
 import type { Table } from './table.js';
--- a/packages/timetable/src/description/table.ts
+++ b/packages/configuration/src/description/table.ts
@@ -1,4 +1,4 @@
-import type { ClassName, Generation, Hash, RouteName, ServiceName } from '@switchwheel/gauge';
+import type { ClassName, Generation, Hash, RouteName, ServiceName } from '@switchwheel/types';
 import type { Group, Head, Part, Policy, Route, Service } from './schema.js';
 
 /** A route ready to be matched, with what it leaves out filled in. */
--- a/packages/timetable/src/release/choose.ts
+++ b/packages/configuration/src/release/choose.ts
@@ -1,5 +1,5 @@
-import type { Release } from '@switchwheel/gauge';
-import type { ReleaseState } from '@switchwheel/coupling';
+import type { Release } from '@switchwheel/types';
+import type { ReleaseState } from '@switchwheel/transport';
 
 /** The share of a class's requests that go to the release on trial. */
 export const shareOf = (state: ReleaseState, group: string): number =>
--- a/packages/timetable/src/release/judge.ts
+++ b/packages/configuration/src/release/judge.ts
@@ -1,4 +1,4 @@
-import { type Moment, type Release, earlier } from '@switchwheel/gauge';
+import { type Moment, type Release, earlier } from '@switchwheel/types';
 import type { ReleaseSettings } from './settings.js';
 import {
   type Counts,
--- a/packages/timetable/src/release/machine.ts
+++ b/packages/configuration/src/release/machine.ts
@@ -1,4 +1,4 @@
-import { type Moment, type Release, earlier, nextSeq } from '@switchwheel/gauge';
+import { type Moment, type Release, earlier, nextSeq } from '@switchwheel/types';
 import { releaseFault } from './judge.js';
 import { type ReleaseOrder, underWay } from './order.js';
 import type { ReleaseSettings } from './settings.js';
--- a/packages/timetable/src/release/order.ts
+++ b/packages/configuration/src/release/order.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
-import { type ReleaseState, releasePhase } from '@switchwheel/coupling';
+import * as g from '@switchwheel/types';
+import { type ReleaseState, releasePhase } from '@switchwheel/transport';
 
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 
--- a/packages/timetable/src/release/release.test.ts
+++ b/packages/configuration/src/release/release.test.ts
@@ -13,8 +13,8 @@
   toNodeId,
   toRelease,
   toSpan,
-} from '@switchwheel/gauge';
-import type { FrameOf, ReleaseState, TallyRow } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { FrameOf, ReleaseState, TallyRow } from '@switchwheel/transport';
 import { chooseRelease } from './choose.js';
 import { advance } from './machine.js';
 import {
--- a/packages/timetable/src/release/tally.ts
+++ b/packages/configuration/src/release/tally.ts
@@ -7,8 +7,8 @@
   put,
   sift,
   toMoment,
-} from '@switchwheel/gauge';
-import type { FrameOf, TallyRow } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { FrameOf, TallyRow } from '@switchwheel/transport';
 
 /** Counts of one release and class, over edges. */
 export interface Counts {
--- a/packages/timetable/src/rollout/engine.ts
+++ b/packages/configuration/src/rollout/engine.ts
@@ -1,5 +1,5 @@
-import { type Moment, nextSeq } from '@switchwheel/gauge';
-import type { Put } from '@switchwheel/coupling';
+import { type Moment, nextSeq } from '@switchwheel/types';
+import type { Put } from '@switchwheel/transport';
 import {
   type Control,
   type NodeRow,
--- a/packages/timetable/src/rollout/planner.ts
+++ b/packages/configuration/src/rollout/planner.ts
@@ -1,5 +1,5 @@
-import { type NodeId, nextSeq, noSeq } from '@switchwheel/gauge';
-import type { Put } from '@switchwheel/coupling';
+import { type NodeId, nextSeq, noSeq } from '@switchwheel/types';
+import type { Put } from '@switchwheel/transport';
 import {
   type Control,
   type NodeRow,
--- a/packages/trainset/src/deployment/schema.ts
+++ b/packages/devfleet/src/deployment/schema.ts
@@ -2,7 +2,7 @@
 import { dirname, join } from 'node:path';
 import * as v from 'valibot';
 import { type Result, err, ok } from 'true-myth/result';
-import { areaName, serviceName } from '@switchwheel/gauge';
+import { areaName, serviceName } from '@switchwheel/types';
 
 const count = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(1000));
 const pair = v.tuple([v.number(), v.number()]);
--- a/packages/trainset/src/fault/preload.ts
+++ b/packages/devfleet/src/fault/preload.ts
@@ -1,10 +1,10 @@
 import { Socket } from 'node:net';
 import { err } from 'true-myth/result';
 import * as v from 'valibot';
-import { Disk } from '@switchwheel/footplate';
+import { Disk } from '@switchwheel/runtime';
 import { type Weather, fair, weather } from './weather.js';
 
-// Loaded into the processes of a trainset before their own program: it stands between them and their network and disk.
+// Loaded into the processes of a development fleet before their own program: it stands between them and their network and disk.
 // The programs know nothing of it, and have no switch for it.
 const own = process.env['TRAINSET_HOST'] ?? '';
 let now: Weather = fair;
@@ -12,7 +12,7 @@
   const read = v.safeParse(weather, raw);
   if (read.success) now = read.output;
 });
-// Listening to the trainset keeps no process alive.
+// Listening to the development fleet keeps no process alive.
 process.channel?.unref();
 
 const lookSpan = 20;
--- a/packages/trainset/src/fault/weather.ts
+++ b/packages/devfleet/src/fault/weather.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
 
-/** What is wrong with a process's way to others, and with its disk, as its trainset tells it. */
+/** What is wrong with a process's way to others, and with its disk, as its development fleet tells it. */
 export const weather = v.object({
   /** Machines to which nothing gets through: what is sent waits, as on a line that lost its far end. */
   hold: v.array(v.string()),
--- a/packages/trainset/src/fleet/fleet.ts
+++ b/packages/devfleet/src/fleet/fleet.ts
@@ -206,7 +206,7 @@
         children.push(
           new Child(
             `${spot.name}-registry`,
-            bin('yardmaster'),
+            bin('registry'),
             [
               '--node',
               `${spot.name}-registry`,
@@ -225,7 +225,7 @@
         children.push(
           new Child(
             spot.name,
-            bin('depot'),
+            bin('store'),
             [
               '--node',
               spot.name,
@@ -245,7 +245,7 @@
         children.push(
           new Child(
             spot.name,
-            bin('turnout'),
+            bin('proxy'),
             [
               '--node',
               spot.name,
--- a/packages/trainset/src/main.ts
+++ b/packages/devfleet/src/main.ts
@@ -9,10 +9,10 @@
 const cli = meow(
   `
   Usage
-    $ trainset run FILE    start the deployment, drive its load, check the rules, print figures
-    $ trainset fail FILE --cause NAME
+    $ devfleet run FILE    start the deployment, drive its load, check the rules, print figures
+    $ devfleet fail FILE --cause NAME
                            cause one failure under load, print what callers saw before and during it
-    $ trainset up FILE     start the deployment and leave it running until interrupted
+    $ devfleet up FILE     start the deployment and leave it running until interrupted
 
   Flags
     --seconds N    how long to drive the load (30)
@@ -20,7 +20,7 @@
     --edges N      start this many edges instead
     --shields N    start this many shields instead
     --cause NAME   ${[...causes.keys()].join(', ')}
-    --folder DIR   where data and logs go (.trainset)
+    --folder DIR   where data and logs go (.devfleet)
 
   Exit codes
     0  every rule held    1  a rule was broken, or the fleet did not come up    2  wrong use
@@ -34,14 +34,14 @@
       scale: { type: 'number', default: 1 },
       edges: { type: 'number' },
       shields: { type: 'number' },
-      folder: { type: 'string', default: '.trainset' },
+      folder: { type: 'string', default: '.devfleet' },
       cause: { type: 'string', default: 'none' },
     },
   },
 );
 
 const quit = (fault: string): never => {
-  process.stderr.write(`trainset: ${fault}\n`);
+  process.stderr.write(`devfleet: ${fault}\n`);
   process.exit(2);
 };
 const say = (text: string): void => {
@@ -97,7 +97,7 @@
       say(`edges: ${fleet.edges.map((one) => one.door).join(' ')}`);
     } catch (problem) {
       process.stderr.write(
-        `trainset: ${problem instanceof Error ? problem.message : 'broke down'}\n`,
+        `devfleet: ${problem instanceof Error ? problem.message : 'broke down'}\n`,
       );
       process.exit(1);
     }
--- a/packages/trainset/src/report/report.ts
+++ b/packages/devfleet/src/report/report.ts
@@ -1,4 +1,4 @@
-import { tally } from '@switchwheel/gauge';
+import { tally } from '@switchwheel/types';
 import type { Deployment } from '../deployment/schema.js';
 import type { Seen } from '../load/callers.js';
 
--- a/packages/trainset/src/report/rules.ts
+++ b/packages/devfleet/src/report/rules.ts
@@ -1,6 +1,6 @@
 import got from 'got';
 import * as v from 'valibot';
-import { tally } from '@switchwheel/gauge';
+import { tally } from '@switchwheel/types';
 import type { Fleet } from '../fleet/fleet.js';
 import type { Seen } from '../load/callers.js';
 import type { Verdict } from './report.js';
--- a/packages/trainset/src/run/causes.test.ts
+++ b/packages/devfleet/src/run/causes.test.ts
@@ -13,7 +13,7 @@
 
 void test("real processes through cuts, ailing and lost disks, swapped registries and quarrelling operators: the origins' notes agree with what callers were told", async () => {
   const read = readPlan(
-    fileURLToPath(new URL('../../../../examples/carpatic/trainset.json', import.meta.url)),
+    fileURLToPath(new URL('../../../../examples/carpatic/devfleet.json', import.meta.url)),
   );
   assert.ok(read.isOk);
   const plan = { ...read.value, deployment: { ...read.value.deployment, edges: 2, shields: 3 } };
--- a/packages/trainset/src/run/full.test.ts
+++ b/packages/devfleet/src/run/full.test.ts
@@ -8,14 +8,14 @@
 import { runFull } from './full.js';
 
 const example = (name: string): string =>
-  fileURLToPath(new URL(`../../../../examples/${name}/trainset.json`, import.meta.url));
+  fileURLToPath(new URL(`../../../../examples/${name}/devfleet.json`, import.meta.url));
 
 for (const name of ['mallgyeol', 'carpatic']) {
   void test(`${name}, scaled down: real processes from the command line through rollout to callers, the rules checked by the origins' notes`, async () => {
     const read = readPlan(example(name));
     assert.ok(read.isOk);
     const plan = { ...read.value, deployment: { ...read.value.deployment, edges: 2, shields: 3 } };
-    const folder = mkdtempSync(join(tmpdir(), 'trainset-'));
+    const folder = mkdtempSync(join(tmpdir(), 'devfleet-'));
     try {
       const report = await runFull(plan, { seconds: 5, scale: 0.15, folder, say: () => undefined });
       // What hangs on how fast a busy machine is has no say here; what must hold on any machine does.
--- a/packages/trainset/src/run/full.ts
+++ b/packages/devfleet/src/run/full.ts
@@ -1,6 +1,6 @@
 import got from 'got';
 import * as v from 'valibot';
-import { tally } from '@switchwheel/gauge';
+import { tally } from '@switchwheel/types';
 import type { Plan } from '../deployment/schema.js';
 import { type Fleet, pause, until } from '../fleet/fleet.js';
 import { Callers, type Seen } from '../load/callers.js';
--- a/packages/trainset/src/run/input.test.ts
+++ b/packages/devfleet/src/run/input.test.ts
@@ -17,13 +17,13 @@
 
 const file = (path: string): string =>
   fileURLToPath(new URL(`../../../../${path}`, import.meta.url));
-const folder = mkdtempSync(join(tmpdir(), 'trainset-'));
+const folder = mkdtempSync(join(tmpdir(), 'devfleet-'));
 let fleet: Fleet;
 let plan: Plan;
 let edge: Machine;
 
 before(async () => {
-  const read = readPlan(file('examples/mallgyeol/trainset.json'));
+  const read = readPlan(file('examples/mallgyeol/devfleet.json'));
   assert.ok(read.isOk);
   plan = { ...read.value, deployment: { ...read.value.deployment, edges: 1, shields: 1 } };
   fleet = await setUp(plan, folder, () => undefined);
@@ -276,7 +276,7 @@
           done({ code: typeof problem?.code === 'number' ? problem.code : 0, fault }),
       );
     });
-  const proxy = await run('turnout', [
+  const proxy = await run('proxy', [
     '--node',
     'bad name',
     '--role',
@@ -301,10 +301,10 @@
     'door:',
     'admin:',
   ])
-    assert.ok(proxy.fault.includes(`turnout: ${name}`), `${name} in ${proxy.fault}`);
+    assert.ok(proxy.fault.includes(`proxy: ${name}`), `${name} in ${proxy.fault}`);
   writeFileSync(join(folder, 'boot.json'), '{"node": "x", ');
-  assert.match((await run('depot', ['--boot', join(folder, 'boot.json')])).fault, /is not JSON/);
-  assert.equal((await run('yardmaster', ['--boot', join(folder, 'absent.json')])).code, 2);
+  assert.match((await run('store', ['--boot', join(folder, 'boot.json')])).fault, /is not JSON/);
+  assert.equal((await run('registry', ['--boot', join(folder, 'absent.json')])).code, 2);
 });
 
 void test('the command line: check, diff, show, status, rollouts, releases, purge; plain words and exit codes', async () => {
@@ -419,7 +419,7 @@
       execFile(
         process.execPath,
         [
-          file('packages/signalbox/bin/signalbox.js'),
+          file('packages/query-shell/bin/query-shell.js'),
           '-r',
           fleet.registries.join(','),
           '--json',
--- a/packages/ballot/src/stand/stand.ts
+++ b/packages/election/src/stand/stand.ts
@@ -15,14 +15,14 @@
   toEpoch,
   toMoment,
   toSpan,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Electorate,
   type FrameOf,
   type Holder,
   type WireEffect,
   send,
-} from '@switchwheel/coupling';
+} from '@switchwheel/transport';
 import { leaseSpan, majority } from '../witness/witness.js';
 
 /** What a holder ends its lease early by, against clocks that run unlike. */
--- a/packages/ballot/src/witness/witness.ts
+++ b/packages/election/src/witness/witness.ts
@@ -9,8 +9,8 @@
   primary,
   put,
   toSpan,
-} from '@switchwheel/gauge';
-import type { Electorate, FrameOf, Memory } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Electorate, FrameOf, Memory } from '@switchwheel/transport';
 
 /** The longest lease a witness grants; one that restarted abstains for as long. */
 export const leaseSpan = 1000;
--- a/packages/roster/src/berth/berth.ts
+++ b/packages/membership/src/berth/berth.ts
@@ -15,7 +15,7 @@
   roll,
   start,
   step,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Colleague,
   type Electorate,
@@ -26,7 +26,7 @@
   type WireEffect,
   log,
   send,
-} from '@switchwheel/coupling';
+} from '@switchwheel/transport';
 import { type Origins, learnAll } from '../origins/origins.js';
 
 /** How often a node speaks to its registry. */
--- a/packages/roster/src/origins/origins.ts
+++ b/packages/membership/src/origins/origins.ts
@@ -6,8 +6,8 @@
   noSeq,
   put,
   sift,
-} from '@switchwheel/gauge';
-import type { Origin } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Origin } from '@switchwheel/transport';
 
 /** An origin with the time it was last heard, by this process's clock. */
 export interface Seen extends Omit<Origin, 'age'> {
--- a/packages/roster/src/registry/announce.ts
+++ b/packages/membership/src/registry/announce.ts
@@ -1,6 +1,6 @@
-import { type InstanceId, type Moment, type Step, drop, join, put, step } from '@switchwheel/gauge';
-import { type Colleague, type FrameOf, send } from '@switchwheel/coupling';
-import { majority } from '@switchwheel/ballot';
+import { type InstanceId, type Moment, type Step, drop, join, put, step } from '@switchwheel/types';
+import { type Colleague, type FrameOf, send } from '@switchwheel/transport';
+import { majority } from '@switchwheel/election';
 import { learn, learnAll, rankOf, tellOrigin } from '../origins/origins.js';
 import { type Outside, type RegistryEffect, reply } from './event.js';
 import type { Departure, Registry } from './state.js';
--- a/packages/roster/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -7,8 +7,8 @@
   noSeq,
   put,
   step,
-} from '@switchwheel/gauge';
-import { type FrameOf, send } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import { type FrameOf, send } from '@switchwheel/transport';
 import { announce } from './announce.js';
 import { type Outside, type RegistryEffect, reply, replyText } from './event.js';
 import type { Pending, Registry } from './state.js';
--- a/packages/roster/src/registry/event.ts
+++ b/packages/membership/src/registry/event.ts
@@ -7,8 +7,8 @@
   NodeId,
   Release,
   ServiceName,
-} from '@switchwheel/gauge';
-import type { Aim, Origin, WireEffect, WireEvent } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Aim, Origin, WireEffect, WireEvent } from '@switchwheel/transport';
 
 /** An outside call, already read and checked for its form. */
 export type Outside =
--- a/packages/roster/src/registry/hint.test.ts
+++ b/packages/membership/src/registry/hint.test.ts
@@ -14,8 +14,8 @@
   toMoment,
   toNodeId,
   noSeq,
-} from '@switchwheel/gauge';
-import type { FrameOf, Member } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { FrameOf, Member } from '@switchwheel/transport';
 import { type Registry, newRegistry } from './state.js';
 import { registryStep } from './machine.js';
 
--- a/packages/roster/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -9,9 +9,9 @@
   step,
   toCallId,
   toMoment,
-} from '@switchwheel/gauge';
-import { type Colleague, type Frame, type FrameOf, log, send } from '@switchwheel/coupling';
-import { recall, seat, vote } from '@switchwheel/ballot';
+} from '@switchwheel/types';
+import { type Colleague, type Frame, type FrameOf, log, send } from '@switchwheel/transport';
+import { recall, seat, vote } from '@switchwheel/election';
 import { learnHolder } from '../berth/berth.js';
 import { forget, learnAll } from '../origins/origins.js';
 import { onNews, onNoted, passDepartures } from './announce.js';
--- a/packages/roster/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -1,4 +1,4 @@
-import { leaseSpan } from '@switchwheel/ballot';
+import { leaseSpan } from '@switchwheel/election';
 import {
   type Duty,
   type Hash,
@@ -11,7 +11,7 @@
   start,
   step,
   toSpan,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Colleague,
   type FrameOf,
@@ -19,7 +19,7 @@
   type ReleaseState,
   type WireEffect,
   send,
-} from '@switchwheel/coupling';
+} from '@switchwheel/transport';
 import { learnHolder } from '../berth/berth.js';
 import { isSettled, releasesDigest } from '../releases/digest.js';
 import type { Known, Registry } from './state.js';
--- a/packages/roster/src/registry/releases.test.ts
+++ b/packages/membership/src/registry/releases.test.ts
@@ -15,8 +15,8 @@
   toSeq,
   toServiceName,
   toSpan,
-} from '@switchwheel/gauge';
-import type { FrameOf, Member, ReleaseState } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { FrameOf, Member, ReleaseState } from '@switchwheel/transport';
 import { releasesDigest } from '../releases/digest.js';
 import { registryStep } from './machine.js';
 import { type Registry, newRegistry } from './state.js';
--- a/packages/roster/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -14,7 +14,7 @@
   noEpoch,
   noSeq,
   start,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import type {
   Electorate,
   FrameOf,
@@ -26,8 +26,8 @@
   ReleaseState,
   Report,
   Verdict,
-} from '@switchwheel/coupling';
-import { type Witness, newWitness } from '@switchwheel/ballot';
+} from '@switchwheel/transport';
+import { type Witness, newWitness } from '@switchwheel/election';
 import type { Origins } from '../origins/origins.js';
 
 /** A session as this registry knows it, its own or a colleague's. */
--- a/packages/roster/src/registry/words.ts
+++ b/packages/membership/src/registry/words.ts
@@ -5,7 +5,7 @@
   noGeneration,
   primary,
   toSpan,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Electorate,
   type FrameOf,
@@ -15,8 +15,8 @@
   type Session,
   type WireEffect,
   send,
-} from '@switchwheel/coupling';
-import { majority, memories } from '@switchwheel/ballot';
+} from '@switchwheel/transport';
+import { majority, memories } from '@switchwheel/election';
 import { tellOrigins } from '../origins/origins.js';
 import type { Known, Registry } from './state.js';
 
--- a/packages/roster/src/releases/digest.ts
+++ b/packages/membership/src/releases/digest.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { ReleaseState } from '@switchwheel/coupling';
+import type { ReleaseState } from '@switchwheel/transport';
 
 /** Whether a record of releases stays as it is until it is written anew: then it need not be told again. */
 export const isSettled = (one: ReleaseState): boolean =>
--- a/packages/waybill/src/cabin/duties.ts
+++ b/packages/proxy-core/src/cabin/duties.ts
@@ -8,8 +8,8 @@
   keeperOf,
   put,
   step,
-} from '@switchwheel/gauge';
-import { type FrameOf, type Holder, type Member, send } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import { type FrameOf, type Holder, type Member, send } from '@switchwheel/transport';
 import {
   type Poll,
   type Stand,
@@ -20,8 +20,8 @@
   lay,
   newStand,
   pass,
-} from '@switchwheel/ballot';
-import { highest } from '@switchwheel/roster';
+} from '@switchwheel/election';
+import { highest } from '@switchwheel/membership';
 import type { Cabin, CabinEffect } from './state.js';
 
 type Done = Step<Cabin, CabinEffect>;
--- a/packages/waybill/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -7,7 +7,7 @@
   sift,
   step,
   toMoment,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Colleague,
   type Frame,
@@ -17,7 +17,7 @@
   type Report,
   log,
   send,
-} from '@switchwheel/coupling';
+} from '@switchwheel/transport';
 import {
   type Words,
   adrift,
@@ -27,8 +27,8 @@
   releasesDigest,
   takeHeard,
   takeRoster,
-} from '@switchwheel/roster';
-import { hashOf } from '@switchwheel/timetable';
+} from '@switchwheel/membership';
+import { hashOf } from '@switchwheel/configuration';
 import { handOver, heldNow, onHandover, onVote, passDuties, takeVacant } from './duties.js';
 import type { Cabin, CabinEffect, CabinEvent } from './state.js';
 
--- a/packages/waybill/src/cabin/state.ts
+++ b/packages/proxy-core/src/cabin/state.ts
@@ -8,7 +8,7 @@
   type ServiceName,
   noSeq,
   start,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import type {
   Member,
   Offer,
@@ -17,10 +17,10 @@
   Verdict,
   WireEffect,
   WireEvent,
-} from '@switchwheel/coupling';
-import type { Stand } from '@switchwheel/ballot';
-import { type Berth, newBerth } from '@switchwheel/roster';
-import type { Fault, Table } from '@switchwheel/timetable';
+} from '@switchwheel/transport';
+import type { Stand } from '@switchwheel/election';
+import { type Berth, newBerth } from '@switchwheel/membership';
+import type { Fault, Table } from '@switchwheel/configuration';
 
 /** What a node is doing about an offered description. */
 export type Fitting =
--- a/packages/waybill/src/cache/cache.test.ts
+++ b/packages/proxy-core/src/cache/cache.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Moment, later, toMoment, toSeq } from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
+import { type Moment, later, toMoment, toSeq } from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
 import { Cache, type CacheKey, digestOf } from './cache.js';
 import { lifetimeOf } from './fields.js';
 
--- a/packages/waybill/src/cache/cache.ts
+++ b/packages/proxy-core/src/cache/cache.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
-import { type Moment, type Seq, noSeq } from '@switchwheel/gauge';
-import type { Aim, Fields, Purge } from '@switchwheel/coupling';
+import { type Moment, type Seq, noSeq } from '@switchwheel/types';
+import type { Aim, Fields, Purge } from '@switchwheel/transport';
 import { fieldOf, varyOf } from './fields.js';
 
 /** What a stored result is known by. */
--- a/packages/waybill/src/cache/desk.ts
+++ b/packages/proxy-core/src/cache/desk.ts
@@ -1,7 +1,7 @@
-import type { Moment, Seq } from '@switchwheel/gauge';
-import { toMoment } from '@switchwheel/gauge';
-import type { Ask, Fields } from '@switchwheel/coupling';
-import type { Table, Track } from '@switchwheel/timetable';
+import type { Moment, Seq } from '@switchwheel/types';
+import { toMoment } from '@switchwheel/types';
+import type { Ask, Fields } from '@switchwheel/transport';
+import type { Table, Track } from '@switchwheel/configuration';
 import { mayServe } from '../cabin/machine.js';
 import type { Cabin } from '../cabin/state.js';
 import { type Cache, type CacheKey, type Entry, digestOf } from './cache.js';
--- a/packages/waybill/src/cache/fields.ts
+++ b/packages/proxy-core/src/cache/fields.ts
@@ -1,4 +1,4 @@
-import type { Fields } from '@switchwheel/coupling';
+import type { Fields } from '@switchwheel/transport';
 
 /** Fields of one channel only: they are not handed on. */
 const hops: ReadonlySet<string> = new Set([
--- a/packages/waybill/src/forward/forward.test.ts
+++ b/packages/proxy-core/src/forward/forward.test.ts
@@ -14,8 +14,8 @@
   toNodeId,
   toServiceName,
   isRouteName,
-} from '@switchwheel/gauge';
-import type { Holder } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Holder } from '@switchwheel/transport';
 import { forwardStep } from './forward.js';
 import { type Forward, type ForwardEffect, type ForwardEvent, newForward } from './state.js';
 
--- a/packages/waybill/src/forward/forward.ts
+++ b/packages/proxy-core/src/forward/forward.ts
@@ -10,7 +10,7 @@
   put,
   step,
   toSpan,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import type { Forward, ForwardEffect, ForwardEvent, Wagon } from './state.js';
 import { maxWagons } from './state.js';
 
--- a/packages/waybill/src/forward/state.ts
+++ b/packages/proxy-core/src/forward/state.ts
@@ -10,8 +10,8 @@
   RouteName,
   Seq,
   ServiceName,
-} from '@switchwheel/gauge';
-import type { Ask, Fields, FrameOf, Holder } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Ask, Fields, FrameOf, Holder } from '@switchwheel/transport';
 
 /** A request that an edge has taken on, without its body. */
 export interface Wagon {
--- a/packages/waybill/src/keeper/bays.ts
+++ b/packages/proxy-core/src/keeper/bays.ts
@@ -1,5 +1,5 @@
-import { type InstanceId, type Moment, later, put } from '@switchwheel/gauge';
-import { type Origins, standing } from '@switchwheel/roster';
+import { type InstanceId, type Moment, later, put } from '@switchwheel/types';
+import { type Origins, standing } from '@switchwheel/membership';
 import type { Bay, Fit, Keeper, LegEnd } from './state.js';
 
 const firstBar = 500;
--- a/packages/waybill/src/keeper/ceiling.ts
+++ b/packages/proxy-core/src/keeper/ceiling.ts
@@ -1,4 +1,4 @@
-import type { Moment } from '@switchwheel/gauge';
+import type { Moment } from '@switchwheel/types';
 import type { Keeper } from './state.js';
 
 /** How far a burst may go beyond an even flow under the ceiling, in seconds of it. */
--- a/packages/waybill/src/keeper/keeper.test.ts
+++ b/packages/proxy-core/src/keeper/keeper.test.ts
@@ -13,8 +13,8 @@
   toMoment,
   toRelease,
   toServiceName,
-} from '@switchwheel/gauge';
-import { build, cut, finish } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import { build, cut, finish } from '@switchwheel/configuration';
 import { keeperStep } from './keeper.js';
 import { type Keeper, type KeeperEffect, type KeeperEvent, newKeeper } from './state.js';
 
--- a/packages/waybill/src/keeper/keeper.ts
+++ b/packages/proxy-core/src/keeper/keeper.ts
@@ -10,7 +10,7 @@
   step,
   tally,
   toAskId,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import { elect, judgeBay, judgeProbe, takeOrigins, totalRoom } from './bays.js';
 import { affords, fill, tokensAfter } from './ceiling.js';
 import type { Bay, Keeper, KeeperEffect, KeeperEvent, Leg, LegEnd, Load } from './state.js';
--- a/packages/waybill/src/keeper/probes.ts
+++ b/packages/proxy-core/src/keeper/probes.ts
@@ -1,4 +1,4 @@
-import { type Moment, put } from '@switchwheel/gauge';
+import { type Moment, put } from '@switchwheel/types';
 import { affords, tokensAfter } from './ceiling.js';
 import type { Keeper, KeeperEffect } from './state.js';
 
--- a/packages/waybill/src/keeper/state.ts
+++ b/packages/proxy-core/src/keeper/state.ts
@@ -6,11 +6,11 @@
   Moment,
   Release,
   ServiceName,
-} from '@switchwheel/gauge';
-import type { Verdict } from '@switchwheel/coupling';
-import type { Origins } from '@switchwheel/roster';
-import type { Group, Service } from '@switchwheel/timetable';
-import type { Address } from '@switchwheel/gauge';
+} from '@switchwheel/types';
+import type { Verdict } from '@switchwheel/transport';
+import type { Origins } from '@switchwheel/membership';
+import type { Group, Service } from '@switchwheel/configuration';
+import type { Address } from '@switchwheel/types';
 import { type Sliding, newSliding } from './window.js';
 
 /** How a leg to an origin ended. */
--- a/packages/waybill/src/keeper/trial.ts
+++ b/packages/proxy-core/src/keeper/trial.ts
@@ -1,5 +1,5 @@
-import { type Moment, type Release, put } from '@switchwheel/gauge';
-import type { Verdict } from '@switchwheel/coupling';
+import { type Moment, type Release, put } from '@switchwheel/types';
+import type { Verdict } from '@switchwheel/transport';
 import type { Keeper, KeeperEffect, LegEnd, Trial } from './state.js';
 
 /** Requests of a release on trial that are stored as spent before they are sent. */
--- a/packages/waybill/src/keeper/window.ts
+++ b/packages/proxy-core/src/keeper/window.ts
@@ -1,4 +1,4 @@
-import type { Moment } from '@switchwheel/gauge';
+import type { Moment } from '@switchwheel/types';
 
 /** Counts over a sliding time, in slots; a reading takes the oldest slot in whole, so it never tells too little. */
 export interface Sliding {
--- a/packages/waybill/src/line/digest.ts
+++ b/packages/proxy-core/src/line/digest.ts
@@ -1,6 +1,6 @@
 import { createHash, timingSafeEqual, type Hash } from 'node:crypto';
 import { parseDictionary } from 'structured-headers';
-import type { Fields } from '@switchwheel/coupling';
+import type { Fields } from '@switchwheel/transport';
 import { fieldOf } from '../cache/fields.js';
 
 const names = new Map([
--- a/packages/waybill/src/line/dock.ts
+++ b/packages/proxy-core/src/line/dock.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
-import type { AskId, Moment, Seq } from '@switchwheel/gauge';
-import { toSpan } from '@switchwheel/gauge';
-import type { Ask, Fields, Frame, FrameOf } from '@switchwheel/coupling';
+import type { AskId, Moment, Seq } from '@switchwheel/types';
+import { toSpan } from '@switchwheel/types';
+import type { Ask, Fields, Frame, FrameOf } from '@switchwheel/transport';
 import type { DataChannel, DataEars, Measures } from './port.js';
 
 /** An ask that came in, with the channel its result goes back on. */
--- a/packages/waybill/src/line/edge.ts
+++ b/packages/proxy-core/src/line/edge.ts
@@ -10,9 +10,9 @@
   tally,
   toAskId,
   toMoment,
-} from '@switchwheel/gauge';
-import type { Ask, Fields, Frame, FrameOf } from '@switchwheel/coupling';
-import { type Track, match, pickService } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import type { Ask, Fields, Frame, FrameOf } from '@switchwheel/transport';
+import { type Track, match, pickService } from '@switchwheel/configuration';
 import { type Desk, type Slip, bornAt, conditional, cutTarget } from '../cache/desk.js';
 import { handOn, ownFields, tagsOf } from '../cache/fields.js';
 import { Flights } from '../cache/flights.js';
--- a/packages/waybill/src/line/links.ts
+++ b/packages/proxy-core/src/line/links.ts
@@ -1,5 +1,5 @@
-import type { Address, AskId } from '@switchwheel/gauge';
-import type { Ask, Frame, FrameOf } from '@switchwheel/coupling';
+import type { Address, AskId } from '@switchwheel/types';
+import type { Ask, Frame, FrameOf } from '@switchwheel/transport';
 import type { DataChannel, Dial } from './port.js';
 
 interface Link {
--- a/packages/waybill/src/line/port.ts
+++ b/packages/proxy-core/src/line/port.ts
@@ -1,5 +1,5 @@
-import type { Address, InstanceId, Kind, Moment } from '@switchwheel/gauge';
-import type { Fields, Frame } from '@switchwheel/coupling';
+import type { Address, InstanceId, Kind, Moment } from '@switchwheel/types';
+import type { Fields, Frame } from '@switchwheel/transport';
 import type { Entry } from '../cache/cache.js';
 import type { Proxy, ProxyEvent } from '../proxy/state.js';
 
--- a/packages/waybill/src/line/shield.ts
+++ b/packages/proxy-core/src/line/shield.ts
@@ -1,5 +1,5 @@
-import { type AskId, type Moment, type Seq, tally, toMoment, toSpan } from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
+import { type AskId, type Moment, type Seq, tally, toMoment, toSpan } from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
 import { type Entry, digestOf } from '../cache/cache.js';
 import type { Desk, Slip } from '../cache/desk.js';
 import { ageOf, handOn, ownFields } from '../cache/fields.js';
--- a/packages/waybill/src/line/taking.ts
+++ b/packages/proxy-core/src/line/taking.ts
@@ -1,4 +1,4 @@
-import type { Fields } from '@switchwheel/coupling';
+import type { Fields } from '@switchwheel/transport';
 import { fieldOf } from '../cache/fields.js';
 import type { LegEnd } from '../keeper/state.js';
 import { Seal } from './digest.js';
--- a/packages/waybill/src/line/trip.ts
+++ b/packages/proxy-core/src/line/trip.ts
@@ -1,6 +1,6 @@
 import { createHash, type Hash } from 'node:crypto';
-import type { Address, AskId, Seq } from '@switchwheel/gauge';
-import type { Fields, FrameOf } from '@switchwheel/coupling';
+import type { Address, AskId, Seq } from '@switchwheel/types';
+import type { Fields, FrameOf } from '@switchwheel/transport';
 import type { Caller, Spout } from './port.js';
 
 /** What a forwarded request came to; a result in parts went to its caller as it came. */
--- a/packages/waybill/src/proxy/depart.ts
+++ b/packages/proxy-core/src/proxy/depart.ts
@@ -1,4 +1,4 @@
-import type { Moment } from '@switchwheel/gauge';
+import type { Moment } from '@switchwheel/types';
 
 /** How long callers are still taken after a stop was asked for: the platform needs a moment to see it. */
 const graceSpan = 1500;
--- a/packages/waybill/src/proxy/heights.ts
+++ b/packages/proxy-core/src/proxy/heights.ts
@@ -1,5 +1,5 @@
-import { type Duty, type Epoch, type Moment, noEpoch, put } from '@switchwheel/gauge';
-import type { Holder } from '@switchwheel/coupling';
+import { type Duty, type Epoch, type Moment, noEpoch, put } from '@switchwheel/types';
+import type { Holder } from '@switchwheel/transport';
 
 /** Epochs of duties with when they were first heard of, the oldest first. */
 export type Heights = ReadonlyMap<Duty, readonly { readonly epoch: Epoch; readonly at: Moment }[]>;
--- a/packages/waybill/src/proxy/machine.ts
+++ b/packages/proxy-core/src/proxy/machine.ts
@@ -9,10 +9,10 @@
   put,
   start,
   step,
-} from '@switchwheel/gauge';
-import { type FrameOf, log, send } from '@switchwheel/coupling';
-import { heldEpoch, holds } from '@switchwheel/ballot';
-import { standing } from '@switchwheel/roster';
+} from '@switchwheel/types';
+import { type FrameOf, log, send } from '@switchwheel/transport';
+import { heldEpoch, holds } from '@switchwheel/election';
+import { standing } from '@switchwheel/membership';
 import { cabinStep, takes } from '../cabin/machine.js';
 import type { CabinEffect } from '../cabin/state.js';
 import { forwardStep } from '../forward/forward.js';
--- a/packages/waybill/src/proxy/state.ts
+++ b/packages/proxy-core/src/proxy/state.ts
@@ -6,8 +6,8 @@
   type Moment,
   type ServiceName,
   start,
-} from '@switchwheel/gauge';
-import type { Ask, FrameOf, Member } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Ask, FrameOf, Member } from '@switchwheel/transport';
 import { type Cabin, type CabinEffect, type CabinEvent, newCabin } from '../cabin/state.js';
 import { type Forward, type ForwardEffect, type Wagon, newForward } from '../forward/state.js';
 import type { Keeper, KeeperEffect, LegEnd } from '../keeper/state.js';
--- a/packages/turnout/src/admin/view.ts
+++ b/packages/proxy/src/admin/view.ts
@@ -1,5 +1,5 @@
-import { type Proxy, isReady, mayServe, sumOf } from '@switchwheel/waybill';
-import { now } from '@switchwheel/footplate';
+import { type Proxy, isReady, mayServe, sumOf } from '@switchwheel/proxy-core';
+import { now } from '@switchwheel/runtime';
 
 /** The state of a proxy, as its operators may look at it. */
 export const proxyView = (proxy: Proxy): object => {
--- a/packages/turnout/src/boot/boot.ts
+++ b/packages/proxy/src/boot/boot.ts
@@ -1,9 +1,9 @@
 import * as v from 'valibot';
-import { address } from '@switchwheel/gauge';
-import { type Program, common, commonSettings } from '@switchwheel/footplate';
+import { address } from '@switchwheel/types';
+import { type Program, common, commonSettings } from '@switchwheel/runtime';
 
 export const program: Program = {
-  name: 'turnout',
+  name: 'proxy',
   about: 'The proxy of switchwheel: an edge takes callers, a shield keeps services.',
   settings: [
     ...commonSettings,
--- a/packages/turnout/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -13,16 +13,16 @@
   toNodeId,
   toRelease,
   toServiceName,
-} from '@switchwheel/gauge';
-import { build, cut, finish } from '@switchwheel/timetable';
-import { type Cabin, Cache, newCabin } from '@switchwheel/waybill';
+} from '@switchwheel/types';
+import { build, cut, finish } from '@switchwheel/configuration';
+import { type Cabin, Cache, newCabin } from '@switchwheel/proxy-core';
 import {
   DirectLine,
   type LegEars,
   type LegOrder,
   plainBounds,
   plainWords,
-} from '@switchwheel/shunt';
+} from '@switchwheel/routing';
 import { DirectDoor } from './door.js';
 
 const service = toServiceName('clips');
--- a/packages/turnout/src/direct/door.ts
+++ b/packages/proxy/src/direct/door.ts
@@ -1,11 +1,11 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import rangeParser from 'range-parser';
-import { type Address, type Kind, tell as tellingOf } from '@switchwheel/gauge';
-import { type Fields, parts } from '@switchwheel/coupling';
-import type { Call, DirectLine, Word, Words } from '@switchwheel/shunt';
-import { type Entry, fieldOf, handOn } from '@switchwheel/waybill';
-import type { Limits } from '@switchwheel/timetable';
-import { readBody } from '@switchwheel/footplate';
+import { type Address, type Kind, tell as tellingOf } from '@switchwheel/types';
+import { type Fields, parts } from '@switchwheel/transport';
+import type { Call, DirectLine, Word, Words } from '@switchwheel/routing';
+import { type Entry, fieldOf, handOn } from '@switchwheel/proxy-core';
+import type { Limits } from '@switchwheel/configuration';
+import { readBody } from '@switchwheel/runtime';
 
 const fieldsOf = (asked: IncomingMessage): Fields => {
   const out: Fields = [];
--- a/packages/turnout/src/direct/leg.test.ts
+++ b/packages/proxy/src/direct/leg.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { type Server, type Socket, createServer } from 'node:net';
 import { test } from 'node:test';
-import { toAddress, toInstanceId, toServiceName } from '@switchwheel/gauge';
-import { type Answer, type LegOrder, plainWords } from '@switchwheel/shunt';
+import { toAddress, toInstanceId, toServiceName } from '@switchwheel/types';
+import { type Answer, type LegOrder, plainWords } from '@switchwheel/routing';
 import { Origins } from './leg.js';
 
 interface Stand {
--- a/packages/turnout/src/direct/leg.ts
+++ b/packages/proxy/src/direct/leg.ts
@@ -1,9 +1,9 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
 import type { Socket } from 'node:net';
-import type { InstanceId } from '@switchwheel/gauge';
-import { type Fields, parts } from '@switchwheel/coupling';
-import type { LegEars, LegOrder, LegPort, Words } from '@switchwheel/shunt';
-import { fieldOf } from '@switchwheel/waybill';
+import type { InstanceId } from '@switchwheel/types';
+import { type Fields, parts } from '@switchwheel/transport';
+import type { LegEars, LegOrder, LegPort, Words } from '@switchwheel/routing';
+import { fieldOf } from '@switchwheel/proxy-core';
 
 /** How long a connection may take to open. */
 const openMs = 300;
--- a/packages/turnout/src/direct/program.ts
+++ b/packages/proxy/src/direct/program.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http';
-import { type Address, type AreaName, type NodeId, primary } from '@switchwheel/gauge';
-import { type WireEffect, Yard, parts } from '@switchwheel/coupling';
-import { build } from '@switchwheel/timetable';
-import { type Bounds, DirectLine, type Words } from '@switchwheel/shunt';
+import { type Address, type AreaName, type NodeId, primary } from '@switchwheel/types';
+import { type WireEffect, Yard, parts } from '@switchwheel/transport';
+import { build } from '@switchwheel/configuration';
+import { type Bounds, DirectLine, type Words } from '@switchwheel/routing';
 import {
   type Cabin,
   type CabinEffect,
@@ -10,7 +10,7 @@
   Cache,
   cabinStep,
   newCabin,
-} from '@switchwheel/waybill';
+} from '@switchwheel/proxy-core';
 import {
   type Log,
   type Running,
@@ -21,7 +21,7 @@
   now,
   runLoop,
   wait,
-} from '@switchwheel/footplate';
+} from '@switchwheel/runtime';
 import { DirectDoor } from './door.js';
 import { Origins } from './leg.js';
 
--- a/packages/turnout/src/edge/answer.ts
+++ b/packages/proxy/src/edge/answer.ts
@@ -1,8 +1,8 @@
 import type Koa from 'koa';
 import rangeParser from 'range-parser';
-import type { Moment } from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
-import type { Entry } from '@switchwheel/waybill';
+import type { Moment } from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
+import type { Entry } from '@switchwheel/proxy-core';
 
 const setFields = (ctx: Koa.Context, fields: Fields): void => {
   const seen = new Set<string>();
--- a/packages/turnout/src/edge/door.ts
+++ b/packages/proxy/src/edge/door.ts
@@ -1,8 +1,14 @@
 import { PassThrough } from 'node:stream';
 import type Koa from 'koa';
-import type { Fields } from '@switchwheel/coupling';
-import { type Call, type Caller, type EdgeLine, type Spout, type Told } from '@switchwheel/waybill';
-import { readBody } from '@switchwheel/footplate';
+import type { Fields } from '@switchwheel/transport';
+import {
+  type Call,
+  type Caller,
+  type EdgeLine,
+  type Spout,
+  type Told,
+} from '@switchwheel/proxy-core';
+import { readBody } from '@switchwheel/runtime';
 import { sendEntry, sendWhole } from './answer.js';
 import { closeAfter, sendFault } from './faults.js';
 
--- a/packages/turnout/src/edge/faults.ts
+++ b/packages/proxy/src/edge/faults.ts
@@ -1,5 +1,5 @@
 import type Koa from 'koa';
-import { type Kind, tell } from '@switchwheel/gauge';
+import { type Kind, tell } from '@switchwheel/types';
 
 /** Tells a caller what went wrong: the kind says whether the request ran. */
 export const sendFault = (ctx: Koa.Context, kind: Kind, text: string, retryMs: number): void => {
--- a/packages/turnout/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,5 +1,5 @@
 import Koa from 'koa';
-import { type Frame, Yard } from '@switchwheel/coupling';
+import { type Frame, Yard } from '@switchwheel/transport';
 import {
   type Cab,
   Cache,
@@ -15,7 +15,7 @@
   isReady,
   newProxy,
   proxyStep,
-} from '@switchwheel/waybill';
+} from '@switchwheel/proxy-core';
 import {
   type Reading,
   adminApp,
@@ -30,9 +30,9 @@
   openDoor,
   plainReading as plain,
   runLoop,
-} from '@switchwheel/footplate';
-import type { WireEffect } from '@switchwheel/coupling';
-import { build } from '@switchwheel/timetable';
+} from '@switchwheel/runtime';
+import type { WireEffect } from '@switchwheel/transport';
+import { build } from '@switchwheel/configuration';
 import { proxyView } from './admin/view.js';
 import { program, schema } from './boot/boot.js';
 import { serveCaller } from './edge/door.js';
--- a/packages/turnout/src/origin/leg.ts
+++ b/packages/proxy/src/origin/leg.ts
@@ -1,9 +1,9 @@
 import { Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import got, { type Request } from 'got';
-import type { InstanceId } from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
-import { type LegEars, type LegPort, type LegRequest, fieldOf } from '@switchwheel/waybill';
+import type { InstanceId } from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
+import { type LegEars, type LegPort, type LegRequest, fieldOf } from '@switchwheel/proxy-core';
 
 const openSpan = 600;
 
--- a/packages/signalbox/src/gather/gather.ts
+++ b/packages/query-shell/src/gather/gather.ts
@@ -1,6 +1,6 @@
 import got from 'got';
 import * as v from 'valibot';
-import { type Address, isAddress } from '@switchwheel/gauge';
+import { type Address, isAddress } from '@switchwheel/types';
 
 const loose = v.looseObject;
 const text = v.nullish(v.string());
--- a/packages/signalbox/src/main.ts
+++ b/packages/query-shell/src/main.ts
@@ -1,13 +1,13 @@
 import meow from 'meow';
-import { isAddress } from '@switchwheel/gauge';
+import { isAddress } from '@switchwheel/types';
 import { helpText, readQuery } from './shell/ask.js';
 import { follow, shell } from './shell/shell.js';
 
 const cli = meow(
   `
   Usage
-    $ signalbox -r REGISTRY             a shell
-    $ signalbox -r REGISTRY "QUERY"     one query, for scripts
+    $ query-shell -r REGISTRY             a shell
+    $ query-shell -r REGISTRY "QUERY"     one query, for scripts
 
   Flags
     --registry, -r   IP:port of a registry's door; repeat it or part by commas (SWITCHWHEEL_REGISTRY)
@@ -37,7 +37,7 @@
 );
 
 const quit = (fault: string): never => {
-  process.stderr.write(`signalbox: ${fault}\n`);
+  process.stderr.write(`query-shell: ${fault}\n`);
   process.exit(2);
 };
 const odd = Object.keys(cli.flags).find(
--- a/packages/signalbox/src/shell/ask.ts
+++ b/packages/query-shell/src/shell/ask.ts
@@ -1,5 +1,5 @@
 import { type Result, err, ok } from 'true-myth/result';
-import type { Address } from '@switchwheel/gauge';
+import type { Address } from '@switchwheel/types';
 import { gather } from '../gather/gather.js';
 import { type Query, parse, run } from '../query/query.js';
 import { tables } from '../table/tables.js';
--- a/packages/signalbox/src/shell/print.ts
+++ b/packages/query-shell/src/shell/print.ts
@@ -1,4 +1,4 @@
-import { columns } from '@switchwheel/gauge';
+import { columns } from '@switchwheel/types';
 import type { Words } from '../gather/gather.js';
 import type { Row } from '../table/tables.js';
 
--- a/packages/signalbox/src/shell/shell.ts
+++ b/packages/query-shell/src/shell/shell.ts
@@ -52,7 +52,7 @@
   const lines = createInterface({
     input: process.stdin,
     output: process.stdout,
-    prompt: 'signalbox> ',
+    prompt: 'query-shell> ',
     history: past,
     completer: (line: string): [string[], string] => {
       const word = /[^\s|,]*$/.exec(line)?.[0] ?? '';
--- a/packages/yardmaster/src/main.ts
+++ b/packages/registry/src/main.ts
@@ -1,4 +1,4 @@
-import { bootOrExit, createLog, onStop } from '@switchwheel/footplate';
+import { bootOrExit, createLog, onStop } from '@switchwheel/runtime';
 import { program, schema } from './boot.js';
 import { outsideApp } from './outside/app.js';
 import { startRegistry } from './run.js';
--- a/packages/yardmaster/src/outside/app.ts
+++ b/packages/registry/src/outside/app.ts
@@ -12,10 +12,10 @@
   noGeneration,
   tell,
   toCallId,
-} from '@switchwheel/gauge';
-import { type Fault, build, cut, readInto } from '@switchwheel/timetable';
-import type { Outside } from '@switchwheel/roster';
-import { inSlices, readBody } from '@switchwheel/footplate';
+} from '@switchwheel/types';
+import { type Fault, build, cut, readInto } from '@switchwheel/configuration';
+import type { Outside } from '@switchwheel/membership';
+import { inSlices, readBody } from '@switchwheel/runtime';
 import { announcement, electorateForm, foundForm, purgeForm, releaseForm } from './forms.js';
 
 /** Hands a call to the machine; settles with its answer. */
--- a/packages/yardmaster/src/outside/forms.ts
+++ b/packages/registry/src/outside/forms.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
-import { aim } from '@switchwheel/coupling';
+import * as g from '@switchwheel/types';
+import { aim } from '@switchwheel/transport';
 
 /** What an origin says of itself. */
 export const announcement = v.strictObject({
--- a/packages/yardmaster/src/run.ts
+++ b/packages/registry/src/run.ts
@@ -1,6 +1,6 @@
 import type Koa from 'koa';
-import type { Address, AreaName, NodeId } from '@switchwheel/gauge';
-import { type WireEffect, Yard } from '@switchwheel/coupling';
+import type { Address, AreaName, NodeId } from '@switchwheel/types';
+import { type WireEffect, Yard } from '@switchwheel/transport';
 import {
   type Outside,
   type Proposal,
@@ -10,7 +10,7 @@
   inTouch,
   newRegistry,
   registryStep,
-} from '@switchwheel/roster';
+} from '@switchwheel/membership';
 import {
   type Log,
   type Running,
@@ -23,7 +23,7 @@
   plainReading as plain,
   runLoop,
   wait,
-} from '@switchwheel/footplate';
+} from '@switchwheel/runtime';
 import type { Ask } from './outside/app.js';
 
 /** What a registry needs to know of its place. */
--- a/packages/ledger/src/command/calls.ts
+++ b/packages/replicated-store/src/command/calls.ts
@@ -14,9 +14,9 @@
   release,
   serviceName,
   step,
-} from '@switchwheel/gauge';
-import { type Colleague, type Electorate, type FrameOf, aim, send } from '@switchwheel/coupling';
-import { bundleHash, hashOf } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import { type Colleague, type Electorate, type FrameOf, aim, send } from '@switchwheel/transport';
+import { bundleHash, hashOf } from '@switchwheel/configuration';
 import { isPrimary } from '../duty/poll.js';
 import { startJob, tellCall } from '../job/job.js';
 import type { StoreEffect } from '../state/event.js';
--- a/packages/ledger/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -1,5 +1,5 @@
-import { type Seq, alike, nextGeneration, nextSeq, noGeneration } from '@switchwheel/gauge';
-import type { Electorate, Purge, Put } from '@switchwheel/coupling';
+import { type Seq, alike, nextGeneration, nextSeq, noGeneration } from '@switchwheel/types';
+import type { Electorate, Purge, Put } from '@switchwheel/transport';
 import {
   type Control,
   type NodeRow,
@@ -13,7 +13,7 @@
   turn,
   write,
   head as headSchema,
-} from '@switchwheel/timetable';
+} from '@switchwheel/configuration';
 import * as v from 'valibot';
 import { decideOrder, decideRelease } from './order.js';
 import { originPuts } from '../origins/origins.js';
--- a/packages/ledger/src/command/order.ts
+++ b/packages/replicated-store/src/command/order.ts
@@ -1,5 +1,5 @@
-import type { Moment, Release, ServiceName } from '@switchwheel/gauge';
-import type { Put } from '@switchwheel/coupling';
+import type { Moment, Release, ServiceName } from '@switchwheel/types';
+import type { Put } from '@switchwheel/transport';
 import {
   type Control,
   type ReleaseOrder,
@@ -7,7 +7,7 @@
   order,
   settledOn,
   write,
-} from '@switchwheel/timetable';
+} from '@switchwheel/configuration';
 import { mostStanding, spentOf, standingOf } from '../release/release.js';
 import type { Command, Store } from '../state/state.js';
 
--- a/packages/ledger/src/command/view.ts
+++ b/packages/replicated-store/src/command/view.ts
@@ -1,6 +1,6 @@
-import { type Moment, noGeneration } from '@switchwheel/gauge';
-import { heldEpoch } from '@switchwheel/ballot';
-import { whole } from '@switchwheel/timetable';
+import { type Moment, noGeneration } from '@switchwheel/types';
+import { heldEpoch } from '@switchwheel/election';
+import { whole } from '@switchwheel/configuration';
 import { spentOf } from '../release/release.js';
 import { type Store, me } from '../state/state.js';
 
--- a/packages/ledger/src/duty/poll.ts
+++ b/packages/replicated-store/src/duty/poll.ts
@@ -1,6 +1,6 @@
-import { type Moment, type NodeId, type Step, noEpoch, step, toMoment } from '@switchwheel/gauge';
-import type { Charter, Electorate, Holder, WireEffect } from '@switchwheel/coupling';
-import { type Poll, holds, lay } from '@switchwheel/ballot';
+import { type Moment, type NodeId, type Step, noEpoch, step, toMoment } from '@switchwheel/types';
+import type { Charter, Electorate, Holder, WireEffect } from '@switchwheel/transport';
+import { type Poll, holds, lay } from '@switchwheel/election';
 import { type ColleagueWord, type Store, me } from '../state/state.js';
 import { newerStamp } from '../table/table.js';
 
--- a/packages/ledger/src/duty/seats.ts
+++ b/packages/replicated-store/src/duty/seats.ts
@@ -1,6 +1,6 @@
-import { type Moment, nextSeq } from '@switchwheel/gauge';
-import type { Electorate } from '@switchwheel/coupling';
-import { majority } from '@switchwheel/ballot';
+import { type Moment, nextSeq } from '@switchwheel/types';
+import type { Electorate } from '@switchwheel/transport';
+import { majority } from '@switchwheel/election';
 import type { Store } from '../state/state.js';
 
 /** How long a registry is in touch without a break before it becomes a witness. */
--- a/packages/ledger/src/feed/feed.ts
+++ b/packages/replicated-store/src/feed/feed.ts
@@ -1,7 +1,7 @@
-import { type Moment, noSeq, start } from '@switchwheel/gauge';
-import { type FrameOf, type Offer, send } from '@switchwheel/coupling';
-import { floorPurge, releaseStateOf, topPurge } from '@switchwheel/timetable';
-import { heldEpoch } from '@switchwheel/ballot';
+import { type Moment, noSeq, start } from '@switchwheel/types';
+import { type FrameOf, type Offer, send } from '@switchwheel/transport';
+import { floorPurge, releaseStateOf, topPurge } from '@switchwheel/configuration';
+import { heldEpoch } from '@switchwheel/election';
 import type { StoreEffect } from '../state/event.js';
 import { spentOf } from '../release/release.js';
 import type { Store, Tuned } from '../state/state.js';
--- a/packages/ledger/src/job/job.ts
+++ b/packages/replicated-store/src/job/job.ts
@@ -7,10 +7,17 @@
   start,
   step,
   toMoment,
-} from '@switchwheel/gauge';
-import { type Charter, type FrameOf, type Put, type Stamp, log, send } from '@switchwheel/coupling';
-import { ask, heldEpoch, holds } from '@switchwheel/ballot';
-import { absorbAll } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import {
+  type Charter,
+  type FrameOf,
+  type Put,
+  type Stamp,
+  log,
+  send,
+} from '@switchwheel/transport';
+import { ask, heldEpoch, holds } from '@switchwheel/election';
+import { absorbAll } from '@switchwheel/configuration';
 import { decide } from '../command/decide.js';
 import { isPrimary, poll, resign } from '../duty/poll.js';
 import { feedAll } from '../feed/feed.js';
--- a/packages/ledger/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -9,7 +9,7 @@
   put,
   start,
   step,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Colleague,
   type Frame,
@@ -17,8 +17,8 @@
   type Report,
   log,
   send,
-} from '@switchwheel/coupling';
-import { count, hear, heldEpoch, pass } from '@switchwheel/ballot';
+} from '@switchwheel/transport';
+import { count, hear, heldEpoch, pass } from '@switchwheel/election';
 import { nextElectorate } from './duty/seats.js';
 import {
   type Words,
@@ -28,8 +28,8 @@
   highest,
   takeHeard,
   takeRoster,
-} from '@switchwheel/roster';
-import { absorbAll, noControl } from '@switchwheel/timetable';
+} from '@switchwheel/membership';
+import { absorbAll, noControl } from '@switchwheel/configuration';
 import { onCall, onCompiled, onPiece, onWant, passCalls, queue } from './command/calls.js';
 import { inSync, isPrimary, keen, partners, poll, quietSpan } from './duty/poll.js';
 import { feedOne } from './feed/feed.js';
--- a/packages/ledger/src/mend/found.test.ts
+++ b/packages/replicated-store/src/mend/found.test.ts
@@ -12,8 +12,8 @@
   toIncarnation,
   toMoment,
   toNodeId,
-} from '@switchwheel/gauge';
-import type { Charter, Colleague, FrameOf, Member } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Charter, Colleague, FrameOf, Member } from '@switchwheel/transport';
 import { storeStep } from '../machine.js';
 import type { Found, StoreEffect } from '../state/event.js';
 import { type Store, newStore, pair } from '../state/state.js';
--- a/packages/ledger/src/mend/mend.ts
+++ b/packages/replicated-store/src/mend/mend.ts
@@ -9,7 +9,7 @@
   start,
   step,
   toMoment,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Charter,
   type Colleague,
@@ -17,9 +17,9 @@
   type Put,
   log,
   send,
-} from '@switchwheel/coupling';
-import { ask, heldEpoch } from '@switchwheel/ballot';
-import { absorbAll } from '@switchwheel/timetable';
+} from '@switchwheel/transport';
+import { ask, heldEpoch } from '@switchwheel/election';
+import { absorbAll } from '@switchwheel/configuration';
 import { areaOf, inSync, inTouch, isPrimary, poll, quietSpan } from '../duty/poll.js';
 import { leaveOut } from '../job/job.js';
 import type { StoreEffect } from '../state/event.js';
--- a/packages/ledger/src/origins/origins.test.ts
+++ b/packages/replicated-store/src/origins/origins.test.ts
@@ -10,10 +10,10 @@
   toMoment,
   toRelease,
   toServiceName,
-} from '@switchwheel/gauge';
-import type { Origin } from '@switchwheel/coupling';
-import type { Seen } from '@switchwheel/roster';
-import { absorbAll, noControl } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import type { Origin } from '@switchwheel/transport';
+import type { Seen } from '@switchwheel/membership';
+import { absorbAll, noControl } from '@switchwheel/configuration';
 import { originPuts } from './origins.js';
 
 const now: Moment = toMoment(100_000);
--- a/packages/ledger/src/origins/origins.ts
+++ b/packages/replicated-store/src/origins/origins.ts
@@ -1,7 +1,7 @@
-import { type InstanceId, type Moment, type Step, step, toSpan } from '@switchwheel/gauge';
-import type { Origin, Put } from '@switchwheel/coupling';
-import { type Seen, silentSpan, standing } from '@switchwheel/roster';
-import { erase, keyOf, write } from '@switchwheel/timetable';
+import { type InstanceId, type Moment, type Step, step, toSpan } from '@switchwheel/types';
+import type { Origin, Put } from '@switchwheel/transport';
+import { type Seen, silentSpan, standing } from '@switchwheel/membership';
+import { erase, keyOf, write } from '@switchwheel/configuration';
 import { queue } from '../command/calls.js';
 import type { StoreEffect } from '../state/event.js';
 import type { Store } from '../state/state.js';
--- a/packages/ledger/src/release/release.ts
+++ b/packages/replicated-store/src/release/release.ts
@@ -7,8 +7,8 @@
   put,
   sift,
   step,
-} from '@switchwheel/gauge';
-import { type FrameOf, log } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import { type FrameOf, log } from '@switchwheel/transport';
 import {
   type ReleaseOrder,
   advance,
@@ -18,7 +18,7 @@
   spentAt,
   takeTally,
   watch,
-} from '@switchwheel/timetable';
+} from '@switchwheel/configuration';
 import { queue } from '../command/calls.js';
 import type { StoreEffect } from '../state/event.js';
 import type { Store } from '../state/state.js';
--- a/packages/ledger/src/state/event.ts
+++ b/packages/replicated-store/src/state/event.ts
@@ -1,6 +1,6 @@
-import type { Hash, Moment } from '@switchwheel/gauge';
-import type { Charter, Stamp, WireEffect, WireEvent } from '@switchwheel/coupling';
-import type { Fault } from '@switchwheel/timetable';
+import type { Hash, Moment } from '@switchwheel/types';
+import type { Charter, Stamp, WireEffect, WireEvent } from '@switchwheel/transport';
+import type { Fault } from '@switchwheel/configuration';
 import type { KeyedEntry } from '../table/table.js';
 
 /** What a disk held when the store started. */
--- a/packages/ledger/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -15,7 +15,7 @@
   noSeq,
   primary,
   start,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import type {
   Aim,
   Charter,
@@ -26,9 +26,9 @@
   Put,
   Report,
   Stamp,
-} from '@switchwheel/coupling';
-import { type Stand, newStand } from '@switchwheel/ballot';
-import { type Berth, newBerth } from '@switchwheel/roster';
+} from '@switchwheel/transport';
+import { type Stand, newStand } from '@switchwheel/election';
+import { type Berth, newBerth } from '@switchwheel/membership';
 import {
   type Control,
   type Fault,
@@ -37,7 +37,7 @@
   type Watch,
   noControl,
   type ReleaseSettings,
-} from '@switchwheel/timetable';
+} from '@switchwheel/configuration';
 import type { Table } from '../table/table.js';
 
 /** Who waits for the answer to a call. */
--- a/packages/ledger/src/table/table.ts
+++ b/packages/replicated-store/src/table/table.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { Put, Stamp } from '@switchwheel/coupling';
+import type { Put, Stamp } from '@switchwheel/transport';
 
 /** One entry of the replicated table, with the write that made it. */
 export interface Entry {
--- a/packages/shunt/src/bucket/bucket.ts
+++ b/packages/routing/src/bucket/bucket.ts
@@ -1,4 +1,4 @@
-import { type Moment, between, start } from '@switchwheel/gauge';
+import { type Moment, between, start } from '@switchwheel/types';
 
 /** Tokens that time and requests fill up to a depth, and that what is sent takes. */
 export interface Bucket {
--- a/packages/shunt/src/line/line.test.ts
+++ b/packages/routing/src/line/line.test.ts
@@ -14,10 +14,10 @@
   toSeq,
   toServiceName,
   toSpan,
-} from '@switchwheel/gauge';
-import type { Fields, ReleaseState } from '@switchwheel/coupling';
-import { build, cut, finish } from '@switchwheel/timetable';
-import { type Cabin, Cache, newCabin } from '@switchwheel/waybill';
+} from '@switchwheel/types';
+import type { Fields, ReleaseState } from '@switchwheel/transport';
+import { build, cut, finish } from '@switchwheel/configuration';
+import { type Cabin, Cache, newCabin } from '@switchwheel/proxy-core';
 import type { Answer } from '../trip/trip.js';
 import { DirectLine } from './line.js';
 import {
--- a/packages/shunt/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -11,10 +11,10 @@
   later,
   roll,
   tally,
-} from '@switchwheel/gauge';
-import type { Fields, FrameOf } from '@switchwheel/coupling';
-import { type Track, chooseRelease, match, pickService } from '@switchwheel/timetable';
-import { moored } from '@switchwheel/roster';
+} from '@switchwheel/types';
+import type { Fields, FrameOf } from '@switchwheel/transport';
+import { type Track, chooseRelease, match, pickService } from '@switchwheel/configuration';
+import { moored } from '@switchwheel/membership';
 import {
   type Cabin,
   type Cache,
@@ -25,7 +25,7 @@
   cutTarget,
   fieldOf,
   handOn,
-} from '@switchwheel/waybill';
+} from '@switchwheel/proxy-core';
 import { Book, type Taste } from '../origin/book.js';
 import {
   type Told,
--- a/packages/shunt/src/line/port.ts
+++ b/packages/routing/src/line/port.ts
@@ -1,6 +1,6 @@
-import type { Address, InstanceId, Kind, Moment, ServiceName } from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
-import type { Cabin, Entry } from '@switchwheel/waybill';
+import type { Address, InstanceId, Kind, Moment, ServiceName } from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
+import type { Cabin, Entry } from '@switchwheel/proxy-core';
 import type { Answer } from '../trip/trip.js';
 
 /** The header names that callers and origins use, all in lower case. */
--- a/packages/shunt/src/line/quota.test.ts
+++ b/packages/routing/src/line/quota.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type Moment, toMoment, toServiceName } from '@switchwheel/gauge';
-import type { Service } from '@switchwheel/timetable';
+import { type Moment, toMoment, toServiceName } from '@switchwheel/types';
+import type { Service } from '@switchwheel/configuration';
 import { plainBounds } from './port.js';
 import { Edges, Quota } from './quota.js';
 
--- a/packages/shunt/src/line/quota.ts
+++ b/packages/routing/src/line/quota.ts
@@ -1,5 +1,5 @@
-import { type Moment, type ServiceName, earlier } from '@switchwheel/gauge';
-import type { Service } from '@switchwheel/timetable';
+import { type Moment, type ServiceName, earlier } from '@switchwheel/types';
+import type { Service } from '@switchwheel/configuration';
 import { type Bucket, type Rate, earn, fill, newBucket, take, waitOf } from '../bucket/bucket.js';
 import type { Bounds } from './port.js';
 
--- a/packages/shunt/src/origin/book.ts
+++ b/packages/routing/src/origin/book.ts
@@ -10,8 +10,8 @@
   later,
   roll,
   start,
-} from '@switchwheel/gauge';
-import { type Origins, standing } from '@switchwheel/roster';
+} from '@switchwheel/types';
+import { type Origins, standing } from '@switchwheel/membership';
 
 /** What this edge knows of one origin by its own requests. */
 export interface Berth {
--- a/packages/shunt/src/release/tally.ts
+++ b/packages/routing/src/release/tally.ts
@@ -1,5 +1,5 @@
-import { type Moment, type Release, type ServiceName, between, toSpan } from '@switchwheel/gauge';
-import type { FrameOf, ReleaseState, TallyRow } from '@switchwheel/coupling';
+import { type Moment, type Release, type ServiceName, between, toSpan } from '@switchwheel/types';
+import type { FrameOf, ReleaseState, TallyRow } from '@switchwheel/transport';
 
 /** What a leg that ended counts as. */
 export type Outcome = 'good' | 'bad' | 'cut';
--- a/packages/shunt/src/trip/trip.test.ts
+++ b/packages/routing/src/trip/trip.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type InstanceId, toInstanceId, toMoment } from '@switchwheel/gauge';
+import { type InstanceId, toInstanceId, toMoment } from '@switchwheel/types';
 import {
   type Answer,
   type Told,
--- a/packages/shunt/src/trip/trip.ts
+++ b/packages/routing/src/trip/trip.ts
@@ -6,8 +6,8 @@
   drop,
   put,
   step,
-} from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
 
 /** A whole answer of an origin. */
 export interface Answer {
--- a/packages/footplate/src/boot/boot.ts
+++ b/packages/runtime/src/boot/boot.ts
@@ -2,7 +2,7 @@
 import meow from 'meow';
 import * as v from 'valibot';
 import { type Result, err, ok } from 'true-myth/result';
-import * as g from '@switchwheel/gauge';
+import * as g from '@switchwheel/types';
 
 /** What every program of the fleet needs to know of its place. */
 export const common = {
--- a/packages/footplate/src/http/body.ts
+++ b/packages/runtime/src/http/body.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { type Result, err, ok } from 'true-myth/result';
-import { type Breakdown, breakdown } from '@switchwheel/gauge';
+import { type Breakdown, breakdown } from '@switchwheel/types';
 
 /** Reads a whole body, up to a size. */
 export const readBody = async (
--- a/packages/footplate/src/http/door.ts
+++ b/packages/runtime/src/http/door.ts
@@ -1,8 +1,8 @@
 import { type Server, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type Koa from 'koa';
-import type { Address } from '@switchwheel/gauge';
-import { parts } from '@switchwheel/coupling';
+import type { Address } from '@switchwheel/types';
+import { parts } from '@switchwheel/transport';
 
 /** How outside callers are held to time and size. */
 export interface DoorRules {
--- a/packages/footplate/src/run/clock.ts
+++ b/packages/runtime/src/run/clock.ts
@@ -5,7 +5,7 @@
   type Moment,
   toIncarnation,
   toMoment,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 
 /** The clock that never goes back and runs on while the process is stopped. */
 export const now = (): Moment => toMoment(Number(process.hrtime.bigint() / 1000n) / 1000);
--- a/packages/footplate/src/run/loop.ts
+++ b/packages/runtime/src/run/loop.ts
@@ -1,5 +1,5 @@
-import { type Moment, type Step, type Store, createStore } from '@switchwheel/gauge';
-import type { WireEffect, WireEvent, Yard } from '@switchwheel/coupling';
+import { type Moment, type Step, type Store, createStore } from '@switchwheel/types';
+import type { WireEffect, WireEvent, Yard } from '@switchwheel/transport';
 import type { Log } from '../log/log.js';
 import { now } from './clock.js';
 
--- a/packages/testtrack/src/cast/origin.ts
+++ b/packages/simulator/src/cast/origin.ts
@@ -5,9 +5,9 @@
   type Release,
   type ServiceName,
   tally,
-} from '@switchwheel/gauge';
-import type { Fields } from '@switchwheel/coupling';
-import { type Broke, type LegEars, type LegRequest, fieldOf } from '@switchwheel/waybill';
+} from '@switchwheel/types';
+import type { Fields } from '@switchwheel/transport';
+import { type Broke, type LegEars, type LegRequest, fieldOf } from '@switchwheel/proxy-core';
 import type { Stage } from '../world/actor.js';
 import { contentOf, isLarge } from './content.js';
 import type { Told, SimRegistry } from './registry.js';
--- a/packages/testtrack/src/cast/proxy.ts
+++ b/packages/simulator/src/cast/proxy.ts
@@ -5,10 +5,10 @@
   type NodeId,
   type Store,
   toAreaName,
-} from '@switchwheel/gauge';
-import type { Fields, Member, WireEvent } from '@switchwheel/coupling';
-import { heldEpoch, holds } from '@switchwheel/ballot';
-import { build, finish } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import type { Fields, Member, WireEvent } from '@switchwheel/transport';
+import { heldEpoch, holds } from '@switchwheel/election';
+import { build, finish } from '@switchwheel/configuration';
 import {
   Cache,
   type Call,
@@ -29,7 +29,7 @@
   isReady,
   newProxy,
   proxyStep,
-} from '@switchwheel/waybill';
+} from '@switchwheel/proxy-core';
 import { Actor, type Stage } from '../world/actor.js';
 import { readContent } from './content.js';
 import type { SimOrigin } from './origin.js';
--- a/packages/testtrack/src/cast/registry.ts
+++ b/packages/simulator/src/cast/registry.ts
@@ -1,5 +1,5 @@
-import { type Address, type Moment, type NodeId, type Store, toAreaName } from '@switchwheel/gauge';
-import type { Member, WireEvent } from '@switchwheel/coupling';
+import { type Address, type Moment, type NodeId, type Store, toAreaName } from '@switchwheel/types';
+import type { Member, WireEvent } from '@switchwheel/transport';
 import {
   type Outside,
   type Registry,
@@ -7,7 +7,7 @@
   type RegistryEvent,
   newRegistry,
   registryStep,
-} from '@switchwheel/roster';
+} from '@switchwheel/membership';
 import { Actor, type Stage } from '../world/actor.js';
 
 export interface Told {
--- a/packages/testtrack/src/cast/store.ts
+++ b/packages/simulator/src/cast/store.ts
@@ -6,8 +6,8 @@
   type Store,
   toAreaName,
   toGeneration,
-} from '@switchwheel/gauge';
-import type { Member, WireEvent } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Member, WireEvent } from '@switchwheel/transport';
 import {
   type DiskWrite,
   type Found,
@@ -18,9 +18,9 @@
   type Limits,
   newStore,
   storeStep,
-} from '@switchwheel/ledger';
-import { holds } from '@switchwheel/ballot';
-import { build, finish } from '@switchwheel/timetable';
+} from '@switchwheel/replicated-store';
+import { holds } from '@switchwheel/election';
+import { build, finish } from '@switchwheel/configuration';
 import { Actor, type Stage } from '../world/actor.js';
 import { VirtualDisk } from '../world/disk.js';
 
--- a/packages/testtrack/src/cast/wire.ts
+++ b/packages/simulator/src/cast/wire.ts
@@ -1,5 +1,5 @@
-import { type Frame, beatSpan, decode, encode, silentSpan } from '@switchwheel/coupling';
-import { type DataChannel, type DataEars, dialSpan } from '@switchwheel/waybill';
+import { type Frame, beatSpan, decode, encode, silentSpan } from '@switchwheel/transport';
+import { type DataChannel, type DataEars, dialSpan } from '@switchwheel/proxy-core';
 import type { Actor, Stage } from '../world/actor.js';
 
 interface End {
--- a/packages/testtrack/src/fault/faults.ts
+++ b/packages/simulator/src/fault/faults.ts
@@ -1,4 +1,4 @@
-import { type Address, toCallId, toRelease } from '@switchwheel/gauge';
+import { type Address, toCallId, toRelease } from '@switchwheel/types';
 import type { SimCallers } from '../cast/callers.js';
 import type { SimOrigin } from '../cast/origin.js';
 import type { Actor } from '../world/actor.js';
@@ -6,7 +6,7 @@
 import type { Rules } from '../rules/rules.js';
 import { SimProxy } from '../cast/proxy.js';
 import { SimStore } from '../cast/store.js';
-import { sumOf } from '@switchwheel/waybill';
+import { sumOf } from '@switchwheel/proxy-core';
 import { fair, rough, slow } from '../world/net.js';
 
 /** What a run may do to a fleet. */
--- a/packages/testtrack/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -8,25 +8,25 @@
   readonly to: string;
 }
 
-const keeper = 'waybill/dist/keeper/keeper.js';
-const trial = 'waybill/dist/keeper/trial.js';
-const forward = 'waybill/dist/forward/forward.js';
-const taking = 'waybill/dist/line/taking.js';
-const trip = 'waybill/dist/line/trip.js';
-const edge = 'waybill/dist/line/edge.js';
-const shield = 'waybill/dist/line/shield.js';
-const dock = 'waybill/dist/line/dock.js';
-const desk = 'waybill/dist/cache/desk.js';
-const cache = 'waybill/dist/cache/cache.js';
-const cabin = 'waybill/dist/cabin/machine.js';
-const proxy = 'waybill/dist/proxy/machine.js';
-const stand = 'ballot/dist/stand/stand.js';
-const witness = 'ballot/dist/witness/witness.js';
-const job = 'ledger/dist/job/job.js';
-const decide = 'ledger/dist/command/decide.js';
-const poll = 'ledger/dist/duty/poll.js';
-const origins = 'roster/dist/origins/origins.js';
-const announce = 'roster/dist/registry/announce.js';
+const keeper = 'proxy-core/dist/keeper/keeper.js';
+const trial = 'proxy-core/dist/keeper/trial.js';
+const forward = 'proxy-core/dist/forward/forward.js';
+const taking = 'proxy-core/dist/line/taking.js';
+const trip = 'proxy-core/dist/line/trip.js';
+const edge = 'proxy-core/dist/line/edge.js';
+const shield = 'proxy-core/dist/line/shield.js';
+const dock = 'proxy-core/dist/line/dock.js';
+const desk = 'proxy-core/dist/cache/desk.js';
+const cache = 'proxy-core/dist/cache/cache.js';
+const cabin = 'proxy-core/dist/cabin/machine.js';
+const proxy = 'proxy-core/dist/proxy/machine.js';
+const stand = 'election/dist/stand/stand.js';
+const witness = 'election/dist/witness/witness.js';
+const job = 'replicated-store/dist/job/job.js';
+const decide = 'replicated-store/dist/command/decide.js';
+const poll = 'replicated-store/dist/duty/poll.js';
+const origins = 'membership/dist/origins/origins.js';
+const announce = 'membership/dist/registry/announce.js';
 
 export const guards: readonly Guard[] = [
   {
@@ -354,21 +354,21 @@
   {
     name: 'a new keeper begins with an empty ceiling',
     rule: 'R9',
-    file: 'waybill/dist/keeper/state.js',
+    file: 'proxy-core/dist/keeper/state.js',
     from: 'tokens: 0, filled: now',
     to: 'tokens: (rules.perSecond ?? 0) * 3, filled: now',
   },
   {
     name: 'the ceiling',
     rule: 'R9',
-    file: 'waybill/dist/keeper/ceiling.js',
+    file: 'proxy-core/dist/keeper/ceiling.js',
     from: 'state.rules.perSecond === undefined || state.tokens >= 1',
     to: 'true',
   },
   {
     name: 'health checks count under a ceiling',
     rule: 'R9',
-    file: 'waybill/dist/keeper/probes.js',
+    file: 'proxy-core/dist/keeper/probes.js',
     from: 'tokens: tokensAfter(state), bays',
     to: 'bays',
   },
@@ -396,21 +396,21 @@
   {
     name: 'callers are taken for a while after a stop began',
     rule: 'R11',
-    file: 'waybill/dist/proxy/depart.js',
+    file: 'proxy-core/dist/proxy/depart.js',
     from: "role === 'edge' ? graceSpan : 100",
     to: '0',
   },
   {
     name: 'a stop waits for what is open',
     rule: 'R11',
-    file: 'waybill/dist/proxy/depart.js',
+    file: 'proxy-core/dist/proxy/depart.js',
     from: 'if (open === 0)',
     to: 'if (true)',
   },
   {
     name: 'a keeper hands over as it stops',
     rule: 'R11',
-    file: 'waybill/dist/cabin/duties.js',
+    file: 'proxy-core/dist/cabin/duties.js',
     from: 'if (!holds(stand, now))\n            continue;\n        const heir',
     to: 'if (true)\n            continue;\n        const heir',
   },
--- a/packages/testtrack/src/guard/main.ts
+++ b/packages/simulator/src/guard/main.ts
@@ -66,14 +66,14 @@
 
 /** The tests that run without sockets, the quick ones first: those of single machines and the simulator's. */
 const files = [
-  'waybill/dist/forward/forward.test.js',
-  'waybill/dist/keeper/keeper.test.js',
-  'waybill/dist/cache/cache.test.js',
-  'testtrack/dist/run/given-up.test.js',
-  'testtrack/dist/run/copies.test.js',
-  'testtrack/dist/run/leaving.test.js',
-  'testtrack/dist/run/failures.test.js',
-  ...(cli.flags.storms ? ['testtrack/dist/run/storm.test.js'] : []),
+  'proxy-core/dist/forward/forward.test.js',
+  'proxy-core/dist/keeper/keeper.test.js',
+  'proxy-core/dist/cache/cache.test.js',
+  'simulator/dist/run/given-up.test.js',
+  'simulator/dist/run/copies.test.js',
+  'simulator/dist/run/leaving.test.js',
+  'simulator/dist/run/failures.test.js',
+  ...(cli.flags.storms ? ['simulator/dist/run/storm.test.js'] : []),
 ];
 const span = 600_000;
 
--- a/packages/testtrack/src/rules/bites.test.ts
+++ b/packages/simulator/src/rules/bites.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { toGeneration, toMoment, toRelease } from '@switchwheel/gauge';
+import { toGeneration, toMoment, toRelease } from '@switchwheel/types';
 import { acts, clips, scene, type Scene } from '../run/stage.js';
 
 /** Runs a small calm fleet, breaks one rule on purpose in what happened, and gives what the checkers found. */
--- a/packages/testtrack/src/rules/rules.ts
+++ b/packages/simulator/src/rules/rules.ts
@@ -1,6 +1,6 @@
-import { type Duty, tally, toServiceName } from '@switchwheel/gauge';
-import { holds } from '@switchwheel/ballot';
-import { mayExtra } from '@switchwheel/waybill';
+import { type Duty, tally, toServiceName } from '@switchwheel/types';
+import { holds } from '@switchwheel/election';
+import { mayExtra } from '@switchwheel/proxy-core';
 import type { Asked, SimCallers } from '../cast/callers.js';
 import { SimProxy } from '../cast/proxy.js';
 import { SimStore } from '../cast/store.js';
--- a/packages/testtrack/src/rules/service.ts
+++ b/packages/simulator/src/rules/service.ts
@@ -1,4 +1,4 @@
-import type { ServiceName } from '@switchwheel/gauge';
+import type { ServiceName } from '@switchwheel/types';
 import type { SimProxy } from '../cast/proxy.js';
 import type { World } from '../world/world.js';
 import { type Reach, linked } from './reach.js';
--- a/packages/testtrack/src/rules/tried.ts
+++ b/packages/simulator/src/rules/tried.ts
@@ -1,4 +1,4 @@
-import { tally } from '@switchwheel/gauge';
+import { tally } from '@switchwheel/types';
 
 /** What a run must have done for its verdict on each rule to mean anything. */
 export const trials = [
--- a/packages/testtrack/src/run/calm.test.ts
+++ b/packages/simulator/src/run/calm.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { toServiceName } from '@switchwheel/gauge';
+import { toServiceName } from '@switchwheel/types';
 import { SimCallers } from '../cast/callers.js';
 import { Rules } from '../rules/rules.js';
 import { World } from '../world/world.js';
--- a/packages/testtrack/src/run/failures.test.ts
+++ b/packages/simulator/src/run/failures.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { toCallId, toRelease } from '@switchwheel/gauge';
+import { toCallId, toRelease } from '@switchwheel/types';
 import { stopProxy } from '../fault/faults.js';
 import { type Scene, acts, clips, close, scene, seeds, tally } from './stage.js';
 
--- a/packages/testtrack/src/run/moor.test.ts
+++ b/packages/simulator/src/run/moor.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { moored } from '@switchwheel/roster';
+import { moored } from '@switchwheel/membership';
 import type { SimProxy } from '../cast/proxy.js';
 import { type Scene, close, scene, seeds } from './stage.js';
 
--- a/packages/testtrack/src/run/releases.test.ts
+++ b/packages/simulator/src/run/releases.test.ts
@@ -10,9 +10,9 @@
   toNodeId,
   toRelease,
   toSpan,
-} from '@switchwheel/gauge';
-import type { Colleague, FrameOf, ReleaseState } from '@switchwheel/coupling';
-import type { ReleaseOrder } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import type { Colleague, FrameOf, ReleaseState } from '@switchwheel/transport';
+import type { ReleaseOrder } from '@switchwheel/configuration';
 import { type Scene, acts, clips, close, scene, seeds } from './stage.js';
 
 const r2 = toRelease('r2');
--- a/packages/testtrack/src/run/soak.ts
+++ b/packages/simulator/src/run/soak.ts
@@ -1,5 +1,5 @@
 import meow from 'meow';
-import { tally } from '@switchwheel/gauge';
+import { tally } from '@switchwheel/types';
 import { type Trial, addCounts, trials } from '../rules/tried.js';
 import { type StormOptions, type StormReport, storm } from './storm.js';
 
--- a/packages/testtrack/src/run/storm.ts
+++ b/packages/simulator/src/run/storm.ts
@@ -1,4 +1,4 @@
-import { tally, toServiceName } from '@switchwheel/gauge';
+import { tally, toServiceName } from '@switchwheel/types';
 import { SimCallers } from '../cast/callers.js';
 import { type Fault, Ground, faults, pickFault } from '../fault/faults.js';
 import { Rules } from '../rules/rules.js';
--- a/packages/testtrack/src/scale/fleet.ts
+++ b/packages/simulator/src/scale/fleet.ts
@@ -8,8 +8,8 @@
   toNodeId,
   toRelease,
   toServiceName,
-} from '@switchwheel/gauge';
-import { cut, finish } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import { cut, finish } from '@switchwheel/configuration';
 import { SimRegistry, type Told } from '../cast/registry.js';
 import { SimStore } from '../cast/store.js';
 import { Tried } from '../rules/tried.js';
--- a/packages/testtrack/src/scale/meter.ts
+++ b/packages/simulator/src/scale/meter.ts
@@ -1,4 +1,4 @@
-import { type Frame, decode, encode } from '@switchwheel/coupling';
+import { type Frame, decode, encode } from '@switchwheel/transport';
 import type { Actor, Meter } from '../world/actor.js';
 
 /** The length and the checksum that a channel puts before each frame. */
--- a/packages/testtrack/src/scale/node.ts
+++ b/packages/simulator/src/scale/node.ts
@@ -1,13 +1,13 @@
-import { type Address, type Moment, type NodeId, type Store, toAreaName } from '@switchwheel/gauge';
-import type { Member, WireEvent } from '@switchwheel/coupling';
-import { type Table, build, finish } from '@switchwheel/timetable';
+import { type Address, type Moment, type NodeId, type Store, toAreaName } from '@switchwheel/types';
+import type { Member, WireEvent } from '@switchwheel/transport';
+import { type Table, build, finish } from '@switchwheel/configuration';
 import {
   type Cabin,
   type CabinEffect,
   type CabinEvent,
   cabinStep,
   newCabin,
-} from '@switchwheel/waybill';
+} from '@switchwheel/proxy-core';
 import { Actor, type Stage } from '../world/actor.js';
 
 /** Descriptions that hollow nodes share once one of them compiled them. */
--- a/packages/testtrack/src/scale/parts.ts
+++ b/packages/simulator/src/scale/parts.ts
@@ -1,8 +1,8 @@
 import { createHash } from 'node:crypto';
-import { type Moment, noSeq, toMoment, toServiceName, toSpan } from '@switchwheel/gauge';
-import type { Service } from '@switchwheel/timetable';
-import { Edges, Quota, plainBounds } from '@switchwheel/shunt';
-import { Cache } from '@switchwheel/waybill';
+import { type Moment, noSeq, toMoment, toServiceName, toSpan } from '@switchwheel/types';
+import type { Service } from '@switchwheel/configuration';
+import { Edges, Quota, plainBounds } from '@switchwheel/routing';
+import { Cache } from '@switchwheel/proxy-core';
 
 const name = toServiceName('clips');
 const restMs = 600_000;
--- a/packages/testtrack/src/world/actor.ts
+++ b/packages/simulator/src/world/actor.ts
@@ -7,7 +7,7 @@
   createStore,
   toIncarnation,
   toMoment,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
   type Colleague,
   type Frame,
@@ -15,8 +15,8 @@
   type WireEvent,
   decode,
   encode,
-} from '@switchwheel/coupling';
-import type { Step } from '@switchwheel/gauge';
+} from '@switchwheel/transport';
+import type { Step } from '@switchwheel/types';
 import type { Agenda } from './agenda.js';
 import type { Chance } from './chance.js';
 import type { Tried } from '../rules/tried.js';
--- a/packages/testtrack/src/world/chance.ts
+++ b/packages/simulator/src/world/chance.ts
@@ -1,4 +1,4 @@
-import { type Dice, roll } from '@switchwheel/gauge';
+import { type Dice, roll } from '@switchwheel/types';
 
 /** The simulator's own chance: all of it from one seed. */
 export class Chance {
--- a/packages/testtrack/src/world/describe.ts
+++ b/packages/simulator/src/world/describe.ts
@@ -1,4 +1,4 @@
-import type { ServiceName } from '@switchwheel/gauge';
+import type { ServiceName } from '@switchwheel/types';
 
 /** What a simulated operator hands over: a good description, one that may not be taken, or a very large one. */
 export type Shape = 'plain' | 'invalid' | 'huge';
--- a/packages/testtrack/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -7,8 +7,8 @@
   toInstanceId,
   toNodeId,
   toRelease,
-} from '@switchwheel/gauge';
-import { cut, finish } from '@switchwheel/timetable';
+} from '@switchwheel/types';
+import { cut, finish } from '@switchwheel/configuration';
 import { Agenda } from './agenda.js';
 import type { Actor, Stage } from './actor.js';
 import { Chance } from './chance.js';
@@ -19,9 +19,9 @@
 import { SimStore } from '../cast/store.js';
 import { Tried } from '../rules/tried.js';
 import { type Shape, describe } from './describe.js';
-import { toCallId, toFleetId, toGeneration } from '@switchwheel/gauge';
-import type { Aim } from '@switchwheel/coupling';
-import type { Limits } from '@switchwheel/ledger';
+import { toCallId, toFleetId, toGeneration } from '@switchwheel/types';
+import type { Aim } from '@switchwheel/transport';
+import type { Limits } from '@switchwheel/replicated-store';
 
 /** How large a simulated fleet is, and what stands behind it. */
 export interface Layout {
--- a/packages/depot/src/main.ts
+++ b/packages/store/src/main.ts
@@ -1,4 +1,4 @@
-import { type Disk, bootOrExit, createLog, onStop } from '@switchwheel/footplate';
+import { type Disk, bootOrExit, createLog, onStop } from '@switchwheel/runtime';
 import { program, schema } from './boot.js';
 import { openData, startStore } from './run.js';
 
--- a/packages/depot/src/rows.ts
+++ b/packages/store/src/rows.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
-import { charter as charterSchema, stamp as stampSchema } from '@switchwheel/coupling';
-import type { Disk, Row } from '@switchwheel/footplate';
-import type { DiskWrite, Found, KeyedEntry } from '@switchwheel/ledger';
+import { charter as charterSchema, stamp as stampSchema } from '@switchwheel/transport';
+import type { Disk, Row } from '@switchwheel/runtime';
+import type { DiskWrite, Found, KeyedEntry } from '@switchwheel/replicated-store';
 
 const headKey = '!head';
 const head = v.object({ format: v.literal(1), charter: charterSchema, stamp: stampSchema });
--- a/packages/depot/src/run.ts
+++ b/packages/store/src/run.ts
@@ -1,5 +1,5 @@
-import { type Address, type AreaName, type NodeId, toGeneration } from '@switchwheel/gauge';
-import { type WireEffect, Yard } from '@switchwheel/coupling';
+import { type Address, type AreaName, type NodeId, toGeneration } from '@switchwheel/types';
+import { type WireEffect, Yard } from '@switchwheel/transport';
 import {
   type Limits,
   type Store,
@@ -10,8 +10,8 @@
   newStore,
   pair,
   storeStep,
-} from '@switchwheel/ledger';
-import { build } from '@switchwheel/timetable';
+} from '@switchwheel/replicated-store';
+import { build } from '@switchwheel/configuration';
 import {
   Disk,
   type Log,
@@ -27,7 +27,7 @@
   plainReading as plain,
   runLoop,
   wait,
-} from '@switchwheel/footplate';
+} from '@switchwheel/runtime';
 import { changeOf, findOn } from './rows.js';
 
 /** What a store needs to know of its place. */
--- a/packages/switchwheel/src/call/call.ts
+++ b/packages/switchwheel/src/call/call.ts
@@ -1,6 +1,6 @@
 import got from 'got';
 import { type Result, err, ok } from 'true-myth/result';
-import type { Address } from '@switchwheel/gauge';
+import type { Address } from '@switchwheel/types';
 
 /** What a registry answered. */
 export interface Reply {
--- a/packages/switchwheel/src/command/run.ts
+++ b/packages/switchwheel/src/command/run.ts
@@ -1,9 +1,9 @@
 import { readFileSync } from 'node:fs';
 import { randomUUID } from 'node:crypto';
 import { type Result, err, ok } from 'true-myth/result';
-import { noGeneration, toHash } from '@switchwheel/gauge';
-import { build, cut, finish } from '@switchwheel/timetable';
-import { carry, readNginx } from '@switchwheel/interchange';
+import { noGeneration, toHash } from '@switchwheel/types';
+import { build, cut, finish } from '@switchwheel/configuration';
+import { carry, readNginx } from '@switchwheel/config-import';
 import { type Reach, type Reply, type Request, call } from '../call/call.js';
 import { diff, diffLines } from './diff.js';
 import { at, listAt, refusal, table, text } from './show.js';
--- a/packages/switchwheel/src/command/show.ts
+++ b/packages/switchwheel/src/command/show.ts
@@ -1,4 +1,4 @@
-import { columns } from '@switchwheel/gauge';
+import { columns } from '@switchwheel/types';
 
 /** Whether a value is an object that can be looked into. */
 export const isObject = (raw: unknown): raw is object => typeof raw === 'object' && raw !== null;
--- a/packages/switchwheel/src/main.ts
+++ b/packages/switchwheel/src/main.ts
@@ -1,5 +1,5 @@
 import meow from 'meow';
-import { isAddress } from '@switchwheel/gauge';
+import { isAddress } from '@switchwheel/types';
 import { run } from './command/run.js';
 
 const cli = meow(
--- a/packages/coupling/src/channel/channel.test.ts
+++ b/packages/transport/src/channel/channel.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import { Encoder } from 'cbor-x';
 import * as fc from 'fast-check';
-import { toAddress, toHash, toIncarnation, toNodeId } from '@switchwheel/gauge';
+import { toAddress, toHash, toIncarnation, toNodeId } from '@switchwheel/types';
 import { Channel, protocol } from './channel.js';
 import { Cutter, wrap } from './cutter.js';
 
--- a/packages/coupling/src/channel/channel.ts
+++ b/packages/transport/src/channel/channel.ts
@@ -2,7 +2,7 @@
 import { EventEmitter } from 'eventemitter3';
 import * as v from 'valibot';
 import { Encoder } from 'cbor-x';
-import * as g from '@switchwheel/gauge';
+import * as g from '@switchwheel/types';
 import { decode, encode, type Frame } from '../frame/frame.js';
 import { Cutter, wrap } from './cutter.js';
 import type { Colleague } from './wire.js';
--- a/packages/coupling/src/channel/cutter.ts
+++ b/packages/transport/src/channel/cutter.ts
@@ -1,6 +1,6 @@
 import { crc32 } from 'node:zlib';
 import { type Result, ok, err } from 'true-myth/result';
-import { type Breakdown, breakdown } from '@switchwheel/gauge';
+import { type Breakdown, breakdown } from '@switchwheel/types';
 
 /** The most one frame may weigh. */
 export const maxFrame = 8 * 1024 * 1024;
--- a/packages/coupling/src/channel/wire.ts
+++ b/packages/transport/src/channel/wire.ts
@@ -1,4 +1,4 @@
-import type { Address, Incarnation, Moment, NodeId } from '@switchwheel/gauge';
+import type { Address, Incarnation, Moment, NodeId } from '@switchwheel/types';
 import type { Frame } from '../frame/frame.js';
 
 /** Who is at the other end of a channel. */
--- a/packages/coupling/src/channel/yard.ts
+++ b/packages/transport/src/channel/yard.ts
@@ -1,6 +1,6 @@
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { EventEmitter } from 'eventemitter3';
-import type { Address } from '@switchwheel/gauge';
+import type { Address } from '@switchwheel/types';
 import type { Frame } from '../frame/frame.js';
 import { Channel, type Lane } from './channel.js';
 import type { Colleague } from './wire.js';
--- a/packages/coupling/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
+import * as g from '@switchwheel/types';
 import {
   electorate,
   holder,
--- a/packages/coupling/src/frame/data.ts
+++ b/packages/transport/src/frame/data.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
+import * as g from '@switchwheel/types';
 
 const kind = <K extends string>(name: K): v.LiteralSchema<K, undefined> => v.literal(name);
 const bytes = v.custom<Uint8Array>((raw) => raw instanceof Uint8Array, 'bytes');
--- a/packages/coupling/src/frame/frame.ts
+++ b/packages/transport/src/frame/frame.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
 import { Encoder } from 'cbor-x';
 import { type Result, ok, err } from 'true-myth/result';
-import { type Breakdown, breakdown } from '@switchwheel/gauge';
+import { type Breakdown, breakdown } from '@switchwheel/types';
 import { controlFrames } from './control.js';
 import { dataFrames } from './data.js';
 
