--- a/packages/config-import/src/nginx/carry.ts
+++ b/packages/config-import/src/nginx/carry.ts
@@ -131,7 +131,7 @@
         row,
         row.name === 'server'
           ? 'origins announce themselves; start them with their own announcements'
-          : 'origins are elected by fitness and free slots',
+          : 'origins are elected by health and free slots',
       );
   }
 
--- a/packages/configuration/src/rollout/engine.ts
+++ b/packages/configuration/src/rollout/engine.ts
@@ -47,7 +47,7 @@
         ? ['in_progress', 'offered']
         : ['pending', 'waits for its wave'];
     case 'in_progress':
-      if (runs) return ['verifying', 'fitness wait'];
+      if (runs) return ['verifying', 'health wait'];
       if (reported.failed?.hash === goal.hash && reported.failed.generation === goal.generation)
         return ['failed', reported.failed.text];
       return age > applyTimeout
@@ -55,11 +55,11 @@
         : ['in_progress', reported.phase === 'applying' ? 'applying' : 'offered'];
     case 'verifying':
       if (!runs) return ['failed', 'no longer reports this generation'];
-      if (!reported.fitness.fit) return ['failed', `unfit: ${reported.fitness.text}`];
-      return age >= rollout.policy.verifyMs ? ['succeeded', ''] : ['verifying', 'fitness wait'];
+      if (!reported.health.healthy) return ['failed', `unfit: ${reported.health.text}`];
+      return age >= rollout.policy.verifyMs ? ['succeeded', ''] : ['verifying', 'health wait'];
     case 'failed':
       // The mark stays shown, but a node that came round in the end is told as such.
-      return runs && reported.fitness.fit && target.text === 'no report in time'
+      return runs && reported.health.healthy && target.text === 'no report in time'
         ? ['verifying', 'applied late']
         : ['failed', target.text];
     case 'skipped':
--- a/packages/devfleet/src/load/callers.ts
+++ b/packages/devfleet/src/load/callers.ts
@@ -11,7 +11,7 @@
   readonly at: number;
   readonly ms: number;
   readonly status: number;
-  /** `result`, `bounced`, `unknown`, or what else the answer called itself; `broken` where the channel broke. */
+  /** `result`, `rejected`, `unknown`, or what else the answer called itself; `broken` where the channel broke. */
   readonly kind: string;
   readonly from: string;
   readonly whole: 'yes' | 'no' | 'unread';
--- a/packages/devfleet/src/origin/standin.ts
+++ b/packages/devfleet/src/origin/standin.ts
@@ -45,7 +45,7 @@
 const stamps: number[] = [];
 let used = 0;
 let served = 0;
-let bounced = 0;
+let rejected = 0;
 let lastRun = 0;
 
 const work = (): number => {
@@ -109,7 +109,7 @@
   }
   const meant = request.headers['switchwheel-instance'];
   const unrun = (status: number): void => {
-    bounced += 1;
+    rejected += 1;
     response.statusCode = status;
     response.setHeader('switchwheel-unrun', 'true');
     request.resume();
@@ -171,10 +171,10 @@
         break;
       }
       case '/ran':
-        json(response, { ran: [...ran], served, bounced, lastRun, stamps });
+        json(response, { ran: [...ran], served, rejected, lastRun, stamps });
         break;
       default:
-        json(response, { service, instance, release, used, served, bounced });
+        json(response, { service, instance, release, used, served, rejected });
     }
   });
 });
--- a/packages/devfleet/src/report/rules.ts
+++ b/packages/devfleet/src/report/rules.ts
@@ -8,7 +8,7 @@
 const ranForm = v.object({
   ran: v.array(v.tuple([v.string(), v.number()])),
   served: v.number(),
-  bounced: v.number(),
+  rejected: v.number(),
   lastRun: v.number(),
   stamps: v.array(v.number()),
 });
@@ -35,7 +35,7 @@
   const twice = [...runs].filter(([, many]) => many > 1);
   const unsafe = seen.filter((one) => one.traffic.unsafe);
   const refused = unsafe.filter(
-    (one) => (one.kind === 'bounced' || one.kind === 'unready') && runs.has(one.id),
+    (one) => (one.kind === 'rejected' || one.kind === 'unready') && runs.has(one.id),
   );
   const lostDone = unsafe.filter((one) => one.kind === 'result' && !runs.has(one.id));
   const torn = seen.filter((one) => one.whole === 'no' && one.kind === 'result');
@@ -50,7 +50,7 @@
       timed: false,
       rule: 'R2 refused is unrun',
       held: refused.length === 0,
-      text: `${unsafe.filter((one) => one.kind === 'bounced').length} told refused, ${refused.length} of them ran; ${unsafe.filter((one) => one.kind === 'unknown').length} told unknown; ${lostDone.length} told done that no origin noted`,
+      text: `${unsafe.filter((one) => one.kind === 'rejected').length} told refused, ${refused.length} of them ran; ${unsafe.filter((one) => one.kind === 'unknown').length} told unknown; ${lostDone.length} told done that no origin noted`,
     },
     {
       timed: false,
--- a/packages/devfleet/src/run/causes/process.ts
+++ b/packages/devfleet/src/run/causes/process.ts
@@ -74,14 +74,14 @@
       .map((one) => one.door);
     const out = await until(
       patience,
-      async () => (await operate(others, ['witness', 'remove', child.name])).code === 0,
+      async () => (await operate(others, ['voter', 'remove', child.name])).code === 0,
     );
     await child.end('SIGKILL');
     await pause(1000);
     await child.start();
     const back = await until(
       patience,
-      async () => (await operate(others, ['witness', 'add', child.name])).code === 0,
+      async () => (await operate(others, ['voter', 'add', child.name])).code === 0,
     );
     if (out && back) taken += 1;
     say(`${child.name} was unseated, replaced and seated again`);
--- a/packages/devfleet/src/run/input.test.ts
+++ b/packages/devfleet/src/run/input.test.ts
@@ -243,7 +243,7 @@
     await mood(change);
     const reply = await ask('/search/5?size=3000');
     assert.ok([502, 503, 504].includes(reply.statusCode), String(reply.statusCode));
-    assert.ok(['unknown', 'bounced'].includes(kindOf(reply.rawBody)));
+    assert.ok(['unknown', 'rejected'].includes(kindOf(reply.rawBody)));
     await mood({ corruptShare: 0, cutShare: 0, wrongName: false });
   }
 });
@@ -344,20 +344,23 @@
   assert.equal((await operate(['127.0.0.1:1'], ['status'])).code, 1);
 });
 
-void test('a damaged disk file: refused with a plain word, then mended from the colleague', async () => {
+void test('a damaged disk file: refused with a plain word, then mended from the peer', async () => {
   const view = v.looseObject({
     store: v.string(),
-    charter: v.looseObject({ insync: v.array(v.string()) }),
+    metadata: v.looseObject({ inSyncSet: v.array(v.string()) }),
   });
   const stores = async (): Promise<
-    { readonly primary: string; readonly insync: number } | undefined
+    { readonly primary: string; readonly inSyncSet: number } | undefined
   > => {
     const read = v.safeParse(view, await fleet.view('/v1/store'));
     return read.success
-      ? { primary: read.output.store, insync: read.output.charter.insync.length }
+      ? { primary: read.output.store, inSyncSet: read.output.metadata.inSyncSet.length }
       : undefined;
   };
-  assert.ok(await until(60_000, async () => (await stores())?.insync === 2), 'both stores in sync');
+  assert.ok(
+    await until(60_000, async () => (await stores())?.inSyncSet === 2),
+    'both stores in sync',
+  );
   const before = await stores();
   const other = fleet.machines.find((one) => one.kind === 'store' && one.name !== before?.primary);
   assert.ok(other !== undefined);
@@ -374,7 +377,7 @@
     (await got(`http://${other.admin}/ready`, { retry: { limit: 0 }, throwHttpErrors: false }))
       .statusCode === 200;
   assert.ok(await until(60_000, ready), 'in sync again by its own word');
-  assert.ok(await until(60_000, async () => (await stores())?.insync === 2), 'in sync again');
+  assert.ok(await until(60_000, async () => (await stores())?.inSyncSet === 2), 'in sync again');
   const log = readFileSync(join(folder, 'log', `${other.name}.log`), 'utf8');
   assert.match(log, /the disk is damaged: nothing of it is used/);
   await child.end('SIGKILL');
@@ -386,7 +389,7 @@
   assert.equal(lines.length, 1, lines.join(' '));
 });
 
-void test('overload: refused at once with the kind bounced and when to come back, and nothing refused ran', async () => {
+void test('overload: refused at once with the kind rejected and when to come back, and nothing refused ran', async () => {
   const answers = await Promise.all(
     Array.from({ length: 900 }, (_, at) =>
       ask(`/consent/${at}`, {
@@ -396,16 +399,16 @@
       }),
     ),
   );
-  const bounced = answers.flatMap((one, at) => (one.statusCode === 503 ? [{ one, at }] : []));
-  assert.ok(bounced.length > 0 && answers.some((one) => one.statusCode === 200));
+  const rejected = answers.flatMap((one, at) => (one.statusCode === 503 ? [{ one, at }] : []));
+  assert.ok(rejected.length > 0 && answers.some((one) => one.statusCode === 200));
   assert.ok(
-    bounced.every(
-      ({ one }) => kindOf(one.rawBody) === 'bounced' && Number(one.headers['retry-after']) >= 1,
+    rejected.every(
+      ({ one }) => kindOf(one.rawBody) === 'rejected' && Number(one.headers['retry-after']) >= 1,
     ),
   );
   const ran = await collectRuns(fleet);
   assert.deepEqual(
-    bounced.filter(({ at }) => ran.has(`flood-${at}`)),
+    rejected.filter(({ at }) => ran.has(`flood-${at}`)),
     [],
   );
   assert.ok([...ran.values()].every((many) => many === 1));
--- a/packages/devfleet/src/run/stage.ts
+++ b/packages/devfleet/src/run/stage.ts
@@ -58,7 +58,7 @@
   const args = [
     'found',
     plan.deployment.name,
-    ...named.flatMap((one) => ['--witness', `${one.name}-registry`]),
+    ...named.flatMap((one) => ['--voter', `${one.name}-registry`]),
     ...named.filter((one) => one.kind === 'store').flatMap((one) => ['--store', one.name]),
   ];
   const founded = await until(patience, async () => {
--- a/packages/election/src/stand/stand.ts
+++ b/packages/election/src/candidate/candidate.ts
@@ -23,15 +23,15 @@
   type WireEffect,
   send,
 } from '@switchwheel/transport';
-import { leaseSpan, majority } from '../witness/witness.js';
+import { leaseSpan, majority } from '../voter/voter.js';
 
 /** What a holder ends its lease early by, against clocks that run unlike. */
-export const guardSpan = 50;
-const askSpan = 300;
+export const leaseMargin = 50;
+const roundTimeout = 300;
 
-interface Ballots {
+interface VoteCount {
   readonly epoch: Epoch;
-  readonly votes: ReadonlyMap<NodeId, { readonly at: Moment; readonly blank: boolean }>;
+  readonly votes: ReadonlyMap<NodeId, { readonly at: Moment; readonly recovering: boolean }>;
 }
 
 /** Where a node stands towards one duty. */
@@ -39,77 +39,77 @@
   | { readonly phase: 'idle'; readonly retry: Moment }
   /** Asks first whether a round could be won: one that can't would only drive the epoch up. */
   | ({
-      readonly phase: 'sounding';
+      readonly phase: 'preVote';
       readonly since: Moment;
       readonly refusals: ReadonlyMap<NodeId, number>;
-    } & Ballots)
+    } & VoteCount)
   | ({
-      readonly phase: 'asking';
+      readonly phase: 'requestingVotes';
       readonly since: Moment;
       readonly refusals: ReadonlyMap<NodeId, number>;
-    } & Ballots)
+    } & VoteCount)
   | ({
-      readonly phase: 'holding';
+      readonly phase: 'holdingLease';
       readonly until: Moment;
       readonly asked: Moment;
       readonly won: Moment;
-    } & Ballots);
+    } & VoteCount);
 
-export interface Stand {
+export interface Candidate {
   readonly me: NodeId;
   readonly duty: Duty;
   readonly phase: Phase;
   /** The highest epoch heard of for this duty. */
   readonly highest: Epoch;
-  readonly insync: readonly NodeId[];
+  readonly inSyncSet: readonly NodeId[];
   /** How long a lease is asked for; it is renewed four times within it. */
   readonly lease: number;
 }
 
 /** What a candidate needs to know of its fleet. */
-export interface Poll {
+export interface ElectionContext {
   readonly fleet: FleetId;
   readonly electorate: Electorate;
   readonly held?: Holder;
-  /** Whether votes of witnesses without memory count. */
-  readonly trustBlank: boolean;
+  /** Whether votes of voters without memory count. */
+  readonly countRecovering: boolean;
 }
 
-export const newStand = (
+export const newCandidate = (
   me: NodeId,
   duty: Duty,
-  insync: readonly NodeId[],
+  inSyncSet: readonly NodeId[],
   lease = leaseSpan,
-): Stand => ({
+): Candidate => ({
   me,
   duty,
   lease,
   phase: { phase: 'idle', retry: toMoment(0) },
   highest: noEpoch,
-  insync,
+  inSyncSet,
 });
 
-export const holds = (stand: Stand, now: Moment): boolean =>
-  stand.phase.phase === 'holding' && now < stand.phase.until;
-export const heldEpoch = (stand: Stand): Epoch =>
-  stand.phase.phase === 'idle' || stand.phase.phase === 'sounding' ? noEpoch : stand.phase.epoch;
+export const holdsLease = (stand: Candidate, now: Moment): boolean =>
+  stand.phase.phase === 'holdingLease' && now < stand.phase.until;
+export const heldEpoch = (stand: Candidate): Epoch =>
+  stand.phase.phase === 'idle' || stand.phase.phase === 'preVote' ? noEpoch : stand.phase.epoch;
 
 /** Takes note of an epoch someone else has. */
-export const hear = (stand: Stand, epoch: Epoch): Stand =>
+export const observeEpoch = (stand: Candidate, epoch: Epoch): Candidate =>
   epoch > stand.highest ? { ...stand, highest: epoch } : stand;
 
-const ballots = (
-  stand: Stand,
-  poll: Poll,
+const voteRequests = (
+  stand: Candidate,
+  poll: ElectionContext,
   epoch: Epoch,
   now: Moment,
   renew: boolean,
-  lay = false,
-  sound = false,
+  stepDown = false,
+  preVote = false,
 ): readonly WireEffect[] =>
   poll.electorate.members.map((one) =>
     send(one.address, {
-      kind: 'ballot',
+      kind: 'vote-request',
       fleet: poll.fleet,
       electorate: poll.electorate,
       duty: stand.duty,
@@ -118,89 +118,102 @@
       at: now,
       lease: toSpan(stand.lease),
       renew,
-      sound,
-      insync: [...stand.insync],
-      lay,
+      preVote,
+      inSyncSet: [...stand.inSyncSet],
+      stepDown,
       ...(poll.held === undefined ? {} : { held: { ...poll.held, epoch } }),
     }),
   );
 
 /** Opens a round of ballots for a new epoch; a holder may do so to change the in-sync set. */
-export const ask = (
-  stand: Stand,
-  poll: Poll,
-  insync: readonly NodeId[],
+export const requestVotes = (
+  stand: Candidate,
+  poll: ElectionContext,
+  inSyncSet: readonly NodeId[],
   now: Moment,
-): Step<Stand, WireEffect> => {
+): Step<Candidate, WireEffect> => {
   const epoch = nextEpoch(toEpoch(Math.max(stand.highest, heldEpoch(stand))));
-  const next: Stand = {
+  const next: Candidate = {
     ...stand,
     highest: epoch,
-    insync,
-    phase: { phase: 'asking', since: now, epoch, votes: new Map(), refusals: new Map() },
+    inSyncSet,
+    phase: { phase: 'requestingVotes', since: now, epoch, votes: new Map(), refusals: new Map() },
   };
-  return step(next, ...ballots(next, poll, epoch, now, false));
+  return step(next, ...voteRequests(next, poll, epoch, now, false));
 };
 
-/** Asks the witnesses whether they would vote for this store, before it stands. */
-const sound = (stand: Stand, poll: Poll, now: Moment): Step<Stand, WireEffect> => {
+/** Asks the voters whether they would vote for this store, before it stands. */
+const startPreVote = (
+  stand: Candidate,
+  poll: ElectionContext,
+  now: Moment,
+): Step<Candidate, WireEffect> => {
   const epoch = nextEpoch(stand.highest);
-  const next: Stand = {
+  const next: Candidate = {
     ...stand,
-    phase: { phase: 'sounding', since: now, epoch, votes: new Map(), refusals: new Map() },
+    phase: { phase: 'preVote', since: now, epoch, votes: new Map(), refusals: new Map() },
   };
-  return step(next, ...ballots(next, poll, epoch, now, false, false, true));
+  return step(next, ...voteRequests(next, poll, epoch, now, false, false, true));
 };
 
-/** Gives the duty up: the witnesses are told so that it falls vacant at once. */
-export const lay = (
-  stand: Stand,
-  poll: Poll | undefined,
+/** Gives the duty up: the voters are told so that it falls vacant at once. */
+export const stepDown = (
+  stand: Candidate,
+  poll: ElectionContext | undefined,
   now: Moment,
   rest: number,
-): Step<Stand, WireEffect> => {
+): Step<Candidate, WireEffect> => {
   const told =
-    poll !== undefined && holds(stand, now)
-      ? ballots(stand, poll, heldEpoch(stand), now, true, true)
+    poll !== undefined && holdsLease(stand, now)
+      ? voteRequests(stand, poll, heldEpoch(stand), now, true, true)
       : [];
   return step({ ...stand, phase: { phase: 'idle', retry: later(now, rest) } }, ...told);
 };
 
 /** The lease that enough votes give: counted from before the asking. */
-const leaseEnd = (poll: Poll, own: Ballots, lease: number): Moment | undefined => {
+const leaseEnd = (poll: ElectionContext, own: VoteCount, lease: number): Moment | undefined => {
   const times = poll.electorate.members
     .map((one) => own.votes.get(one.node))
-    .filter((one) => one !== undefined && (poll.trustBlank || !one.blank))
+    .filter((one) => one !== undefined && (poll.countRecovering || !one.recovering))
     .map((one) => (one === undefined ? 0 : one.at))
     .sort((one, two) => two - one);
   const last = times[majority(poll.electorate.members.length) - 1];
-  return last === undefined ? undefined : toMoment(last + lease - guardSpan);
+  return last === undefined ? undefined : toMoment(last + lease - leaseMargin);
 };
 
 /** Counts a vote. */
-export const count = (stand: Stand, poll: Poll, word: FrameOf<'vote'>, now: Moment): Stand => {
-  const known = hear(stand, word.highest);
+export const countVote = (
+  stand: Candidate,
+  poll: ElectionContext,
+  word: FrameOf<'vote'>,
+  now: Moment,
+): Candidate => {
+  const known = observeEpoch(stand, word.highest);
   const own = known.phase;
-  if (own.phase === 'idle' || word.epoch !== own.epoch || word.sound !== (own.phase === 'sounding'))
+  if (
+    own.phase === 'idle' ||
+    word.epoch !== own.epoch ||
+    word.preVote !== (own.phase === 'preVote')
+  )
     return known;
   // A lease that ran out is over for good, whatever votes are still on their way.
-  if (own.phase === 'holding' && now >= own.until)
+  if (own.phase === 'holdingLease' && now >= own.until)
     return { ...known, phase: { phase: 'idle', retry: now } };
   if (!word.granted)
-    return own.phase === 'asking' || own.phase === 'sounding'
-      ? { ...known, phase: { ...own, refusals: put(own.refusals, word.witness, word.left ?? 0) } }
+    return own.phase === 'requestingVotes' || own.phase === 'preVote'
+      ? { ...known, phase: { ...own, refusals: put(own.refusals, word.voter, word.left ?? 0) } }
       : known;
-  const before = own.votes.get(word.witness);
+  const before = own.votes.get(word.voter);
   if (before !== undefined && before.at >= word.at) return known;
-  const votes = put(own.votes, word.witness, { at: word.at, blank: word.blank });
-  if (own.phase === 'sounding') return { ...known, phase: { ...own, votes } };
-  if (own.phase === 'asking') {
+  const votes = put(own.votes, word.voter, { at: word.at, recovering: word.recovering });
+  if (own.phase === 'preVote') return { ...known, phase: { ...own, votes } };
+  if (own.phase === 'requestingVotes') {
     const until = leaseEnd(poll, { epoch: own.epoch, votes }, known.lease);
     if (until === undefined || until <= now) return { ...known, phase: { ...own, votes } };
     return {
       ...known,
       phase: {
-        phase: 'holding',
+        phase: 'holdingLease',
         epoch: own.epoch,
         votes,
         until,
@@ -209,8 +222,12 @@
       },
     };
   }
-  // Once won, a renewal by any witness counts: memory only matters for the winning.
-  const until = leaseEnd({ ...poll, trustBlank: true }, { epoch: own.epoch, votes }, known.lease);
+  // Once won, a renewal by any voter counts: memory only matters for the winning.
+  const until = leaseEnd(
+    { ...poll, countRecovering: true },
+    { epoch: own.epoch, votes },
+    known.lease,
+  );
   return {
     ...known,
     phase: {
@@ -222,7 +239,10 @@
 };
 
 /** How long a round that can't be won any more should wait for the next: until enough leases are over. */
-const lost = (poll: Poll, refusals: ReadonlyMap<NodeId, number>): number | undefined => {
+const retryDelay = (
+  poll: ElectionContext,
+  refusals: ReadonlyMap<NodeId, number>,
+): number | undefined => {
   const size = poll.electorate.members.length;
   const need = majority(size);
   const lefts = poll.electorate.members
@@ -236,15 +256,15 @@
 };
 
 /** Lets time pass: renews a lease that stands, ends one that is over, opens a round when `keen`. */
-export const pass = (
-  stand: Stand,
-  poll: Poll,
+export const tickCandidate = (
+  stand: Candidate,
+  poll: ElectionContext,
   keen: boolean,
   dice: Dice,
   now: Moment,
-): Step<{ readonly stand: Stand; readonly dice: Dice }, WireEffect> => {
+): Step<{ readonly stand: Candidate; readonly dice: Dice }, WireEffect> => {
   const own = stand.phase;
-  if (own.phase === 'holding') {
+  if (own.phase === 'holdingLease') {
     if (now >= own.until) {
       const [chance, rest] = roll(dice);
       return step({
@@ -255,19 +275,20 @@
     if (now - own.asked < stand.lease / 4) return step({ stand, dice });
     return step(
       { stand: { ...stand, phase: { ...own, asked: now } }, dice },
-      ...ballots(stand, poll, own.epoch, now, true),
+      ...voteRequests(stand, poll, own.epoch, now, true),
     );
   }
-  if (own.phase === 'sounding' && leaseEnd(poll, own, stand.lease) !== undefined) {
-    const opened = ask(stand, poll, stand.insync, now);
+  if (own.phase === 'preVote' && leaseEnd(poll, own, stand.lease) !== undefined) {
+    const opened = requestVotes(stand, poll, stand.inSyncSet, now);
     return { state: { stand: opened.state, dice }, effects: opened.effects };
   }
-  if (own.phase === 'asking' || own.phase === 'sounding') {
-    const wait = lost(poll, own.refusals);
-    if (wait === undefined && now - own.since < askSpan) return step({ stand, dice });
+  if (own.phase === 'requestingVotes' || own.phase === 'preVote') {
+    const wait = retryDelay(poll, own.refusals);
+    if (wait === undefined && now - own.since < roundTimeout) return step({ stand, dice });
     const [chance, rest] = roll(dice);
     // What was granted in a round that is lost is given back, so that nobody waits for it to run out.
-    const back = own.phase === 'sounding' ? [] : ballots(stand, poll, own.epoch, now, true, true);
+    const back =
+      own.phase === 'preVote' ? [] : voteRequests(stand, poll, own.epoch, now, true, true);
     return step(
       {
         stand: {
@@ -280,6 +301,6 @@
     );
   }
   if (!keen || now < own.retry) return step({ stand, dice });
-  const opened = sound(stand, poll, now);
+  const opened = startPreVote(stand, poll, now);
   return { state: { stand: opened.state, dice }, effects: opened.effects };
 };
--- a/packages/election/src/index.ts
+++ b/packages/election/src/index.ts
@@ -1,2 +1,2 @@
-export * from './witness/witness.js';
-export * from './stand/stand.js';
+export * from './voter/voter.js';
+export * from './candidate/candidate.js';
--- a/packages/election/src/witness/witness.ts
+++ b/packages/election/src/voter/voter.ts
@@ -10,12 +10,12 @@
   put,
   toSpan,
 } from '@switchwheel/types';
-import type { Electorate, FrameOf, Memory } from '@switchwheel/transport';
+import type { Electorate, FrameOf, GrantRecord } from '@switchwheel/transport';
 
-/** The longest lease a witness grants; one that restarted abstains for as long. */
+/** The longest lease a voter grants; one that restarted abstains for as long. */
 export const leaseSpan = 1000;
 
-/** What a witness keeps of one duty: the highest epoch it granted, to whom, and until when. */
+/** What a voter keeps of one duty: the highest epoch it granted, to whom, and until when. */
 export interface Grant {
   readonly epoch: Epoch;
   readonly node: NodeId;
@@ -23,51 +23,51 @@
   readonly lessee: NodeId;
   readonly until: Moment;
   /** For `primary`: the stores that hold every confirmed write under this epoch. */
-  readonly insync: readonly NodeId[];
+  readonly inSyncSet: readonly NodeId[];
 }
 
-export interface Witness {
+export interface Voter {
   readonly me: NodeId;
   readonly born: Moment;
   readonly fleet: FleetId | undefined;
   readonly electorate: Electorate | undefined;
   readonly grants: ReadonlyMap<Duty, Grant>;
-  /** While set, this witness restarted and does not yet know what it once granted. */
-  readonly blank: boolean;
-  /** Colleagues that remember and were heard since this witness was born, with their birth. */
-  readonly told: ReadonlyMap<NodeId, boolean>;
+  /** While set, this voter restarted and does not yet know what it once granted. */
+  readonly recovering: boolean;
+  /** Colleagues that remember and were heard since this voter was born, with their birth. */
+  readonly heardFrom: ReadonlyMap<NodeId, boolean>;
 }
 
-export const newWitness = (me: NodeId, born: Moment): Witness => ({
+export const newVoter = (me: NodeId, born: Moment): Voter => ({
   me,
   born,
   fleet: undefined,
   electorate: undefined,
   grants: new Map(),
-  blank: true,
-  told: new Map(),
+  recovering: true,
+  heardFrom: new Map(),
 });
 
 export const majority = (size: number): number => Math.floor(size / 2) + 1;
 
-const newest = (mine: Electorate | undefined, theirs: Electorate): Electorate =>
+const newestElectorate = (mine: Electorate | undefined, theirs: Electorate): Electorate =>
   mine === undefined || theirs.serial > mine.serial ? theirs : mine;
 
-const within = (set: Electorate, node: NodeId): boolean =>
+const isMember = (set: Electorate, node: NodeId): boolean =>
   set.members.some((one) => one.node === node);
 
-/** The grant a witness would make, or why not. */
-const judge = (
-  state: Witness,
-  ballot: FrameOf<'ballot'>,
+/** The grant a voter would make, or why not. */
+const refusalReason = (
+  state: Voter,
+  ballot: FrameOf<'vote-request'>,
   set: Electorate,
   now: Moment,
 ): string | undefined => {
   if (state.fleet !== undefined && state.fleet !== ballot.fleet) return 'another fleet';
   if (ballot.electorate.serial < set.serial) return 'an older electorate';
-  if (!within(set, state.me)) return 'not a witness';
+  if (!isMember(set, state.me)) return 'not a voter';
   const mine = state.grants.get(ballot.duty);
-  if (ballot.lay)
+  if (ballot.stepDown)
     return mine?.epoch === ballot.epoch && mine.node === ballot.node
       ? undefined
       : 'not the grant that stands';
@@ -80,26 +80,26 @@
   if (mine === undefined) return undefined;
   if (ballot.epoch <= mine.epoch) return 'not a higher epoch';
   if (mine.lessee !== ballot.node && now < mine.until) return 'the lease stands';
-  if (ballot.duty === primary && !mine.insync.includes(ballot.node)) return 'not in sync';
+  if (ballot.duty === primary && !mine.inSyncSet.includes(ballot.node)) return 'not in sync';
   return undefined;
 };
 
-/** Takes a ballot: the one place where a witness's memory changes by a vote. */
+/** Takes a ballot: the one place where a voter's memory changes by a vote. */
 export const vote = (
-  state: Witness,
-  ballot: FrameOf<'ballot'>,
+  state: Voter,
+  ballot: FrameOf<'vote-request'>,
   now: Moment,
-): readonly [Witness, FrameOf<'vote'>] => {
-  const set = newest(state.electorate, ballot.electorate);
-  const why = judge(state, ballot, set, now);
+): readonly [Voter, FrameOf<'vote'>] => {
+  const set = newestElectorate(state.electorate, ballot.electorate);
+  const why = refusalReason(state, ballot, set, now);
   const mine = state.grants.get(ballot.duty);
   const highest = mine?.epoch ?? noEpoch;
   const base = {
     kind: 'vote' as const,
     duty: ballot.duty,
-    witness: state.me,
+    voter: state.me,
     at: ballot.at,
-    sound: ballot.sound,
+    preVote: ballot.preVote,
   };
   if (why !== undefined) {
     const told = set.serial > ballot.electorate.serial ? { electorate: set } : {};
@@ -110,52 +110,61 @@
         ...base,
         epoch: ballot.epoch,
         granted: false,
-        blank: state.blank,
+        recovering: state.recovering,
         highest,
         left: toSpan(left),
         ...told,
       },
     ];
   }
-  if (ballot.sound)
-    return [state, { ...base, epoch: ballot.epoch, granted: true, blank: state.blank, highest }];
-  const span = ballot.lay ? 0 : Math.min(ballot.lease, leaseSpan);
+  if (ballot.preVote)
+    return [
+      state,
+      { ...base, epoch: ballot.epoch, granted: true, recovering: state.recovering, highest },
+    ];
+  const span = ballot.stepDown ? 0 : Math.min(ballot.lease, leaseSpan);
   const grant: Grant = {
     epoch: ballot.epoch,
     node: ballot.node,
     lessee: ballot.node,
     until: later(now, span),
-    insync: ballot.insync,
+    inSyncSet: ballot.inSyncSet,
   };
-  // A holder that says it won an epoch this witness itself granted since birth leaves nothing older to remember.
+  // A holder that says it won an epoch this voter itself granted since birth leaves nothing older to remember.
   const sure =
     ballot.renew &&
-    !ballot.lay &&
+    !ballot.stepDown &&
     ballot.duty === primary &&
     mine?.epoch === ballot.epoch &&
     mine.node === ballot.node;
-  const next: Witness = {
+  const next: Voter = {
     ...state,
     fleet: ballot.fleet,
     electorate: set,
     grants: put(state.grants, ballot.duty, grant),
-    blank: state.blank && !sure,
+    recovering: state.recovering && !sure,
   };
   return [
     next,
-    { ...base, epoch: ballot.epoch, granted: true, blank: state.blank, highest: ballot.epoch },
+    {
+      ...base,
+      epoch: ballot.epoch,
+      granted: true,
+      recovering: state.recovering,
+      highest: ballot.epoch,
+    },
   ];
 };
 
-/** Takes what a colleague remembers; enough of them make a blank witness whole. */
-export const recall = (
-  state: Witness,
+/** Takes what a peer remembers; enough of them make a recovering voter whole. */
+export const recoverGrants = (
+  state: Voter,
   from: NodeId,
-  blank: boolean,
-  memories: readonly Memory[],
+  recovering: boolean,
+  memories: readonly GrantRecord[],
   now: Moment,
-): Witness => {
-  if (!state.blank || blank) return state;
+): Voter => {
+  if (!state.recovering || recovering) return state;
   let grants = state.grants;
   for (const word of memories) {
     const mine = grants.get(word.duty);
@@ -167,11 +176,11 @@
     grants = put(grants, word.duty, {
       epoch: word.epoch,
       node: word.node,
-      insync: word.insync,
+      inSyncSet: word.inSyncSet,
       ...lease,
     });
   }
-  const told = put(state.told, from, true);
+  const told = put(state.heardFrom, from, true);
   const set = state.electorate;
   const others =
     set === undefined
@@ -179,22 +188,22 @@
       : set.members.filter((one) => one.node !== state.me && told.has(one.node)).length;
   const enough =
     set !== undefined && others >= set.members.length - majority(set.members.length) + 1;
-  return { ...state, grants, told, blank: !enough };
+  return { ...state, grants, heardFrom: told, recovering: !enough };
 };
 
 /** Takes a newer electorate that the primary published. */
-export const seat = (state: Witness, fleet: FleetId, set: Electorate): Witness => {
+export const adoptElectorate = (state: Voter, fleet: FleetId, set: Electorate): Voter => {
   if (state.fleet !== undefined && state.fleet !== fleet) return state;
-  const next = newest(state.electorate, set);
+  const next = newestElectorate(state.electorate, set);
   return next === state.electorate && state.fleet === fleet
     ? state
     : { ...state, fleet, electorate: next };
 };
 
-export const memories = (state: Witness): readonly Memory[] =>
+export const grantRecords = (state: Voter): readonly GrantRecord[] =>
   [...state.grants].map(([duty, grant]) => ({
     duty,
     epoch: grant.epoch,
     node: grant.node,
-    insync: [...grant.insync],
+    inSyncSet: [...grant.inSyncSet],
   }));
--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -9,22 +9,22 @@
   step,
 } from '@switchwheel/types';
 import { type FrameOf, send } from '@switchwheel/transport';
-import { announce } from './announce.js';
+import { announce } from './departures.js';
 import { type Outside, type RegistryEffect, reply, replyText } from './event.js';
 import type { Pending, Registry } from './state.js';
-import { alive, inTouch, primaryHolder } from './words.js';
+import { isAlive, hasMajorityContact, primaryHolder } from './queries.js';
 
 type Done = Step<Registry, RegistryEffect>;
-const resend = 400;
-const maxPending = 256;
+const resendInterval = 400;
+const maxPendingCalls = 256;
 
-const found = (
+const startBootstrap = (
   state: Registry,
   ref: number,
   call: Extract<Outside, { verb: 'found' }>,
   now: Moment,
 ): Done => {
-  const near = [...state.sessions.values()].filter((one) => alive(one, now));
+  const near = [...state.sessions.values()].filter((one) => isAlive(one, now));
   const stores = near
     .filter(
       (one) =>
@@ -35,10 +35,10 @@
   const seats = [
     state.member,
     ...near.filter((one) => one.member.role === 'registry').map((one) => one.member),
-  ].filter((one) => call.witnesses.length === 0 || call.witnesses.includes(one.node));
+  ].filter((one) => call.voters.length === 0 || call.voters.includes(one.node));
   const lost = [
     ...call.stores.filter((name) => !stores.some((one) => one.node === name)),
-    ...call.witnesses.filter((name) => !seats.some((one) => one.node === name)),
+    ...call.voters.filter((name) => !seats.some((one) => one.node === name)),
   ];
   if (lost.length > 0)
     return step(
@@ -59,8 +59,8 @@
       state,
       reply(ref, 409, { kind: 'stale', text: `the fleet ${state.fleet} stands already` }),
     );
-  const word: FrameOf<'found'> = {
-    kind: 'found',
+  const word: FrameOf<'bootstrap'> = {
+    kind: 'bootstrap',
     id: call.id,
     fleet: call.fleet,
     stores: stores.map((one) => ({ node: one.node, address: one.address })),
@@ -71,21 +71,21 @@
         .sort((one, two) => (one.node < two.node ? -1 : 1)),
     },
   };
-  const founding = put(state.founding, call.id, {
+  const founding = put(state.bootstraps, call.id, {
     ref,
     since: now,
     stores: stores.map((one) => one.node),
-    witnesses: word.electorate.members.map((one) => one.node),
+    voters: word.electorate.members.map((one) => one.node),
     agreed: new Set<NodeId>(),
   });
-  return step({ ...state, founding }, ...stores.map((one) => send(one.address, word)));
+  return step({ ...state, bootstraps: founding }, ...stores.map((one) => send(one.address, word)));
 };
 
 /** A store agreed to a founding, or did not. */
-export const onFounded = (state: Registry, word: FrameOf<'founded'>): Done => {
-  const open = state.founding.get(word.id);
+export const onBootstrapped = (state: Registry, word: FrameOf<'bootstrapped'>): Done => {
+  const open = state.bootstraps.get(word.id);
   if (open === undefined) return step(state);
-  const without = { ...state, founding: drop(state.founding, word.id) };
+  const without = { ...state, bootstraps: drop(state.bootstraps, word.id) };
   if (!word.ok)
     return step(
       without,
@@ -95,12 +95,12 @@
   if (open.stores.every((one) => agreed.has(one)))
     return step(
       without,
-      reply(open.ref, 200, { kind: 'founded', stores: open.stores, witnesses: open.witnesses }),
+      reply(open.ref, 200, { kind: 'bootstrapped', stores: open.stores, voters: open.voters }),
     );
-  return step({ ...state, founding: put(state.founding, word.id, { ...open, agreed }) });
+  return step({ ...state, bootstraps: put(state.bootstraps, word.id, { ...open, agreed }) });
 };
 
-const forward = (id: CallId, one: Pending): FrameOf<'call'> => ({
+const callFrame = (id: CallId, one: Pending): FrameOf<'call'> => ({
   kind: 'call',
   id,
   verb: one.verb,
@@ -109,7 +109,7 @@
 });
 
 /** Sends waiting calls on to the primary, and ends those whose time is over. */
-export const chase = (state: Registry, now: Moment): Done => {
+export const tickPendingCalls = (state: Registry, now: Moment): Done => {
   let pending = state.pending;
   const effects: RegistryEffect[] = [];
   const store = primaryHolder(state);
@@ -121,7 +121,7 @@
       effects.push(
         unrun
           ? reply(one.ref, 503, {
-              kind: 'bounced',
+              kind: 'rejected',
               id,
               text: 'no primary answers now; nothing was changed',
               retryAfterMs: 1000,
@@ -132,13 +132,13 @@
               text: 'the outcome is not known; ask again with this id',
             }),
       );
-    } else if (store !== undefined && now - (one.sent ?? -Infinity) > resend) {
+    } else if (store !== undefined && now - (one.sent ?? -Infinity) > resendInterval) {
       pending = put(pending, id, { ...one, sent: now });
-      effects.push(send(store.address, forward(id, one)));
+      effects.push(send(store.address, callFrame(id, one)));
     }
   }
-  let founding = state.founding;
-  for (const [id, one] of state.founding) {
+  let founding = state.bootstraps;
+  for (const [id, one] of state.bootstraps) {
     if (now - one.since < 3000) continue;
     founding = drop(founding, id);
     effects.push(
@@ -150,14 +150,14 @@
     );
   }
   return step(
-    pending === state.pending && founding === state.founding
+    pending === state.pending && founding === state.bootstraps
       ? state
-      : { ...state, pending, founding },
+      : { ...state, pending, bootstraps: founding },
     ...effects,
   );
 };
 
-const ask = (
+const forwardToPrimary = (
   state: Registry,
   ref: number,
   id: CallId,
@@ -167,12 +167,12 @@
   if (state.stopping)
     return step(
       state,
-      reply(ref, 503, { kind: 'bounced', id, text: 'this registry is stopping', retryAfterMs: 0 }),
+      reply(ref, 503, { kind: 'rejected', id, text: 'this registry is stopping', retryAfterMs: 0 }),
     );
-  if (state.pending.size >= maxPending)
+  if (state.pending.size >= maxPendingCalls)
     return step(
       state,
-      reply(ref, 503, { kind: 'bounced', id, text: 'too many calls wait', retryAfterMs: 1000 }),
+      reply(ref, 503, { kind: 'rejected', id, text: 'too many calls wait', retryAfterMs: 1000 }),
     );
   if (state.pending.has(id))
     return step(
@@ -187,7 +187,7 @@
     pieces: new Map(),
     ...row,
   };
-  return chase({ ...state, pending: put(state.pending, id, one) }, now);
+  return tickPendingCalls({ ...state, pending: put(state.pending, id, one) }, now);
 };
 
 export const onOutside = (state: Registry, ref: number, call: Outside, now: Moment): Done => {
@@ -195,9 +195,9 @@
     case 'announce':
       return announce(state, ref, call.origin, now);
     case 'found':
-      return found(state, ref, call, now);
+      return startBootstrap(state, ref, call, now);
     case 'apply':
-      return ask(
+      return forwardToPrimary(
         state,
         ref,
         call.id,
@@ -211,7 +211,7 @@
         now,
       );
     case 'purge':
-      return ask(
+      return forwardToPrimary(
         state,
         ref,
         call.id,
@@ -220,7 +220,7 @@
       );
     case 'release': {
       const { service, target, spanMs } = call;
-      return ask(
+      return forwardToPrimary(
         state,
         ref,
         call.id,
@@ -229,17 +229,29 @@
       );
     }
     case 'ask':
-      return ask(state, ref, call.id, { verb: 'ask', body: call.about, span: 2500 }, now);
+      return forwardToPrimary(
+        state,
+        ref,
+        call.id,
+        { verb: 'ask', body: call.about, span: 2500 },
+        now,
+      );
     case 'view':
-      return ask(state, ref, call.id, { verb: 'view', body: call.what, span: 2500 }, now);
+      return forwardToPrimary(
+        state,
+        ref,
+        call.id,
+        { verb: 'view', body: call.what, span: 2500 },
+        now,
+      );
     case 'electorate':
-      return electorate(state, ref, call, now);
+      return changeElectorate(state, ref, call, now);
     case 'fleet':
       return step(state, reply(ref, 200, fleetView(state, now)));
   }
 };
 
-const electorate = (
+const changeElectorate = (
   state: Registry,
   ref: number,
   call: Extract<Outside, { verb: 'electorate' }>,
@@ -251,7 +263,7 @@
   if ((call.add === undefined) === (call.remove === undefined))
     return step(
       state,
-      reply(ref, 422, { kind: 'invalid', text: 'one witness is added or removed at a time' }),
+      reply(ref, 422, { kind: 'invalid', text: 'one voter is added or removed at a time' }),
     );
   const seat =
     call.add === undefined
@@ -269,7 +281,7 @@
     ...(seat === undefined ? {} : { add: { node: seat.node, address: seat.address } }),
     ...(call.remove === undefined ? {} : { remove: call.remove }),
   });
-  return ask(state, ref, call.id, { verb: 'electorate', body, span: 4000 }, now);
+  return forwardToPrimary(state, ref, call.id, { verb: 'electorate', body, span: 4000 }, now);
 };
 
 /** The store answered a call. */
@@ -285,7 +297,7 @@
 /** The store lacks pieces of a description that came in here. */
 export const onStoreWant = (
   state: Registry,
-  word: FrameOf<'want'>,
+  word: FrameOf<'piece-request'>,
   to: Parameters<typeof send>[0],
 ): Done => {
   const effects: RegistryEffect[] = [];
@@ -304,19 +316,19 @@
 export const fleetView = (state: Registry, now: Moment): object => ({
   registry: state.member.node,
   fleet: state.fleet ?? null,
-  inTouch: inTouch(state, now),
+  inTouch: hasMajorityContact(state, now),
   feedAgeMs: state.feed.asOf === undefined ? null : Math.round(now - state.feed.asOf),
   epoch: state.feed.epoch,
   generation: state.feed.current?.generation ?? 0,
   purges: { top: state.feed.top, floor: state.feed.floor },
   electorate: state.electorate ?? null,
-  witness: {
-    blank: state.witness.blank,
-    grants: [...state.witness.grants].map(([duty, one]) => ({
+  voter: {
+    recovering: state.voter.recovering,
+    grants: [...state.voter.grants].map(([duty, one]) => ({
       duty,
       epoch: one.epoch,
       node: one.node,
-      insync: one.insync,
+      inSyncSet: one.inSyncSet,
       leftMs: Math.round(one.until - now),
     })),
   },
@@ -340,7 +352,7 @@
       door: one.member.door ?? null,
       admin: one.member.admin ?? null,
       registry: one.registry,
-      open: alive(one, now),
+      open: isAlive(one, now),
       ageMs: Math.round(now - one.at),
       incarnation: one.member.incarnation,
       generation: one.report.generation,
@@ -348,7 +360,7 @@
       phase: one.report.phase,
       ready: one.report.ready,
       failed: one.report.failed ?? null,
-      fitness: one.report.fitness,
+      health: one.report.health,
     })),
   ],
   desired: [...state.feed.desired].map(([node, one]) => ({ node, ...one })),
--- a/packages/membership/src/registry/announce.ts
+++ b/packages/membership/src/registry/departures.ts
@@ -1,22 +1,22 @@
 import { type InstanceId, type Moment, type Step, drop, join, put, step } from '@switchwheel/types';
-import { type Colleague, type FrameOf, send } from '@switchwheel/transport';
+import { type Peer, type FrameOf, send } from '@switchwheel/transport';
 import { majority } from '@switchwheel/election';
 import { learn, learnAll, rankOf, tellOrigin } from '../origins/origins.js';
 import { type Outside, type RegistryEffect, reply } from './event.js';
 import type { Departure, Registry } from './state.js';
-import { audience, inTouch, spread, tellNodes } from './words.js';
+import { broadcastTargets, hasMajorityContact, broadcast, sendMemberList } from './queries.js';
 
 type Done = Step<Registry, RegistryEffect>;
 type Announced = Extract<Outside, { verb: 'announce' }>['origin'];
 /** How long a majority may take to confirm that an origin leaves. */
-const confirmSpan = 700;
-const resend = 150;
+const confirmTimeout = 700;
+const resendInterval = 150;
 
-const announced = (ref: number): RegistryEffect =>
+const announcedReply = (ref: number): RegistryEffect =>
   reply(ref, 200, { kind: 'announced', againMs: 2000 });
 
 /** Whether enough registries know of a departure for the word to outlive this one. */
-const lasts = (state: Registry, one: Departure): boolean => {
+const isDurable = (state: Registry, one: Departure): boolean => {
   const set = state.electorate;
   if (set === undefined) return true;
   const knowing = set.members.filter(
@@ -25,7 +25,7 @@
   return knowing.length >= majority(set.members.length);
 };
 
-const news = (
+const departureFrames = (
   state: Registry,
   instance: InstanceId,
   one: Departure,
@@ -37,24 +37,24 @@
     ? []
     : members
         .filter((row) => row.node !== state.member.node && !one.noted.has(row.node))
-        .map((row) => send(row.address, { kind: 'news', origin: tellOrigin(known, now) }));
+        .map((row) => send(row.address, { kind: 'departure', origin: tellOrigin(known, now) }));
 };
 
 /** Tells all who wait for a departure once it lasts. */
-const settle = (state: Registry, instance: InstanceId, one: Departure): Done => {
-  const whole = !one.confirmed && lasts(state, one);
+const replyIfDurable = (state: Registry, instance: InstanceId, one: Departure): Done => {
+  const whole = !one.confirmed && isDurable(state, one);
   const next: Departure = whole ? { ...one, confirmed: true, waiting: [] } : one;
   return step(
     { ...state, departures: put(state.departures, instance, next) },
-    ...(whole ? one.waiting.map((row) => announced(row.ref)) : []),
+    ...(whole ? one.waiting.map((row) => announcedReply(row.ref)) : []),
   );
 };
 
-/** An origin leaves or is gone: told as known only once a majority of the witnesses' registries took the word. */
-const depart = (state: Registry, ref: number, origin: Announced, now: Moment): Done => {
+/** An origin leaves or is gone: told as known only once a majority of the voters' registries took the word. */
+const recordDeparture = (state: Registry, ref: number, origin: Announced, now: Moment): Done => {
   const before = state.departures.get(origin.instance);
   if (before !== undefined && rankOf(before.state) >= rankOf(origin.state)) {
-    if (before.confirmed) return step(state, announced(ref));
+    if (before.confirmed) return step(state, announcedReply(ref));
     return step({
       ...state,
       departures: put(state.departures, origin.instance, {
@@ -70,12 +70,15 @@
     noted: new Set(),
     waiting: [...(before?.waiting ?? []), { ref, since: now }],
   };
-  return join(news(state, origin.instance, one, now), settle(state, origin.instance, one));
+  return join(
+    departureFrames(state, origin.instance, one, now),
+    replyIfDurable(state, origin.instance, one),
+  );
 };
 
 /** An origin tells of itself. */
 export const announce = (state: Registry, ref: number, origin: Announced, now: Moment): Done => {
-  if (!inTouch(state, now)) {
+  if (!hasMajorityContact(state, now)) {
     return step(
       state,
       reply(ref, 503, {
@@ -96,39 +99,46 @@
   }
   const learned = learn(state.origins, { ...origin, at: now });
   const next = { ...state, origins: learned.origins };
-  const told = learned.news ? spread(next, now) : [];
+  const told = learned.news ? broadcast(next, now) : [];
   return origin.state === 'up'
-    ? step(next, ...told, announced(ref))
-    : join(told, depart(next, ref, origin, now));
+    ? step(next, ...told, announcedReply(ref))
+    : join(told, recordDeparture(next, ref, origin, now));
 };
 
-/** A colleague was told that an origin leaves, and wants to know that this registry took the word. */
-export const onNews = (
+/** A peer was told that an origin leaves, and wants to know that this registry took the word. */
+export const onDeparture = (
   state: Registry,
-  from: Colleague,
-  word: FrameOf<'news'>,
+  from: Peer,
+  word: FrameOf<'departure'>,
   now: Moment,
 ): Done => {
   const learned = learnAll(state.origins, [word.origin], now);
   const next = { ...state, origins: learned.origins };
   const noted: RegistryEffect = send(from.address, {
-    kind: 'noted',
+    kind: 'departure-ack',
     node: state.member.node,
     instance: word.origin.instance,
     state: word.origin.state,
   });
-  return step(next, noted, ...(learned.news ? tellNodes(next, audience(next, now), now) : []));
+  return step(
+    next,
+    noted,
+    ...(learned.news ? sendMemberList(next, broadcastTargets(next, now), now) : []),
+  );
 };
 
-export const onNoted = (state: Registry, word: FrameOf<'noted'>): Done => {
+export const onDepartureAck = (state: Registry, word: FrameOf<'departure-ack'>): Done => {
   const one = state.departures.get(word.instance);
   if (one === undefined || one.confirmed || rankOf(word.state) < rankOf(one.state))
     return step(state);
-  return settle(state, word.instance, { ...one, noted: new Set([...one.noted, word.node]) });
+  return replyIfDurable(state, word.instance, {
+    ...one,
+    noted: new Set([...one.noted, word.node]),
+  });
 };
 
 /** Lets time pass over departures: asks again, ends what took too long, forgets those of origins long forgotten. */
-export const passDepartures = (state: Registry, now: Moment): Done => {
+export const tickDepartures = (state: Registry, now: Moment): Done => {
   let next: Done = step(state);
   for (const [instance, one] of state.departures) {
     if (!state.origins.has(instance) && one.waiting.length === 0) {
@@ -139,8 +149,8 @@
       continue;
     }
     if (one.confirmed || one.waiting.length === 0) continue;
-    const late = one.waiting.filter((row) => now - row.since > confirmSpan);
-    const again = now - one.sent > resend;
+    const late = one.waiting.filter((row) => now - row.since > confirmTimeout);
+    const again = now - one.sent > resendInterval;
     const kept: Departure = {
       ...one,
       sent: again ? now : one.sent,
@@ -157,7 +167,7 @@
       { ...next.state, departures: put(next.state.departures, instance, kept) },
       ...next.effects,
       ...told,
-      ...(again ? news(state, instance, kept, now) : []),
+      ...(again ? departureFrames(state, instance, kept, now) : []),
     );
   }
   return next;
--- a/packages/membership/src/registry/event.ts
+++ b/packages/membership/src/registry/event.ts
@@ -43,7 +43,7 @@
       readonly id: CallId;
       readonly fleet: FleetId;
       readonly stores: readonly NodeId[];
-      readonly witnesses: readonly NodeId[];
+      readonly voters: readonly NodeId[];
     }
   | { readonly verb: 'fleet' };
 
--- a/packages/membership/src/registry/hint.test.ts
+++ b/packages/membership/src/registry/hint.test.ts
@@ -50,8 +50,8 @@
   readonly address: Member['address'];
   readonly incarnation: Member['incarnation'];
 } => ({ node: one.node, address: one.address, incarnation: one.incarnation });
-const hail = (generation: number): FrameOf<'hail'> => ({
-  kind: 'hail',
+const heartbeat = (generation: number): FrameOf<'heartbeat'> => ({
+  kind: 'heartbeat',
   member: edge,
   seq: noSeq,
   at: toMoment(1),
@@ -62,7 +62,7 @@
     generation: toGeneration(generation),
     phase: generation === 0 ? 'none' : 'applied',
     ready: generation > 0,
-    fitness: { name: 'proxy', fit: true, text: '', parts: [] },
+    health: { name: 'proxy', healthy: true, text: '', parts: [] },
   },
 });
 
@@ -71,10 +71,12 @@
     kind: 'frame',
     now,
     from: from(edge),
-    frame: hail(generation),
+    frame: heartbeat(generation),
   });
   const heard = done.effects.map((one) =>
-    one.kind === 'send' && one.frame.kind === 'heard' ? one.frame.offer?.generation : undefined,
+    one.kind === 'send' && one.frame.kind === 'heartbeat-reply'
+      ? one.frame.offer?.generation
+      : undefined,
   );
   return heard.find((one) => one !== undefined);
 };
--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -10,62 +10,77 @@
   toCallId,
   toMoment,
 } from '@switchwheel/types';
-import { type Colleague, type Frame, type FrameOf, log, send } from '@switchwheel/transport';
-import { recall, seat, vote } from '@switchwheel/election';
-import { learnHolder } from '../berth/berth.js';
+import { type Peer, type Frame, type FrameOf, log, send } from '@switchwheel/transport';
+import { recoverGrants, adoptElectorate, vote } from '@switchwheel/election';
+import { learnHolder } from '../session/node-session.js';
 import { forget, learnAll } from '../origins/origins.js';
-import { onNews, onNoted, passDepartures } from './announce.js';
-import { chase, onCalled, onFounded, onOutside, onStoreWant } from './calls.js';
+import { onDeparture, onDepartureAck, tickDepartures } from './departures.js';
+import { tickPendingCalls, onCalled, onBootstrapped, onOutside, onStoreWant } from './calls.js';
 import type { RegistryEffect, RegistryEvent } from './event.js';
-import { learnHint, learnSession, onHail, onPiece, onWant, push, vacant } from './nodes.js';
-import { type Feed, type Known, type Registry, newRegistry } from './state.js';
 import {
-  alive,
-  audience,
-  colleagues,
+  learnHint,
+  learnSession,
+  onHeartbeat,
+  onPiece,
+  onWant,
+  pushToNodes,
+  vacantDuties,
+} from './nodes.js';
+import { type Feed, type KnownSession, type Registry, newRegistry } from './state.js';
+import {
+  isAlive,
+  broadcastTargets,
+  peerAddresses,
   feedAge,
-  gossip,
-  plainReport,
+  gossipFrame,
+  emptyReport,
   primaryHolder,
-  spread,
-  tellNodes,
-} from './words.js';
+  broadcast,
+  sendMemberList,
+} from './queries.js';
 
 type Done = Step<Registry, RegistryEffect>;
-const gossipSpan = 300;
-const tuneSpan = 250;
+const gossipInterval = 300;
+const subscribeInterval = 250;
 /** How often nodes are told of the fleet without news: an origin that nobody speaks of counts as silent. */
-const rosterSpan = 1000;
-const proposeSpan = 300;
-const foundSpan = 30_000;
+const memberListInterval = 1000;
+const proposeInterval = 300;
+const bootstrapWindow = 30_000;
 /** How long a session that ended is still told of. */
-const forgetSpan = 600_000;
+const forgetAfter = 600_000;
 
-const onBallot = (state: Registry, from: Colleague, word: FrameOf<'ballot'>, now: Moment): Done => {
-  const [witness, ballot] = vote(state.witness, word, now);
+const onVoteRequest = (
+  state: Registry,
+  from: Peer,
+  word: FrameOf<'vote-request'>,
+  now: Moment,
+): Done => {
+  const [voter, ballot] = vote(state.voter, word, now);
   const base: Registry = {
     ...state,
-    witness,
-    fleet: witness.fleet ?? state.fleet,
-    electorate: witness.electorate ?? state.electorate,
+    voter: voter,
+    fleet: voter.fleet ?? state.fleet,
+    electorate: voter.electorate ?? state.electorate,
   };
   const answer = send(from.address, ballot);
   // A renewal is the word of a holder that won.
   const won =
-    word.renew && !word.lay && ballot.granted && word.held !== undefined ? word.held : undefined;
+    word.renew && !word.stepDown && ballot.granted && word.held !== undefined
+      ? word.held
+      : undefined;
   if (won === undefined) return step(base, answer);
   const holders = learnHolder(base.holders, won);
   if (holders === base.holders) return step(base, answer);
   const next = { ...base, holders };
-  return step(next, answer, ...spread(next, now));
+  return step(next, answer, ...broadcast(next, now));
 };
 
 const onGossip = (state: Registry, word: FrameOf<'gossip'>, now: Moment): Done => {
   const node = word.from.node;
   if (node === state.member.node) return step(state);
-  const self: Known = {
+  const self: KnownSession = {
     member: word.from,
-    report: plainReport(true),
+    report: emptyReport(true),
     registry: node,
     seq: noSeq,
     at: now,
@@ -74,13 +89,13 @@
   const told = word.hint === undefined ? state : learnHint(state, word.hint);
   let next: Registry = {
     ...told,
-    heard: put(state.heard, node, now),
+    peerHeardAt: put(state.peerHeardAt, node, now),
     sessions: put(state.sessions, node, self),
   };
   let news = state.sessions.get(node)?.member.address !== word.from.address;
   for (const { age, ...session } of word.sessions) {
     if (session.member.role === 'registry') {
-      // Registries speak for themselves; a colleague's word only tells of one not met yet.
+      // Registries speak for themselves; a peer's word only tells of one not met yet.
       if (session.member.node !== state.member.node && !next.sessions.has(session.member.node)) {
         next = {
           ...next,
@@ -99,10 +114,10 @@
   const origins = learnAll(next.origins, word.origins, now);
   const holders = word.holders.reduce(learnHolder, next.holders);
   news ||= origins.news || holders !== next.holders;
-  const witness = recall(next.witness, node, word.blank, word.memories, now);
-  next = { ...next, origins: origins.origins, holders, witness };
-  // What is news here goes on to the nodes; colleagues hear it from whom it began with.
-  return step(next, ...(news ? tellNodes(next, audience(next, now), now) : []));
+  const voter = recoverGrants(next.voter, node, word.recovering, word.memories, now);
+  next = { ...next, origins: origins.origins, holders, voter: voter };
+  // What is news here goes on to the nodes; peers hear it from whom it began with.
+  return step(next, ...(news ? sendMemberList(next, broadcastTargets(next, now), now) : []));
 };
 
 const onFeed = (state: Registry, word: FrameOf<'feed'>, now: Moment): Done => {
@@ -141,16 +156,16 @@
       (one) => one.pieces,
     ),
   );
-  const witness =
+  const voter =
     word.electorate === undefined
-      ? state.witness
-      : seat(state.witness, word.fleet, word.electorate);
+      ? state.voter
+      : adoptElectorate(state.voter, word.fleet, word.electorate);
   const next: Registry = {
     ...state,
     feed,
-    witness,
+    voter: voter,
     fleet: word.fleet,
-    electorate: witness.electorate ?? state.electorate,
+    electorate: voter.electorate ?? state.electorate,
     pieces:
       feed.current?.hash === old.current?.hash
         ? state.pieces
@@ -161,11 +176,11 @@
     feed.top !== old.top ||
     feed.epoch !== old.epoch ||
     feed.current?.generation !== old.current?.generation;
-  return news ? push(next, old.top, now) : step(next);
+  return news ? pushToNodes(next, old.top, now) : step(next);
 };
 
 /** Tells the primary which nodes have their session here and what they report. */
-const tune = (state: Registry, now: Moment): Done => {
+const subscribe = (state: Registry, now: Moment): Done => {
   const store = primaryHolder(state);
   if (store === undefined) return step(state);
   const reports = [...state.sessions.values()]
@@ -174,13 +189,13 @@
       node: one.member.node,
       role: one.member.role,
       incarnation: one.member.incarnation,
-      open: alive(one, now),
+      open: isAlive(one, now),
       report: one.report,
     }));
   return step(
-    { ...state, tuned: now },
+    { ...state, subscribedAt: now },
     send(store.address, {
-      kind: 'tune',
+      kind: 'subscribe',
       registry: state.member,
       at: now,
       epoch: state.feed.epoch,
@@ -192,64 +207,68 @@
 };
 
 /** Proposes the fleet to its stores until one stands; not long after, as a store may come back with an empty disk. */
-const propose = (state: Registry, now: Moment): Done => {
-  const { proposal, witness } = state;
+const proposeCluster = (state: Registry, now: Moment): Done => {
+  const { proposal, voter: voter } = state;
   if (
     proposal === undefined ||
     state.fleet !== undefined ||
-    now - state.proposed < proposeSpan ||
-    now - witness.born > foundSpan
+    now - state.proposedAt < proposeInterval ||
+    now - voter.born > bootstrapWindow
   )
     return step(state);
   const word = {
-    kind: 'found' as const,
+    kind: 'bootstrap' as const,
     id: toCallId(`${proposal.fleet}.${state.member.node}`),
     fleet: proposal.fleet,
     stores: [...proposal.stores],
     electorate: proposal.electorate,
   };
   return step(
-    { ...state, proposed: now },
+    { ...state, proposedAt: now },
     ...proposal.stores.map((one) => send(one.address, word)),
   );
 };
 
 const onTick = (state: Registry, now: Moment): Done => {
   let next: Done = step(state);
-  if (now - state.tuned >= tuneSpan) next = join(next.effects, tune(next.state, now));
-  if (now - state.gossiped >= gossipSpan) {
-    const word = gossip(next.state, now);
+  if (now - state.subscribedAt >= subscribeInterval)
+    next = join(next.effects, subscribe(next.state, now));
+  if (now - state.gossipedAt >= gossipInterval) {
+    const word = gossipFrame(next.state, now);
     next = join(
       next.effects,
       step(
         {
           ...next.state,
-          gossiped: now,
+          gossipedAt: now,
           origins: forget(next.state.origins, now),
-          sessions: sift(next.state.sessions, (one) => now - one.at < forgetSpan),
+          sessions: sift(next.state.sessions, (one) => now - one.at < forgetAfter),
         },
-        ...colleagues(next.state, now).map((to) => send(to, word)),
+        ...peerAddresses(next.state, now).map((to) => send(to, word)),
       ),
     );
   }
-  const open = new Set(vacant(next.state, now));
-  if (open.size !== state.lapsed.size || [...open].some((one) => !state.lapsed.has(one))) {
-    const fresh = [...open].some((one) => !state.lapsed.has(one));
-    next = step({ ...next.state, lapsed: open }, ...next.effects);
+  const open = new Set(vacantDuties(next.state, now));
+  if (
+    open.size !== state.vacantDuties.size ||
+    [...open].some((one) => !state.vacantDuties.has(one))
+  ) {
+    const fresh = [...open].some((one) => !state.vacantDuties.has(one));
+    next = step({ ...next.state, vacantDuties: open }, ...next.effects);
     // Whoever may take a duty over hears of it at once.
-    if (fresh) next = join(next.effects, push(next.state, next.state.feed.top, now));
+    if (fresh) next = join(next.effects, pushToNodes(next.state, next.state.feed.top, now));
   }
-  next = join(next.effects, propose(next.state, now));
-  if (now - state.told >= rosterSpan) {
+  next = join(next.effects, proposeCluster(next.state, now));
+  if (now - state.memberListSentAt >= memberListInterval) {
     const near = [...next.state.sessions.values()].filter(
       (one) =>
-        alive(one, now) && one.member.role !== 'registry' && one.registry === state.member.node,
+        isAlive(one, now) && one.member.role !== 'registry' && one.registry === state.member.node,
     );
     next = join(
       next.effects,
       step(
-        { ...next.state, told: now },
-        ...tellNodes(
+        { ...next.state, memberListSentAt: now },
+        ...sendMemberList(
           next.state,
           near.map((one) => one.member.address),
           now,
@@ -257,8 +276,8 @@
       ),
     );
   }
-  next = join(next.effects, passDepartures(next.state, now));
-  return join(next.effects, chase(next.state, now));
+  next = join(next.effects, tickDepartures(next.state, now));
+  return join(next.effects, tickPendingCalls(next.state, now));
 };
 
 const onHint = (state: Registry, word: FrameOf<'hint'>, now: Moment): Done => {
@@ -271,24 +290,27 @@
     return step(noted);
   const learned = learnAll(noted.origins, word.origins, now);
   const next = { ...noted, origins: learned.origins };
-  return step(next, ...(learned.news ? tellNodes(next, audience(next, now), now) : []));
+  return step(
+    next,
+    ...(learned.news ? sendMemberList(next, broadcastTargets(next, now), now) : []),
+  );
 };
 
-const onFrame = (state: Registry, from: Colleague, frame: Frame, now: Moment): Done => {
+const onFrame = (state: Registry, from: Peer, frame: Frame, now: Moment): Done => {
   switch (frame.kind) {
-    case 'hail':
-      return onHail(state, from, frame, now);
-    case 'ballot':
-      return onBallot(state, from, frame, now);
+    case 'heartbeat':
+      return onHeartbeat(state, from, frame, now);
+    case 'vote-request':
+      return onVoteRequest(state, from, frame, now);
     case 'gossip':
       return onGossip(state, frame, now);
-    case 'news':
-      return onNews(state, from, frame, now);
-    case 'noted':
-      return onNoted(state, frame);
+    case 'departure':
+      return onDeparture(state, from, frame, now);
+    case 'departure-ack':
+      return onDepartureAck(state, frame);
     case 'feed':
       return onFeed(state, frame, now);
-    case 'want':
+    case 'piece-request':
       return primaryHolder(state)?.node === frame.node
         ? onStoreWant(state, frame, from.address)
         : onWant(state, from, frame, now);
@@ -296,8 +318,8 @@
       return onPiece(state, frame);
     case 'called':
       return onCalled(state, frame);
-    case 'founded':
-      return onFounded(state, frame);
+    case 'bootstrapped':
+      return onBootstrapped(state, frame);
     case 'hint':
       return onHint(state, frame, now);
     default:
--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -13,24 +13,24 @@
   toSpan,
 } from '@switchwheel/types';
 import {
-  type Colleague,
+  type Peer,
   type FrameOf,
   type Offer,
   type ReleaseState,
   type WireEffect,
   send,
 } from '@switchwheel/transport';
-import { learnHolder } from '../berth/berth.js';
+import { learnHolder } from '../session/node-session.js';
 import { isSettled, releasesDigest } from '../releases/digest.js';
-import type { Known, Registry } from './state.js';
-import { feedAge, primaryHolder, roster, spread } from './words.js';
+import type { KnownSession, Registry } from './state.js';
+import { feedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
 
 type Done = Step<Registry, WireEffect>;
-const firstRest = 1000;
-const longestRest = 15_000;
-const resend = 400;
+const firstRetryDelay = 1000;
+const longestRetryDelay = 15_000;
+const resendInterval = 400;
 
-const newer = (known: Known | undefined, word: Known): boolean =>
+const isNewer = (known: KnownSession | undefined, word: KnownSession): boolean =>
   known === undefined ||
   word.member.incarnation > known.member.incarnation ||
   (word.member.incarnation === known.member.incarnation && word.seq > known.seq);
@@ -38,10 +38,10 @@
 /** Takes a word on a session, whoever tells it: the node's own order decides. */
 export const learnSession = (
   state: Registry,
-  word: Known,
+  word: KnownSession,
 ): { readonly state: Registry; readonly news: boolean } => {
   const known = state.sessions.get(word.member.node);
-  if (!newer(known, word)) return { state, news: false };
+  if (!isNewer(known, word)) return { state, news: false };
   const news =
     known === undefined ||
     known.open !== word.open ||
@@ -52,10 +52,10 @@
 };
 
 /** How long a registry listens for what disks hold before it tells of it. */
-const hintSpan = 250;
+const hintDelay = 250;
 
-const hinted = (state: Registry, known: Known, now: Moment): Offer | undefined =>
-  state.eager && known.report.phase === 'none' && now - state.witness.born > hintSpan
+const offerFromHint = (state: Registry, known: KnownSession, now: Moment): Offer | undefined =>
+  state.eager && known.report.phase === 'none' && now - state.voter.born > hintDelay
     ? state.hint?.offer
     : undefined;
 
@@ -71,8 +71,8 @@
 };
 
 /** What a node is to run, if this registry's word of the primary counts. */
-const wantedBy = (state: Registry, known: Known, now: Moment): Offer | undefined => {
-  if (feedAge(state, now) === undefined) return hinted(state, known, now);
+const desiredOffer = (state: Registry, known: KnownSession, now: Moment): Offer | undefined => {
+  if (feedAge(state, now) === undefined) return offerFromHint(state, known, now);
   const row = state.feed.desired.get(known.member.node);
   // A node that runs nothing yet gets the newest at once.
   const offer =
@@ -85,11 +85,11 @@
 /** The reconcile of every message: the offer to send with the answer, if any. */
 const reconcile = (
   state: Registry,
-  known: Known,
+  known: KnownSession,
   now: Moment,
 ): { readonly state: Registry; readonly offer: Offer | undefined } => {
   const node = known.member.node;
-  const offer = wantedBy(state, known, now);
+  const offer = desiredOffer(state, known, now);
   const report = known.report;
   if (offer === undefined) return { state, offer: undefined };
   if (
@@ -107,8 +107,8 @@
   const failed =
     report.failed?.hash === offer.hash && report.failed.generation === offer.generation;
   const rest = failed
-    ? Math.min(longestRest, firstRest * 2 ** Math.min(10, before?.tries ?? 0))
-    : resend;
+    ? Math.min(longestRetryDelay, firstRetryDelay * 2 ** Math.min(10, before?.tries ?? 0))
+    : resendInterval;
   if (again && now < later(before.at, rest)) return { state, offer: undefined };
   const tries = again && failed ? before.tries + 1 : 0;
   return {
@@ -117,11 +117,11 @@
   };
 };
 
-/** Duties whose lease is over as far as this witness knows: it would have seen their renewals. */
-export const vacant = (state: Registry, now: Moment): Duty[] => {
-  if (now < later(state.witness.born, 1.2 * leaseSpan)) return [];
-  const duties = new Set([...state.witness.grants.keys(), ...state.holders.keys()]);
-  return [...duties].filter((duty) => (state.witness.grants.get(duty)?.until ?? start) <= now);
+/** Duties whose lease is over as far as this voter knows: it would have seen their renewals. */
+export const vacantDuties = (state: Registry, now: Moment): Duty[] => {
+  if (now < later(state.voter.born, 1.2 * leaseSpan)) return [];
+  const duties = new Set([...state.voter.grants.keys(), ...state.holders.keys()]);
+  return [...duties].filter((duty) => (state.voter.grants.get(duty)?.until ?? start) <= now);
 };
 
 /** The records of releases with what is left of their spans by now, and their digest. */
@@ -135,7 +135,7 @@
   { readonly digest: string; readonly until: number }
 >();
 
-const records = (state: Registry, now: Moment): Records => {
+const releaseRecords = (state: Registry, now: Moment): Records => {
   const { releases: told, releasesAt } = state.feed;
   const releases = told.map((one) => ({
     ...one,
@@ -155,20 +155,20 @@
 };
 
 /** What a node is told of releases: all, or only what moves if it knows the others. */
-const untold = (all: Records, known: string | undefined): ReleaseState[] =>
+const unknownReleases = (all: Records, known: string | undefined): ReleaseState[] =>
   all.releases.filter((one) => known !== all.digest || !isSettled(one));
 
-const heard = (
+const heartbeatReply = (
   state: Registry,
   at: Moment,
   purged: number,
   offer: Offer | undefined,
   releases: ReleaseState[],
   now: Moment,
-): FrameOf<'heard'> => {
+): FrameOf<'heartbeat-reply'> => {
   const age = feedAge(state, now);
   return {
-    kind: 'heard',
+    kind: 'heartbeat-reply',
     at,
     registry: state.member.node,
     incarnation: state.member.incarnation,
@@ -180,21 +180,21 @@
     top: state.feed.top,
     verdicts: [...state.feed.verdicts],
     releases,
-    vacant: vacant(state, now),
+    vacant: vacantDuties(state, now),
     ...(state.electorate === undefined ? {} : { electorate: state.electorate }),
     ...(state.fleet === undefined ? {} : { fleet: state.fleet }),
   };
 };
 
 /** A node spoke: its session stands, and desired is held against reported. */
-export const onHail = (
+export const onHeartbeat = (
   state: Registry,
-  from: Colleague,
-  word: FrameOf<'hail'>,
+  from: Peer,
+  word: FrameOf<'heartbeat'>,
   now: Moment,
 ): Done => {
   const before = state.sessions.get(word.member.node);
-  const known: Known = {
+  const known: KnownSession = {
     member: word.member,
     report: word.report,
     registry: state.member.node,
@@ -209,12 +209,12 @@
   const checked = reconcile(base, known, now);
   const answer = send(
     from.address,
-    heard(
+    heartbeatReply(
       checked.state,
       word.at,
       word.purged,
       checked.offer,
-      untold(records(checked.state, now), word.releases),
+      unknownReleases(releaseRecords(checked.state, now), word.releases),
       now,
     ),
   );
@@ -223,14 +223,14 @@
     before === undefined ||
     before.registry !== state.member.node ||
     before.member.incarnation !== word.member.incarnation;
-  const told = first ? [send(from.address, roster(checked.state, now))] : [];
-  return step(checked.state, answer, ...told, ...(news ? spread(checked.state, now) : []));
+  const told = first ? [send(from.address, memberListFrame(checked.state, now))] : [];
+  return step(checked.state, answer, ...told, ...(news ? broadcast(checked.state, now) : []));
 };
 
 /** Pushes to every node with a session here: after news of the primary. */
-export const push = (state: Registry, purged: number, now: Moment): Done => {
+export const pushToNodes = (state: Registry, purged: number, now: Moment): Done => {
   let next: Done = step(state);
-  const all = records(state, now);
+  const all = releaseRecords(state, now);
   for (const known of state.sessions.values()) {
     if (
       known.registry !== state.member.node ||
@@ -247,7 +247,14 @@
         checked.state,
         send(
           known.member.address,
-          heard(checked.state, start, purged, checked.offer, untold(all, known.releases), now),
+          heartbeatReply(
+            checked.state,
+            start,
+            purged,
+            checked.offer,
+            unknownReleases(all, known.releases),
+            now,
+          ),
         ),
       ),
     );
@@ -258,8 +265,8 @@
 /** A node lacks pieces: those here are sent, the others asked of the primary. */
 export const onWant = (
   state: Registry,
-  from: Colleague,
-  word: FrameOf<'want'>,
+  from: Peer,
+  word: FrameOf<'piece-request'>,
   now: Moment,
 ): Done => {
   const effects: WireEffect[] = [];
@@ -273,7 +280,7 @@
       continue;
     }
     wanted = put(wanted, hash, new Set([...(wanted.get(hash) ?? []), from.address]));
-    if (now - (asked.get(hash) ?? -Infinity) > resend) {
+    if (now - (asked.get(hash) ?? -Infinity) > resendInterval) {
       asked = put(asked, hash, now);
       missing.push(hash);
     }
@@ -281,7 +288,9 @@
   const store =
     feedAge(state, now) === undefined ? (state.hint ?? primaryHolder(state)) : primaryHolder(state);
   if (missing.length > 0 && store !== undefined)
-    effects.push(send(store.address, { kind: 'want', node: state.member.node, hashes: missing }));
+    effects.push(
+      send(store.address, { kind: 'piece-request', node: state.member.node, hashes: missing }),
+    );
   return step({ ...state, wanted, asked }, ...effects);
 };
 
--- a/packages/membership/src/registry/words.ts
+++ b/packages/membership/src/registry/queries.ts
@@ -16,25 +16,26 @@
   type WireEffect,
   send,
 } from '@switchwheel/transport';
-import { majority, memories } from '@switchwheel/election';
+import { majority, grantRecords } from '@switchwheel/election';
 import { tellOrigins } from '../origins/origins.js';
-import type { Known, Registry } from './state.js';
+import type { KnownSession, Registry } from './state.js';
 
 /** How long a session stands without a word of its node. */
-export const sessionSpan = 1500;
+export const sessionTimeout = 1500;
 /** How old a registry's word of the primary may be to count. */
-export const freshSpan = 1200;
+export const freshnessLimit = 1200;
 
-export const alive = (one: Known, now: Moment): boolean => one.open && now - one.at < sessionSpan;
+export const isAlive = (one: KnownSession, now: Moment): boolean =>
+  one.open && now - one.at < sessionTimeout;
 
-export const plainReport = (ready: boolean): Report => ({
+export const emptyReport = (ready: boolean): Report => ({
   generation: noGeneration,
   phase: 'none',
   ready,
-  fitness: { name: 'process', fit: true, text: '', parts: [] },
+  health: { name: 'process', healthy: true, text: '', parts: [] },
 });
 
-const tellSession = (one: Known, now: Moment): Session => ({
+const sessionRecord = (one: KnownSession, now: Moment): Session => ({
   member: one.member,
   report: one.report,
   registry: one.registry,
@@ -43,13 +44,13 @@
   open: one.open,
 });
 
-/** Every node in touch, this registry and its colleagues among them. */
+/** Every node in touch, this registry and its peers among them. */
 export const members = (state: Registry, now: Moment): Member[] => [
   state.member,
-  ...[...state.sessions.values()].filter((one) => alive(one, now)).map((one) => one.member),
+  ...[...state.sessions.values()].filter((one) => isAlive(one, now)).map((one) => one.member),
 ];
 
-export const colleagues = (state: Registry, now: Moment): readonly Address[] => {
+export const peerAddresses = (state: Registry, now: Moment): readonly Address[] => {
   const known = [...state.sessions.values()]
     .filter((one) => one.member.role === 'registry' && now - one.at < 60_000)
     .map((one) => one.member.address);
@@ -60,66 +61,67 @@
 };
 
 /** Whether this registry is in touch with enough of the core for its word to reach every keeper. */
-export const inTouch = (state: Registry, now: Moment): boolean => {
+export const hasMajorityContact = (state: Registry, now: Moment): boolean => {
   const set: Electorate | undefined = state.electorate;
   if (set === undefined) return true;
   const near = set.members.filter(
     (one) =>
-      one.node === state.member.node || now - (state.heard.get(one.node) ?? -Infinity) < freshSpan,
+      one.node === state.member.node ||
+      now - (state.peerHeardAt.get(one.node) ?? -Infinity) < freshnessLimit,
   );
   return near.length >= majority(set.members.length);
 };
 
-export const gossip = (state: Registry, now: Moment): FrameOf<'gossip'> => ({
+export const gossipFrame = (state: Registry, now: Moment): FrameOf<'gossip'> => ({
   kind: 'gossip',
   from: state.member,
   full: true,
   at: now,
   sessions: [...state.sessions.values()]
     .filter((one) => now - one.at < 30_000)
-    .map((one) => tellSession(one, now)),
+    .map((one) => sessionRecord(one, now)),
   origins: tellOrigins(state.origins, now),
   holders: [...state.holders.values()],
-  memories: [...memories(state.witness)],
-  blank: state.witness.blank,
+  memories: [...grantRecords(state.voter)],
+  recovering: state.voter.recovering,
   ...(state.hint === undefined || feedAge(state, now) !== undefined
     ? {}
     : { hint: { ...state.hint, origins: [] } }),
 });
 
-export const roster = (state: Registry, now: Moment): FrameOf<'roster'> => ({
-  kind: 'roster',
+export const memberListFrame = (state: Registry, now: Moment): FrameOf<'member-list'> => ({
+  kind: 'member-list',
   members: members(state, now),
   origins: tellOrigins(state.origins, now),
   holders: [...state.holders.values()],
 });
 
 /** The nodes that news goes to at once: those with a session here, and every shield. */
-export const audience = (state: Registry, now: Moment): readonly Address[] =>
+export const broadcastTargets = (state: Registry, now: Moment): readonly Address[] =>
   [...state.sessions.values()]
     .filter(
       (one) =>
-        alive(one, now) &&
+        isAlive(one, now) &&
         one.member.role !== 'registry' &&
         (one.registry === state.member.node || one.member.role === 'shield'),
     )
     .map((one) => one.member.address);
 
 /** Tells nodes of the whole fleet. */
-export const tellNodes = (
+export const sendMemberList = (
   state: Registry,
   to: readonly Address[],
   now: Moment,
 ): readonly WireEffect[] => {
-  const word = roster(state, now);
+  const word = memberListFrame(state, now);
   return to.map((one) => send(one, word));
 };
 
-export const spread = (state: Registry, now: Moment): readonly WireEffect[] => {
-  const inner = gossip(state, now);
+export const broadcast = (state: Registry, now: Moment): readonly WireEffect[] => {
+  const inner = gossipFrame(state, now);
   return [
-    ...tellNodes(state, audience(state, now), now),
-    ...colleagues(state, now).map((to) => send(to, inner)),
+    ...sendMemberList(state, broadcastTargets(state, now), now),
+    ...peerAddresses(state, now).map((to) => send(to, inner)),
   ];
 };
 
@@ -129,5 +131,5 @@
   const asOf = state.feed.asOf;
   if (asOf === undefined) return undefined;
   const age = now - asOf;
-  return age < freshSpan ? toSpan(age) : undefined;
+  return age < freshnessLimit ? toSpan(age) : undefined;
 };
--- a/packages/membership/src/registry/releases.test.ts
+++ b/packages/membership/src/registry/releases.test.ts
@@ -76,8 +76,8 @@
   const { desired, ...rest } = feed(releases, serial, top);
   return desired === undefined ? feed(releases, serial, top) : rest;
 };
-const hail = (seq: number, releases?: string): FrameOf<'hail'> => ({
-  kind: 'hail',
+const heartbeat = (seq: number, releases?: string): FrameOf<'heartbeat'> => ({
+  kind: 'heartbeat',
   member: edge,
   seq: toSeq(seq),
   at: toMoment(1),
@@ -88,7 +88,7 @@
     generation: toGeneration(1),
     phase: 'applied',
     ready: true,
-    fitness: { name: 'proxy', fit: true, text: '', parts: [] },
+    health: { name: 'proxy', healthy: true, text: '', parts: [] },
   },
   ...(releases === undefined ? {} : { releases }),
 });
@@ -101,13 +101,15 @@
 const act = (
   state: Registry,
   by: Member,
-  frame: FrameOf<'hail'> | FrameOf<'feed'>,
+  frame: FrameOf<'heartbeat'> | FrameOf<'feed'>,
   now: number,
 ): Told => {
   const at: Moment = toMoment(now);
   const done = registryStep(state, { kind: 'frame', now: at, from: from(by), frame });
   const heard = done.effects.flatMap((one) =>
-    one.kind === 'send' && one.to === edge.address && one.frame.kind === 'heard' ? [one.frame] : [],
+    one.kind === 'send' && one.to === edge.address && one.frame.kind === 'heartbeat-reply'
+      ? [one.frame]
+      : [],
   );
   return { state: done.state, services: heard.at(-1)?.releases.map((one) => one.service) };
 };
@@ -123,17 +125,17 @@
   const all = [record('clips'), record('acts')];
   const state = fresh(all);
   assert.deepEqual(
-    act(state, edge, hail(1), 1010).services,
+    act(state, edge, heartbeat(1), 1010).services,
     ['clips', 'acts'],
     'one that tells no digest',
   );
   assert.deepEqual(
-    act(state, edge, hail(1, releasesDigest([record('clips')])), 1010).services,
+    act(state, edge, heartbeat(1, releasesDigest([record('clips')])), 1010).services,
     ['clips', 'acts'],
     'one that lacks a record',
   );
   assert.deepEqual(
-    act(state, edge, hail(1, releasesDigest([...all].reverse())), 1010).services,
+    act(state, edge, heartbeat(1, releasesDigest([...all].reverse())), 1010).services,
     [],
     'one that has them, in any order',
   );
@@ -142,26 +144,35 @@
 void test('what moves is told each time, and once more when its span is over', () => {
   const state = fresh([moving, record('acts')]);
   const known = releasesDigest([moving, record('acts')]);
-  assert.deepEqual(act(state, edge, hail(1, known), 1010).services, ['clips'], 'a trial');
+  assert.deepEqual(act(state, edge, heartbeat(1, known), 1010).services, ['clips'], 'a trial');
   const judged = fresh([good, record('acts')]);
   const knows = releasesDigest([good, record('acts')]);
   assert.deepEqual(
-    act(judged, edge, hail(1, knows), 1010).services,
+    act(judged, edge, heartbeat(1, knows), 1010).services,
     ['clips'],
     'judged, its span not over',
   );
   assert.deepEqual(
-    act(judged, edge, hail(1, knows), 6500).services,
+    act(judged, edge, heartbeat(1, knows), 6500).services,
     ['clips', 'acts'],
     'over, and the node does not know',
   );
   const over = releasesDigest([{ ...good, leftMs: toSpan(0) }, record('acts')]);
-  assert.deepEqual(act(judged, edge, hail(1, over), 6500).services, [], 'over, and the node knows');
+  assert.deepEqual(
+    act(judged, edge, heartbeat(1, over), 6500).services,
+    [],
+    'over, and the node knows',
+  );
 });
 
 void test('a push bears no records that the node knows, and all once one changed', () => {
   const known = releasesDigest([record('clips'), record('acts')]);
-  const state = act(fresh([record('clips'), record('acts')]), edge, hail(1, known), 1010).state;
+  const state = act(
+    fresh([record('clips'), record('acts')]),
+    edge,
+    heartbeat(1, known),
+    1010,
+  ).state;
   const purged = act(state, store, feed([record('clips'), record('acts')], 2, 1), 1020);
   assert.deepEqual(purged.services, [], 'a purge');
   const changed = act(
@@ -175,7 +186,7 @@
 
 void test('a write that leaves the desired state alone is pushed all the same, and one that comes late is not taken', () => {
   const known = releasesDigest([record('clips')]);
-  const state = act(fresh([record('clips')]), edge, hail(1, known), 1010).state;
+  const state = act(fresh([record('clips')]), edge, heartbeat(1, known), 1010).state;
   const next = record('clips', { settled: toRelease('r2'), serial: toSeq(2) });
   const changed = act(state, store, lean([next], 5), 1020);
   assert.deepEqual(changed.services, ['clips']);
--- a/packages/membership/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -27,11 +27,11 @@
   Report,
   Verdict,
 } from '@switchwheel/transport';
-import { type Witness, newWitness } from '@switchwheel/election';
+import { type Voter, newVoter } from '@switchwheel/election';
 import type { Origins } from '../origins/origins.js';
 
-/** A session as this registry knows it, its own or a colleague's. */
-export interface Known {
+/** A session as this registry knows it, its own or a peer's. */
+export interface KnownSession {
   readonly member: Member;
   readonly report: Report;
   readonly registry: NodeId;
@@ -91,7 +91,7 @@
   readonly pieces: ReadonlyMap<Hash, string>;
 }
 
-/** An origin's departure that was announced here: who of the colleagues confirmed that they know, and who waits for it. */
+/** An origin's departure that was announced here: who of the peers confirmed that they know, and who waits for it. */
 export interface Departure {
   readonly state: Origin['state'];
   readonly confirmed: boolean;
@@ -101,16 +101,16 @@
 }
 
 /** A founding under way: the stores that agreed so far. */
-export interface Founding {
+export interface BootstrapInProgress {
   readonly ref: number;
   readonly since: Moment;
   readonly stores: readonly NodeId[];
-  readonly witnesses: readonly NodeId[];
+  readonly voters: readonly NodeId[];
   readonly agreed: ReadonlySet<NodeId>;
 }
 
 /** A fleet that its first processes found by themselves: each of them, from the same seeds, proposes the same. */
-export interface Proposal {
+export interface ClusterProposal {
   readonly fleet: FleetId;
   readonly stores: readonly { readonly node: NodeId; readonly address: Address }[];
   readonly electorate: Electorate;
@@ -118,18 +118,18 @@
 
 export interface Registry {
   readonly member: Member;
-  readonly proposal: Proposal | undefined;
-  readonly proposed: Moment;
+  readonly proposal: ClusterProposal | undefined;
+  readonly proposedAt: Moment;
   /** Whether a node that runs nothing gets the newest that any disk is known to hold, while no primary is heard of. */
   readonly eager: boolean;
   readonly hint: FrameOf<'hint'> | undefined;
   readonly seeds: readonly Address[];
-  readonly witness: Witness;
-  readonly sessions: ReadonlyMap<NodeId, Known>;
+  readonly voter: Voter;
+  readonly sessions: ReadonlyMap<NodeId, KnownSession>;
   readonly origins: Origins;
   readonly holders: ReadonlyMap<Duty, Holder>;
-  /** When each colleague registry was last heard. */
-  readonly heard: ReadonlyMap<NodeId, Moment>;
+  /** When each peer registry was last heard. */
+  readonly peerHeardAt: ReadonlyMap<NodeId, Moment>;
   readonly feed: Feed;
   readonly electorate: Electorate | undefined;
   readonly fleet: FleetId | undefined;
@@ -141,14 +141,14 @@
     { readonly hash: Hash; readonly at: Moment; readonly tries: number }
   >;
   readonly pending: ReadonlyMap<CallId, Pending>;
-  readonly founding: ReadonlyMap<CallId, Founding>;
+  readonly bootstraps: ReadonlyMap<CallId, BootstrapInProgress>;
   readonly departures: ReadonlyMap<InstanceId, Departure>;
-  readonly gossiped: Moment;
-  readonly tuned: Moment;
+  readonly gossipedAt: Moment;
+  readonly subscribedAt: Moment;
   /** When the nodes with a session here were last told of the whole fleet. */
-  readonly told: Moment;
+  readonly memberListSentAt: Moment;
   /** Duties that were vacant at the last look. */
-  readonly lapsed: ReadonlySet<Duty>;
+  readonly vacantDuties: ReadonlySet<Duty>;
   readonly stopping: boolean;
   readonly dice: Dice;
 }
@@ -158,20 +158,20 @@
   seeds: readonly Address[],
   now: Moment,
   dice: Dice,
-  proposal?: Proposal,
+  proposal?: ClusterProposal,
   eager = false,
 ): Registry => ({
   proposal,
-  proposed: start,
+  proposedAt: start,
   eager,
   hint: undefined,
   member,
   seeds,
-  witness: newWitness(member.node, now),
+  voter: newVoter(member.node, now),
   sessions: new Map(),
   origins: new Map(),
   holders: new Map(),
-  heard: new Map(),
+  peerHeardAt: new Map(),
   feed: noFeed,
   electorate: undefined,
   fleet: undefined,
@@ -180,12 +180,12 @@
   asked: new Map(),
   offered: new Map(),
   pending: new Map(),
-  founding: new Map(),
+  bootstraps: new Map(),
   departures: new Map(),
-  gossiped: start,
-  tuned: start,
-  told: start,
-  lapsed: new Set(),
+  gossipedAt: start,
+  subscribedAt: start,
+  memberListSentAt: start,
+  vacantDuties: new Set(),
   stopping: false,
   dice,
 });
--- a/packages/membership/src/berth/berth.ts
+++ b/packages/membership/src/session/node-session.ts
@@ -17,7 +17,7 @@
   step,
 } from '@switchwheel/types';
 import {
-  type Colleague,
+  type Peer,
   type Electorate,
   type FrameOf,
   type Holder,
@@ -30,29 +30,29 @@
 import { type Origins, learnAll } from '../origins/origins.js';
 
 /** How often a node speaks to its registry. */
-export const hailSpan = 250;
+export const heartbeatInterval = 250;
 /** How long a registry may be silent before the node goes to another. */
-export const deafSpan = 700;
+export const registryTimeout = 700;
 /** How long a registry may have no fresh word of the primary before the node goes to another, and how long it stays at least. */
-const staleSpan = 500;
-const looseSpan = 1200;
+const staleTimeout = 500;
+const sessionTimeout = 1200;
 
-interface Moor {
+interface RegistryLink {
   readonly address: Address;
   readonly since: Moment;
   readonly heard: Moment | undefined;
   /** Since when it has no fresh word of the primary. */
-  readonly stale: Moment | undefined;
+  readonly staleSince: Moment | undefined;
 }
 
 /** A node's side of its session, and what it learned of the fleet through it. */
-export interface Berth {
+export interface NodeSession {
   readonly member: Member;
   readonly seeds: readonly Address[];
-  readonly moor: Moor | undefined;
-  readonly hailed: Moment;
+  readonly registryLink: RegistryLink | undefined;
+  readonly heartbeatSentAt: Moment;
   /** When any registry was last heard: a session outlives the change of its registry. */
-  readonly heard: Moment;
+  readonly registryHeardAt: Moment;
   readonly seq: Seq;
   readonly members: readonly Member[];
   readonly origins: Origins;
@@ -62,12 +62,16 @@
   readonly dice: Dice;
 }
 
-export const newBerth = (member: Member, seeds: readonly Address[], dice: Dice): Berth => ({
+export const newNodeSession = (
+  member: Member,
+  seeds: readonly Address[],
+  dice: Dice,
+): NodeSession => ({
   member,
   seeds,
-  moor: undefined,
-  hailed: start,
-  heard: start,
+  registryLink: undefined,
+  heartbeatSentAt: start,
+  registryHeardAt: start,
   seq: noSeq,
   members: [],
   origins: new Map(),
@@ -78,44 +82,45 @@
 });
 
 /** The registries that this node knows: those of the fleet, and the seeds while it knows none. */
-export const registries = (berth: Berth): readonly Address[] => {
+export const knownRegistries = (berth: NodeSession): readonly Address[] => {
   const known = berth.members.filter((one) => one.role === 'registry').map((one) => one.address);
   return [...new Set([...known, ...berth.seeds])];
 };
 
-const elect = (berth: Berth, now: Moment): Berth => {
-  const others = registries(berth).filter((one) => one !== berth.moor?.address);
-  const pool = others.length > 0 ? others : registries(berth);
+const switchRegistry = (berth: NodeSession, now: Moment): NodeSession => {
+  const others = knownRegistries(berth).filter((one) => one !== berth.registryLink?.address);
+  const pool = others.length > 0 ? others : knownRegistries(berth);
   const [chance, dice] = roll(berth.dice);
   const address = pool[Math.floor(chance * pool.length)];
   return {
     ...berth,
     dice,
-    moor:
+    registryLink:
       address === undefined
         ? undefined
-        : { address, since: now, heard: undefined, stale: undefined },
+        : { address, since: now, heard: undefined, staleSince: undefined },
   };
 };
 
-const quiet = (moor: Moor, now: Moment): boolean => now - (moor.heard ?? moor.since) > deafSpan;
+const isSilent = (moor: RegistryLink, now: Moment): boolean =>
+  now - (moor.heard ?? moor.since) > registryTimeout;
 
 /** Whether this registry has been without word of the primary for too long, and there is another one to go to. */
-const outdated = (berth: Berth, moor: Moor, now: Moment): boolean =>
-  moor.stale !== undefined &&
-  now - moor.stale > staleSpan &&
-  now - moor.since >= staleSpan &&
-  registries(berth).some((one) => one !== moor.address);
+const isStale = (berth: NodeSession, moor: RegistryLink, now: Moment): boolean =>
+  moor.staleSince !== undefined &&
+  now - moor.staleSince > staleTimeout &&
+  now - moor.since >= staleTimeout &&
+  knownRegistries(berth).some((one) => one !== moor.address);
 
 /** Whether the session stands. */
-export const moored = (berth: Berth, now: Moment): boolean =>
-  berth.heard > start && now - berth.heard < looseSpan;
+export const isConnected = (berth: NodeSession, now: Moment): boolean =>
+  berth.registryHeardAt > start && now - berth.registryHeardAt < sessionTimeout;
 
-export const highest = (berth: Berth, duty: Duty): Epoch =>
+export const highestEpoch = (berth: NodeSession, duty: Duty): Epoch =>
   berth.holders.get(duty)?.epoch ?? noEpoch;
 
 /** What a node adds to its word of itself. */
-export interface Words {
+export interface HeartbeatContent {
   readonly report: Report;
   readonly held: readonly Holder[];
   readonly purged: Seq;
@@ -125,14 +130,18 @@
 }
 
 /** Speaks to the registry now. */
-export const hail = (berth: Berth, words: Words, now: Moment): Step<Berth, WireEffect> => {
-  if (berth.moor === undefined) return step(berth);
+export const sendHeartbeat = (
+  berth: NodeSession,
+  words: HeartbeatContent,
+  now: Moment,
+): Step<NodeSession, WireEffect> => {
+  if (berth.registryLink === undefined) return step(berth);
   const seq = nextSeq(berth.seq);
-  const next = { ...berth, seq, hailed: now };
+  const next = { ...berth, seq, heartbeatSentAt: now };
   return step(
     next,
-    send(berth.moor.address, {
-      kind: 'hail',
+    send(berth.registryLink.address, {
+      kind: 'heartbeat',
       member: berth.member,
       seq,
       at: now,
@@ -145,24 +154,36 @@
   );
 };
 
-/** Lets time pass: hails when it is due, goes to another registry when this one is silent or knows nothing new. */
-export const drift = (berth: Berth, words: Words, now: Moment): Step<Berth, WireEffect> => {
-  if (berth.moor === undefined || quiet(berth.moor, now)) {
+/** Lets time pass: heartbeats when it is due, goes to another registry when this one is silent or knows nothing new. */
+export const tickSession = (
+  berth: NodeSession,
+  words: HeartbeatContent,
+  now: Moment,
+): Step<NodeSession, WireEffect> => {
+  if (berth.registryLink === undefined || isSilent(berth.registryLink, now)) {
     const lost =
-      berth.moor?.heard === undefined
+      berth.registryLink?.heard === undefined
         ? []
-        : [log('warn', 'registry is silent, going to another', ['registry', berth.moor.address])];
-    const moved = elect(berth, now);
-    return join(lost, hail(moved, words, now));
+        : [
+            log('warn', 'registry is silent, going to another', [
+              'registry',
+              berth.registryLink.address,
+            ]),
+          ];
+    const moved = switchRegistry(berth, now);
+    return join(lost, sendHeartbeat(moved, words, now));
   }
   // The session stands meanwhile: the next registry takes it on where this one had it.
-  if (outdated(berth, berth.moor, now)) return hail(elect(berth, now), words, now);
-  return now - berth.hailed >= hailSpan ? hail(berth, words, now) : step(berth);
+  if (isStale(berth, berth.registryLink, now))
+    return sendHeartbeat(switchRegistry(berth, now), words, now);
+  return now - berth.heartbeatSentAt >= heartbeatInterval
+    ? sendHeartbeat(berth, words, now)
+    : step(berth);
 };
 
 /** A channel ended: if it was the registry's, another one is sought at once. */
-export const adrift = (berth: Berth, address: Address, now: Moment): Berth =>
-  berth.moor?.address === address ? elect(berth, now) : berth;
+export const onRegistryLost = (berth: NodeSession, address: Address, now: Moment): NodeSession =>
+  berth.registryLink?.address === address ? switchRegistry(berth, now) : berth;
 
 export const learnHolder = (
   holders: ReadonlyMap<Duty, Holder>,
@@ -173,13 +194,13 @@
 };
 
 /** Takes in what a registry tells of the fleet. */
-export const takeRoster = (
-  berth: Berth,
-  from: Colleague,
-  word: FrameOf<'roster'>,
+export const applyMemberList = (
+  berth: NodeSession,
+  from: Peer,
+  word: FrameOf<'member-list'>,
   now: Moment,
-): Berth => {
-  const mine = berth.moor?.address === from.address;
+): NodeSession => {
+  const mine = berth.registryLink?.address === from.address;
   return {
     ...berth,
     members: mine ? word.members : berth.members,
@@ -188,23 +209,25 @@
   };
 };
 
-/** Takes in a registry's answer to a hail. */
-export const takeHeard = (
-  berth: Berth,
-  from: Colleague,
-  word: FrameOf<'heard'>,
+/** Takes in a registry's answer to a heartbeat. */
+export const applyHeartbeatReply = (
+  berth: NodeSession,
+  from: Peer,
+  word: FrameOf<'heartbeat-reply'>,
   now: Moment,
-): Berth => {
-  if (berth.moor?.address !== from.address) return berth;
+): NodeSession => {
+  if (berth.registryLink?.address !== from.address) return berth;
   const known = berth.electorate;
   const next = word.electorate;
   const fleet = word.fleet ?? berth.fleet;
   const stale =
-    word.age !== undefined || fleet === undefined ? undefined : (berth.moor.stale ?? now);
+    word.age !== undefined || fleet === undefined
+      ? undefined
+      : (berth.registryLink.staleSince ?? now);
   return {
     ...berth,
-    heard: now,
-    moor: { ...berth.moor, heard: now, stale },
+    registryHeardAt: now,
+    registryLink: { ...berth.registryLink, heard: now, staleSince: stale },
     electorate:
       next !== undefined && (known === undefined || next.serial > known.serial) ? next : known,
     fleet,
--- a/packages/proxy-core/src/cabin/duties.ts
+++ b/packages/proxy-core/src/cabin/duties.ts
@@ -11,17 +11,17 @@
 } from '@switchwheel/types';
 import { type FrameOf, type Holder, type Member, send } from '@switchwheel/transport';
 import {
-  type Poll,
-  type Stand,
-  count,
-  hear,
+  type ElectionContext,
+  type Candidate,
+  countVote,
+  observeEpoch,
   heldEpoch,
-  holds,
-  lay,
-  newStand,
-  pass,
+  holdsLease,
+  stepDown,
+  newCandidate,
+  tickCandidate,
 } from '@switchwheel/election';
-import { highest } from '@switchwheel/membership';
+import { highestEpoch } from '@switchwheel/membership';
 import type { Cabin, CabinEffect } from './state.js';
 
 type Done = Step<Cabin, CabinEffect>;
@@ -44,21 +44,21 @@
 };
 
 /** This shield's stand towards a service: one that rests if it never stood. */
-const standOf = (state: Cabin, service: ServiceName): Stand =>
+const standOf = (state: Cabin, service: ServiceName): Candidate =>
   state.stands.get(service) ??
-  newStand(state.berth.member.node, keeperOf(service), [], keeperLease);
+  newCandidate(state.berth.member.node, keeperOf(service), [], keeperLease);
 
-const poll = (state: Cabin, service: ServiceName): Poll | undefined => {
+const poll = (state: Cabin, service: ServiceName): ElectionContext | undefined => {
   const { fleet, electorate, member } = state.berth;
   if (fleet === undefined || electorate === undefined) return undefined;
   const held: Holder = {
     duty: keeperOf(service),
-    epoch: highest(state.berth, keeperOf(service)),
+    epoch: highestEpoch(state.berth, keeperOf(service)),
     node: member.node,
     address: member.address,
     ...(member.door === undefined ? {} : { door: member.door }),
   };
-  return { fleet, electorate, held, trustBlank: true };
+  return { fleet, electorate, held, countRecovering: true };
 };
 
 const heldBy = (state: Cabin, service: ServiceName): Holder | undefined =>
@@ -91,14 +91,14 @@
 const follow = (
   state: Cabin,
   service: ServiceName,
-  before: Stand,
-  after: Stand,
+  before: Candidate,
+  after: Candidate,
   now: Moment,
 ): Done => {
-  const was = before.phase.phase === 'holding';
-  const is = after.phase.phase === 'holding';
+  const was = before.phase.phase === 'holdingLease';
+  const is = after.phase.phase === 'holdingLease';
   const next = { ...state, stands: put(state.stands, service, after) };
-  if (!was && is && holds(after, now))
+  if (!was && is && holdsLease(after, now))
     return step(
       { ...next, vacant: drop(next.vacant, keeperOf(service)) },
       { kind: 'kept', service, stand: after },
@@ -119,8 +119,8 @@
   return vacant === state.vacant ? state : { ...state, vacant };
 };
 
-/** Takes in what a witness says of leases that are over. */
-export const takeVacant = (state: Cabin, word: FrameOf<'heard'>, now: Moment): Cabin => {
+/** Takes in what a voter says of leases that are over. */
+export const takeVacant = (state: Cabin, word: FrameOf<'heartbeat-reply'>, now: Moment): Cabin => {
   if (state.berth.member.role !== 'shield') return state;
   const told = new Set(word.vacant);
   let vacant = state.vacant;
@@ -145,10 +145,10 @@
     if (own === undefined) continue;
     const duty = keeperOf(service);
     const known = standOf(state, service);
-    const stand = hear(known, highest(state.berth, duty));
-    if (known.phase.phase === 'holding' && stand.highest > heldEpoch(known)) {
-      // Somebody remembers a higher epoch than the witnesses that voted: this holding would be fenced off, a new one is stood for.
-      const given = lay(stand, own, now, 0);
+    const stand = observeEpoch(known, highestEpoch(state.berth, duty));
+    if (known.phase.phase === 'holdingLease' && stand.highest > heldEpoch(known)) {
+      // Somebody remembers a higher epoch than the voters that voted: this holding would be fenced off, a new one is stood for.
+      const given = stepDown(stand, own, now, 0);
       const followed = follow(state, service, known, given.state, now);
       next = join([...next.effects, ...given.effects], {
         ...followed,
@@ -156,7 +156,7 @@
       });
       continue;
     }
-    const passed = pass(stand, own, keen(state, service, now), state.dice, now);
+    const passed = tickCandidate(stand, own, keen(state, service, now), state.dice, now);
     const followed = follow(
       { ...state, dice: passed.state.dice },
       service,
@@ -169,7 +169,7 @@
   for (const [service, stand] of next.state.stands) {
     if (before.table.services.has(service) || stand.phase.phase === 'idle') continue;
     // The service left the description: its duty is laid down.
-    const given = lay(stand, poll(next.state, service), now, 1000);
+    const given = stepDown(stand, poll(next.state, service), now, 1000);
     const dropped = { ...next.state, stands: drop(next.state.stands, service) };
     next = join(
       [...next.effects, ...given.effects],
@@ -191,7 +191,7 @@
     const own = poll(base, service);
     return own === undefined
       ? step(base)
-      : follow(base, service, stand, count(stand, own, word, now), now);
+      : follow(base, service, stand, countVote(stand, own, word, now), now);
   }
   return step(base);
 };
@@ -200,9 +200,9 @@
 export const handOver = (state: Cabin, now: Moment): Done => {
   let next: Done = step(state);
   for (const [service, stand] of state.stands) {
-    if (!holds(stand, now)) continue;
+    if (!holdsLease(stand, now)) continue;
     const heir = order(service, shields(state)).find((one) => one.node !== state.berth.member.node);
-    const given = lay(stand, poll(state, service), now, 60_000);
+    const given = stepDown(stand, poll(state, service), now, 60_000);
     const told =
       heir === undefined
         ? []
@@ -228,8 +228,8 @@
     if (keeperOf(service) !== word.duty) continue;
     const own = poll(state, service);
     if (own === undefined || state.stopping) return step(state);
-    const stand = hear(standOf(state, service), word.epoch);
-    const passed = pass(stand, own, true, state.dice, now);
+    const stand = observeEpoch(standOf(state, service), word.epoch);
+    const passed = tickCandidate(stand, own, true, state.dice, now);
     return step(
       {
         ...state,
@@ -246,6 +246,6 @@
 /** The duties held now, as told to registries. */
 export const heldNow = (state: Cabin, now: Moment): Holder[] =>
   [...state.stands].flatMap(([service, stand]) => {
-    const own = holds(stand, now) ? poll(state, service)?.held : undefined;
+    const own = holdsLease(stand, now) ? poll(state, service)?.held : undefined;
     return own === undefined ? [] : [{ ...own, epoch: heldEpoch(stand) }];
   });
--- a/packages/proxy-core/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -9,7 +9,7 @@
   toMoment,
 } from '@switchwheel/types';
 import {
-  type Colleague,
+  type Peer,
   type Frame,
   type FrameOf,
   type Offer,
@@ -19,14 +19,14 @@
   send,
 } from '@switchwheel/transport';
 import {
-  type Words,
-  adrift,
-  drift,
-  hail,
-  moored,
+  type HeartbeatContent,
+  onRegistryLost,
+  tickSession,
+  sendHeartbeat,
+  isConnected,
   releasesDigest,
-  takeHeard,
-  takeRoster,
+  applyHeartbeatReply,
+  applyMemberList,
 } from '@switchwheel/membership';
 import { hashOf } from '@switchwheel/configuration';
 import { handOver, heldNow, onHandover, onVote, passDuties, takeVacant } from './duties.js';
@@ -43,7 +43,7 @@
 export const takes = (state: Cabin, now: Moment): boolean =>
   state.table !== undefined &&
   state.failed === undefined &&
-  (state.stopping || moored(state.berth, now));
+  (state.stopping || isConnected(state.berth, now));
 
 /** Whether this node reports ready: it runs the newest it knows of, its session stands, and it is not stopping. */
 export const isReady = (state: Cabin, now: Moment): boolean => takes(state, now) && !state.stopping;
@@ -77,11 +77,11 @@
           },
         }),
     ready: isReady(state, now),
-    fitness: {
+    health: {
       name: 'proxy',
-      fit: failed === undefined,
+      healthy: failed === undefined,
       text: failed === undefined ? '' : failed.text,
-      parts: [{ name: 'cache', fit: mayServe(state, now), text: '', parts: [] }],
+      parts: [{ name: 'cache', healthy: mayServe(state, now), text: '', parts: [] }],
     },
   };
 };
@@ -94,7 +94,7 @@
   return known;
 };
 
-const words = (state: Cabin, now: Moment, bye = false): Words => ({
+const words = (state: Cabin, now: Moment, bye = false): HeartbeatContent => ({
   report: reportOf(state, now),
   held: [...heldNow(state, now), ...state.berth.holders.values()],
   purged: state.purged,
@@ -103,7 +103,7 @@
 });
 
 const speak = (state: Cabin, now: Moment): Done => {
-  const hailed = hail(state.berth, words(state, now), now);
+  const hailed = sendHeartbeat(state.berth, words(state, now), now);
   return step({ ...state, berth: hailed.state }, ...hailed.effects);
 };
 
@@ -122,13 +122,13 @@
       { kind: 'build', offer, texts, before: state.table },
     );
   }
-  const to = state.berth.moor?.address;
+  const to = state.berth.registryLink?.address;
   const asked =
     to === undefined
       ? []
       : [
           send(to, {
-            kind: 'want',
+            kind: 'piece-request',
             node: state.berth.member.node,
             hashes: missing.slice(0, wantMost),
           }),
@@ -158,7 +158,7 @@
   return fit(state, offer, now);
 };
 
-const onPurges = (state: Cabin, word: FrameOf<'heard'>): Done => {
+const onPurges = (state: Cabin, word: FrameOf<'heartbeat-reply'>): Done => {
   if (word.top <= state.purged) return step(state);
   const fresh = word.purges
     .filter((one) => one.seq > state.purged)
@@ -194,8 +194,13 @@
     : new Map([...known, ...fresh.map((one) => [one.service, one] as const)]);
 };
 
-const onHeard = (before: Cabin, from: Colleague, word: FrameOf<'heard'>, now: Moment): Done => {
-  const berth = takeHeard(before.berth, from, word, now);
+const onHeard = (
+  before: Cabin,
+  from: Peer,
+  word: FrameOf<'heartbeat-reply'>,
+  now: Moment,
+): Done => {
+  const berth = applyHeartbeatReply(before.berth, from, word, now);
   const purged = onPurges(
     {
       ...takeVacant({ ...before, berth }, word, now),
@@ -210,7 +215,7 @@
     word.age !== undefined &&
     word.at > 0 &&
     state.purged >= word.top &&
-    before.berth.moor?.address === from.address
+    before.berth.registryLink?.address === from.address
   ) {
     const asOf = toMoment(word.at - word.age);
     if (state.asOf === undefined || asOf > state.asOf) state = { ...state, asOf };
@@ -292,7 +297,7 @@
 };
 
 const onTick = (state: Cabin, now: Moment): Done => {
-  const drifted = drift(state.berth, words(state, now), now);
+  const drifted = tickSession(state.berth, words(state, now), now);
   let next: Done = step({ ...state, berth: drifted.state }, ...drifted.effects);
   const fitting = next.state.fitting;
   if (fitting.phase === 'fetching' && now - fitting.asked >= wantSpan)
@@ -300,12 +305,12 @@
   return join(next.effects, passDuties(next.state, now));
 };
 
-const onFrame = (state: Cabin, from: Colleague, frame: Frame, now: Moment): Done => {
+const onFrame = (state: Cabin, from: Peer, frame: Frame, now: Moment): Done => {
   switch (frame.kind) {
-    case 'heard':
+    case 'heartbeat-reply':
       return onHeard(state, from, frame, now);
-    case 'roster':
-      return step({ ...state, berth: takeRoster(state.berth, from, frame, now) });
+    case 'member-list':
+      return step({ ...state, berth: applyMemberList(state.berth, from, frame, now) });
     case 'piece':
       return onPiece(state, frame, now);
     case 'vote':
@@ -343,14 +348,14 @@
     case 'frame':
       return onFrame(state, event.from, event.frame, event.now);
     case 'gone':
-      return step({ ...state, berth: adrift(state.berth, event.address, event.now) });
+      return step({ ...state, berth: onRegistryLost(state.berth, event.address, event.now) });
     case 'built':
       return onBuilt(state, event.offer, event);
     case 'unbuilt':
       return onUnbuilt(state, event);
     case 'stop': {
       const given = handOver({ ...state, stopping: true }, event.now);
-      const bye = hail(given.state.berth, words(given.state, event.now, true), event.now);
+      const bye = sendHeartbeat(given.state.berth, words(given.state, event.now, true), event.now);
       return join([...given.effects], step({ ...given.state, berth: bye.state }, ...bye.effects));
     }
   }
--- a/packages/proxy-core/src/cabin/state.ts
+++ b/packages/proxy-core/src/cabin/state.ts
@@ -18,8 +18,8 @@
   WireEffect,
   WireEvent,
 } from '@switchwheel/transport';
-import type { Stand } from '@switchwheel/election';
-import { type Berth, newBerth } from '@switchwheel/membership';
+import type { Candidate } from '@switchwheel/election';
+import { type NodeSession, newNodeSession } from '@switchwheel/membership';
 import type { Fault, Table } from '@switchwheel/configuration';
 
 /** What a node is doing about an offered description. */
@@ -41,7 +41,7 @@
 
 /** The control side of a proxy: its session, its description, its purges and its duties. */
 export interface Cabin {
-  readonly berth: Berth;
+  readonly berth: NodeSession;
   readonly table: Table | undefined;
   readonly fitting: Fitting;
   readonly pieces: ReadonlyMap<Hash, string>;
@@ -54,7 +54,7 @@
   /** Which release each service's requests go to, as last told. */
   readonly releases: ReadonlyMap<ServiceName, ReleaseState>;
   readonly releasesAt: Moment;
-  readonly stands: ReadonlyMap<ServiceName, Stand>;
+  readonly stands: ReadonlyMap<ServiceName, Candidate>;
   /** Since when each duty is seen vacant. */
   readonly vacant: ReadonlyMap<Duty, Moment>;
   readonly stopping: boolean;
@@ -87,11 +87,11 @@
       readonly flush: boolean;
       readonly top: Seq;
     }
-  | { readonly kind: 'kept'; readonly service: ServiceName; readonly stand: Stand }
+  | { readonly kind: 'kept'; readonly service: ServiceName; readonly stand: Candidate }
   | { readonly kind: 'unkept'; readonly service: ServiceName };
 
 export const newCabin = (member: Member, seeds: readonly Address[], dice: Dice): Cabin => ({
-  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x2545f491 }),
+  berth: newNodeSession(member, seeds, { seed: dice.seed ^ 0x2545f491 }),
   table: undefined,
   fitting: { phase: 'idle' },
   pieces: new Map(),
--- a/packages/proxy-core/src/forward/forward.test.ts
+++ b/packages/proxy-core/src/forward/forward.test.ts
@@ -76,7 +76,7 @@
 const kinds = (list: readonly ForwardEffect[]): readonly string[] =>
   list.map((one) =>
     one.kind === 'fail'
-      ? `${one.id} ${one.breakdown}`
+      ? `${one.id} ${one.errorKind}`
       : one.kind === 'ask'
         ? `${one.ask.id} to ${one.to}`
         : `${one.id} ${one.kind}`,
@@ -122,13 +122,13 @@
   );
   for (const id of ['act', 'read']) {
     bench.tell({
-      kind: 'bounce',
+      kind: 'reject',
       now: start,
       from: toAddress('10.0.0.2:1'),
       frame: {
-        kind: 'bounce',
+        kind: 'reject',
         id: toAskId(id),
-        breakdown: 'bounced',
+        errorKind: 'rejected',
         text: '',
         retryAfter: 1,
         moved: false,
@@ -137,7 +137,7 @@
   }
   assert.deepEqual(
     kinds(bench.effects).filter((one) => !one.includes(' to ')),
-    ['act bounced', 'read lost'],
+    ['act rejected', 'read lost'],
   );
 });
 
@@ -145,5 +145,5 @@
   const bench = new Bench();
   bench.take('act', false);
   assert.deepEqual(kinds(bench.tell({ kind: 'tick', now: later(start, 1900) })), []);
-  assert.deepEqual(kinds(bench.tell({ kind: 'tick', now: later(start, 2200) })), ['act bounced']);
+  assert.deepEqual(kinds(bench.tell({ kind: 'tick', now: later(start, 2200) })), ['act rejected']);
 });
--- a/packages/proxy-core/src/forward/forward.ts
+++ b/packages/proxy-core/src/forward/forward.ts
@@ -23,13 +23,13 @@
 /** A request of which an earlier leg may have run is never told as refused. */
 const fail = (
   wagon: Pick<Wagon, 'id' | 'again'>,
-  breakdown: Kind,
+  errorKind: Kind,
   text: string,
   retryMs: number,
 ): ForwardEffect => ({
   kind: 'fail',
   id: wagon.id,
-  breakdown: breakdown === 'bounced' && wagon.again ? 'lost' : breakdown,
+  errorKind: errorKind === 'rejected' && wagon.again ? 'lost' : errorKind,
   text,
   retryMs,
 });
@@ -98,7 +98,7 @@
 const late = (wagon: Wagon): ForwardEffect =>
   wagon.stage.stage === 'asked'
     ? fail(wagon, wagon.repeatable ? 'slow' : 'unknown', 'no result in time', 0)
-    : fail(wagon, 'bounced', 'no keeper in time', 1000);
+    : fail(wagon, 'rejected', 'no keeper in time', 1000);
 
 /** A keeper took a request of a service: it has one. */
 const found = (state: Forward, service: Wagon['service']): Forward =>
@@ -115,7 +115,7 @@
     if (now - bare.tried < askAgain)
       return step(
         state,
-        fail({ id: wagon.id, again: false }, 'bounced', 'no keeper for a while', 1000),
+        fail({ id: wagon.id, again: false }, 'rejected', 'no keeper for a while', 1000),
       );
     return dispatch(
       { ...state, bare: put(state.bare, wagon.service, { ...bare, tried: now }) },
@@ -129,7 +129,7 @@
   if (state.wagons.size >= maxWagons || same >= maxWagons / 2)
     return step(
       state,
-      fail({ id: wagon.id, again: false }, 'bounced', 'too many requests are under way', 1000),
+      fail({ id: wagon.id, again: false }, 'rejected', 'too many requests are under way', 1000),
     );
   return dispatch(
     state,
@@ -170,17 +170,17 @@
 /** What to do with a request of which it is certain that nothing ran. */
 const retry = (state: Forward, wagon: Wagon, less: number, now: Moment): Done =>
   now >= wagon.until
-    ? step(end(state, wagon.id), fail(wagon, 'bounced', 'no keeper took it', 500))
+    ? step(end(state, wagon.id), fail(wagon, 'rejected', 'no keeper took it', 500))
     : dispatch(state, wagon, less, now);
 
-const onBounce = (state: Forward, event: Extract<ForwardEvent, { kind: 'bounce' }>): Done => {
+const onBounce = (state: Forward, event: Extract<ForwardEvent, { kind: 'reject' }>): Done => {
   const { frame, now } = event;
   const wagon = state.wagons.get(frame.id);
   if (wagon?.stage.stage !== 'asked' || wagon.stage.keeper !== event.from) return step(state);
   if (frame.moved) return retry(state, wagon, wagon.stage.epoch + 1, now);
   return step(
     end(found(state, wagon.service), frame.id),
-    fail(wagon, frame.breakdown, frame.text, frame.retryAfter),
+    fail(wagon, frame.errorKind, frame.text, frame.retryAfter),
   );
 };
 
@@ -224,7 +224,7 @@
       next = step(
         end(next.state, wagon.id),
         ...next.effects,
-        fail(wagon, 'bounced', 'no keeper for a while', 1000),
+        fail(wagon, 'rejected', 'no keeper for a while', 1000),
       );
     } else if (wagon.stage.stage === 'waiting' && now - wagon.stage.since > askAgain) {
       // Passed back by a keeper that is still the one known: it is asked again after a little while.
@@ -264,7 +264,7 @@
         wagons: put(state.wagons, wagon.id, { ...wagon, begun: true }),
       });
     }
-    case 'bounce':
+    case 'reject':
       return onBounce(state, event);
     case 'done':
       return step(end(state, event.id));
@@ -281,7 +281,7 @@
         // Of what was asked of a keeper nobody can say that it did not run.
         fail(
           wagon,
-          wagon.stage.stage === 'waiting' ? 'bounced' : 'unknown',
+          wagon.stage.stage === 'waiting' ? 'rejected' : 'unknown',
           event.text,
           wagon.stage.stage === 'waiting' ? 1000 : 0,
         ),
@@ -291,7 +291,7 @@
       const waiting = [...state.wagons.values()].filter((one) => one.stage.stage === 'waiting');
       return step(
         waiting.reduce((next, one) => end(next, one.id), state),
-        ...waiting.map((one) => fail(one, 'bounced', 'this node is out of touch', 1000)),
+        ...waiting.map((one) => fail(one, 'rejected', 'this node is out of touch', 1000)),
       );
     }
     case 'tick':
--- a/packages/proxy-core/src/forward/state.ts
+++ b/packages/proxy-core/src/forward/state.ts
@@ -62,10 +62,10 @@
       readonly frame: FrameOf<'result'>;
     }
   | {
-      readonly kind: 'bounce';
+      readonly kind: 'reject';
       readonly now: Moment;
       readonly from: Address;
-      readonly frame: FrameOf<'bounce'>;
+      readonly frame: FrameOf<'reject'>;
     }
   | { readonly kind: 'begun'; readonly now: Moment; readonly from: Address; readonly id: AskId }
   | { readonly kind: 'done'; readonly now: Moment; readonly id: AskId }
@@ -94,7 +94,7 @@
   | {
       readonly kind: 'fail';
       readonly id: AskId;
-      readonly breakdown: Kind;
+      readonly errorKind: Kind;
       readonly text: string;
       readonly retryMs: number;
     };
--- a/packages/proxy-core/src/keeper/bays.ts
+++ b/packages/proxy-core/src/keeper/bays.ts
@@ -78,7 +78,7 @@
   return bay.fit.typical > Math.max(slowFloor, slowTimes * median(others));
 };
 
-/** Draws what became of a leg into the fitness of its bay. */
+/** Draws what became of a leg into the health of its bay. */
 export const judgeBay = (
   state: Keeper,
   instance: InstanceId,
@@ -114,7 +114,7 @@
   return { state: { ...state, bays: put(state.bays, instance, { ...bay, fit }) }, barred: text };
 };
 
-/** Draws a probe into the fitness of its bay. */
+/** Draws a probe into the health of its bay. */
 export const judgeProbe = (state: Keeper, instance: InstanceId, good: boolean): Keeper => {
   const bay = state.bays.get(instance);
   if (bay === undefined) return state;
--- a/packages/proxy-core/src/keeper/keeper.test.ts
+++ b/packages/proxy-core/src/keeper/keeper.test.ts
@@ -154,7 +154,7 @@
   bench.now = later(bench.now, 200);
   bench.tell({ kind: 'tick', now: bench.now });
   const away = told();
-  assert.ok(away?.kind === 'turnAway' && away.breakdown === 'bounced' && away.retryMs > 0);
+  assert.ok(away?.kind === 'turnAway' && away.errorKind === 'rejected' && away.retryMs > 0);
 });
 
 void test('never more legs than slots, never a class with work kept below its share while slots are free', () => {
--- a/packages/proxy-core/src/keeper/keeper.ts
+++ b/packages/proxy-core/src/keeper/keeper.ts
@@ -174,11 +174,11 @@
 
 const away = (
   id: AskId,
-  breakdown: 'bounced' | 'unknown' | 'slow' | 'lost',
+  errorKind: 'rejected' | 'unknown' | 'slow' | 'lost',
   text: string,
   retryMs: number,
   moved = false,
-): KeeperEffect => ({ kind: 'turnAway', ask: id, breakdown, text, retryMs, moved });
+): KeeperEffect => ({ kind: 'turnAway', ask: id, errorKind, text, retryMs, moved });
 
 /** How long a request of a class waits with so many of its class ahead: for slots, and for its part of the ceiling. */
 const waitFor = (state: Keeper, group: ClassName, ahead: number, room: number): number => {
@@ -207,7 +207,7 @@
 
 const onArrive = (state: Keeper, event: Extract<KeeperEvent, { kind: 'arrive' }>): Done => {
   const { now, id, group } = event;
-  if (state.closing) return step(state, away(id, 'bounced', 'the keeper is closing', 0, true));
+  if (state.closing) return step(state, away(id, 'rejected', 'the keeper is closing', 0, true));
   if (
     state.running.has(id) ||
     [...state.waiting.values()].some((list) => list.some((one) => one.id === id))
@@ -216,14 +216,14 @@
   if (isBare(state, now))
     return step(
       { ...state, sent: state.sent + 1 },
-      away(id, event.again ? 'lost' : 'bounced', 'no origin for a while', bareRetry),
+      away(id, event.again ? 'lost' : 'rejected', 'no origin for a while', bareRetry),
     );
   const wait = estimate(state, group, now);
   // Each class has a waitlist of its own: one that floods does not fill another's.
   if ((state.waiting.get(group)?.length ?? 0) >= state.rules.waitlist)
-    return step(state, away(id, 'bounced', 'the waitlist is full', Math.max(250, wait)));
+    return step(state, away(id, 'rejected', 'the waitlist is full', Math.max(250, wait)));
   if (wait + Math.min(state.typical, event.left / 2) > event.left)
-    return step(state, away(id, 'bounced', 'the deadline can not be met', Math.max(250, wait)));
+    return step(state, away(id, 'rejected', 'the deadline can not be met', Math.max(250, wait)));
   const load: Load = {
     id,
     group,
@@ -300,7 +300,7 @@
       pump({ ...state, running: put(state.running, load.id, { ...load, begun }) }, now),
     );
   if (state.closing && !begun && maySend(load, how))
-    return join(effects, step(settled, away(leg.ask, 'bounced', 'the keeper moved', 0, true)));
+    return join(effects, step(settled, away(leg.ask, 'rejected', 'the keeper moved', 0, true)));
   const again =
     !state.closing &&
     maySend(load, how) &&
@@ -322,7 +322,7 @@
         : 'no result in time';
   effects.push(
     !begun
-      ? away(leg.ask, 'bounced', text, 500)
+      ? away(leg.ask, 'rejected', text, 500)
       : away(leg.ask, how.end === 'slow' ? 'slow' : 'lost', text, 0),
   );
   return join(effects, pump(settled, now));
@@ -415,7 +415,7 @@
       ...late.map((one) =>
         one.begun
           ? away(one.id, 'lost', 'no further leg in time', 0)
-          : away(one.id, 'bounced', 'no slot in time', Math.max(250, estimate(state, group, now))),
+          : away(one.id, 'rejected', 'no slot in time', Math.max(250, estimate(state, group, now))),
       ),
     );
   }
@@ -455,7 +455,7 @@
     .map((one) =>
       one.begun
         ? away(one.id, 'lost', 'the keeper moved', 0)
-        : away(one.id, 'bounced', 'the keeper moved', 0, true),
+        : away(one.id, 'rejected', 'the keeper moved', 0, true),
     );
   return step({ ...state, closing: true, waiting: new Map() }, ...effects);
 };
--- a/packages/proxy-core/src/keeper/state.ts
+++ b/packages/proxy-core/src/keeper/state.ts
@@ -211,7 +211,7 @@
   | {
       readonly kind: 'turnAway';
       readonly ask: AskId;
-      readonly breakdown: 'bounced' | 'unknown' | 'slow' | 'lost';
+      readonly errorKind: 'rejected' | 'unknown' | 'slow' | 'lost';
       readonly text: string;
       readonly retryMs: number;
       readonly moved: boolean;
--- a/packages/proxy-core/src/line/dock.ts
+++ b/packages/proxy-core/src/line/dock.ts
@@ -77,7 +77,7 @@
         mine.delete(word.id);
         this.#leave(word.id);
       } else if (word.kind === 'credit') this.#refill(word.id, word.bytes);
-      else channel.hang(`foreign: ${word.kind} on a data channel`);
+      else channel.terminate(`foreign: ${word.kind} on a data channel`);
     };
     const closed = (): void => {
       for (const id of mine) this.#leave(id);
@@ -85,10 +85,10 @@
     return { frame, closed };
   }
 
-  bounce(id: AskId, frame: Omit<FrameOf<'bounce'>, 'kind' | 'id'>): void {
+  reject(id: AskId, frame: Omit<FrameOf<'reject'>, 'kind' | 'id'>): void {
     const one = this.#open.get(id);
     this.#open.delete(id);
-    one?.channel.send({ kind: 'bounce', id, ...frame });
+    one?.channel.send({ kind: 'reject', id, ...frame });
   }
 
   /** Says that the first leg of an ask goes out. */
@@ -164,9 +164,9 @@
           one.channel.send({ kind: 'done', id, digest: sum.digest('base64'), length: size });
         else
           one.channel.send({
-            kind: 'bounce',
+            kind: 'reject',
             id,
-            breakdown: 'lost',
+            errorKind: 'lost',
             text: 'the result broke off',
             retryAfter: 0,
             moved: false,
--- a/packages/proxy-core/src/line/edge.ts
+++ b/packages/proxy-core/src/line/edge.ts
@@ -193,12 +193,12 @@
       if (this.#serveKept(pass, slip, 'edge')) return;
       if (outcome.kind === 'fault') this.#tell(pass, outcome);
       else if (this.#cab.now() >= pass.until)
-        this.#tell(pass, fault('bounced', 'what it waited for came too late', 1000));
+        this.#tell(pass, fault('rejected', 'what it waited for came too late', 1000));
       else next(pass);
     });
     if (seat === 'joined') this.bump('joined');
     else if (seat === 'full')
-      this.#tell(pass, fault('bounced', 'too many wait for results under way', 1000));
+      this.#tell(pass, fault('rejected', 'too many wait for results under way', 1000));
     else next({ ...pass, lead: this.#flights.lead(slip.flight) });
   }
 
@@ -314,7 +314,7 @@
       case 'fail': {
         const trip = this.#trips.get(effect.id);
         this.#trips.delete(effect.id);
-        trip?.fail(effect.breakdown, effect.text, effect.retryMs);
+        trip?.fail(effect.errorKind, effect.text, effect.retryMs);
         break;
       }
     }
@@ -329,11 +329,11 @@
       case 'begun':
         this.#cab.tell((at) => ({ kind: 'begun', now: at, from, id: frame.id }));
         return true;
-      case 'bounce': {
+      case 'reject': {
         // A result that had begun broke off: it is never ended as if it were whole.
         const trip = this.#coming(from, frame.id);
         if (trip !== undefined) this.#break(trip, frame.text);
-        this.#cab.tell((at) => ({ kind: 'bounce', now: at, from, frame }));
+        this.#cab.tell((at) => ({ kind: 'reject', now: at, from, frame }));
         return true;
       }
       case 'chunk':
--- a/packages/proxy-core/src/line/links.ts
+++ b/packages/proxy-core/src/line/links.ts
@@ -50,7 +50,7 @@
       },
       frame: (frame) => {
         if (!this.#ears.frame(to, frame))
-          link.channel?.hang(`foreign: ${frame.kind} on a data channel`);
+          link.channel?.terminate(`foreign: ${frame.kind} on a data channel`);
       },
       closed: () => {
         if (this.#links.get(to) === link) this.#links.delete(to);
--- a/packages/proxy-core/src/line/port.ts
+++ b/packages/proxy-core/src/line/port.ts
@@ -13,7 +13,7 @@
 /** A channel on which requests and results go. */
 export interface DataChannel {
   readonly send: (frame: Frame) => void;
-  readonly hang: (why: string) => void;
+  readonly terminate: (why: string) => void;
 }
 
 /** What is heard on such a channel. */
--- a/packages/proxy-core/src/line/shield.ts
+++ b/packages/proxy-core/src/line/shield.ts
@@ -72,10 +72,10 @@
         this.#use(nameOf(effect), effect.ask);
         break;
       case 'turnAway':
-        this.#count(`away_${effect.breakdown}`);
+        this.#count(`away_${effect.errorKind}`);
         this.#drop(effect.ask);
-        this.dock.bounce(effect.ask, {
-          breakdown: effect.breakdown,
+        this.dock.reject(effect.ask, {
+          errorKind: effect.errorKind,
           text: effect.text,
           retryAfter: effect.retryMs,
           moved: effect.moved,
@@ -116,8 +116,8 @@
     });
     if (seat === 'joined') this.#count('joined');
     else if (seat === 'full')
-      this.dock.bounce(ask.id, {
-        breakdown: 'bounced',
+      this.dock.reject(ask.id, {
+        errorKind: 'rejected',
         text: 'too many wait for results under way',
         retryAfter: 1000,
         moved: false,
--- a/packages/proxy-core/src/line/trip.ts
+++ b/packages/proxy-core/src/line/trip.ts
@@ -17,7 +17,7 @@
     }
   | {
       readonly kind: 'fault';
-      readonly fault: FrameOf<'bounce'>['breakdown'];
+      readonly fault: FrameOf<'reject'>['errorKind'];
       readonly text: string;
       readonly retryMs: number;
     }
@@ -130,7 +130,7 @@
   }
 
   /** Ends it without a whole result: one that is already being told breaks off so that the caller sees it. */
-  fail(fault: FrameOf<'bounce'>['breakdown'], text: string, retryMs: number): void {
+  fail(fault: FrameOf<'reject'>['errorKind'], text: string, retryMs: number): void {
     if (this.#stage.stage === 'streaming') this.#stage.spout.snap(text);
     else this.end({ kind: 'fault', fault, text, retryMs });
   }
--- a/packages/proxy-core/src/proxy/machine.ts
+++ b/packages/proxy-core/src/proxy/machine.ts
@@ -11,7 +11,7 @@
   step,
 } from '@switchwheel/types';
 import { type FrameOf, log, send } from '@switchwheel/transport';
-import { heldEpoch, holds } from '@switchwheel/election';
+import { heldEpoch, holdsLease } from '@switchwheel/election';
 import { standing } from '@switchwheel/membership';
 import { cabinStep, takes } from '../cabin/machine.js';
 import type { CabinEffect } from '../cabin/state.js';
@@ -50,7 +50,7 @@
     good,
     seen,
     state: verdict,
-    at: state.cabin.berth.hailed,
+    at: state.cabin.berth.heartbeatSentAt,
     node: state.cabin.berth.member.node,
   };
   return [
@@ -90,7 +90,7 @@
     if (
       stand !== undefined &&
       keeper !== undefined &&
-      holds(stand, now) &&
+      holdsLease(stand, now) &&
       heldEpoch(stand) === keeper.epoch
     )
       continue;
@@ -226,7 +226,7 @@
     kind: 'turnAway' as const,
     keeper: '',
     ask: ask.id,
-    breakdown: 'bounced' as const,
+    errorKind: 'rejected' as const,
     text: 'not the keeper',
     retryMs: 0,
     moved: true,
@@ -294,7 +294,7 @@
     }
     case 'result':
     case 'begun':
-    case 'bounce':
+    case 'reject':
     case 'done':
     case 'quit':
     case 'lost':
--- a/packages/proxy-core/src/proxy/state.ts
+++ b/packages/proxy-core/src/proxy/state.ts
@@ -75,10 +75,10 @@
       readonly frame: FrameOf<'result'>;
     }
   | {
-      readonly kind: 'bounce';
+      readonly kind: 'reject';
       readonly now: Moment;
       readonly from: Address;
-      readonly frame: FrameOf<'bounce'>;
+      readonly frame: FrameOf<'reject'>;
     }
   | { readonly kind: 'begun'; readonly now: Moment; readonly from: Address; readonly id: AskId }
   | { readonly kind: 'done'; readonly now: Moment; readonly id: AskId }
--- a/packages/proxy/src/admin/view.ts
+++ b/packages/proxy/src/admin/view.ts
@@ -10,7 +10,7 @@
     role: cabin.berth.member.role,
     area: cabin.berth.member.area,
     ready: isReady(cabin, at),
-    registry: cabin.berth.moor?.address ?? null,
+    registry: cabin.berth.registryLink?.address ?? null,
     generation: cabin.table?.generation ?? 0,
     hash: cabin.table?.hash ?? null,
     fitting: cabin.fitting.phase,
--- a/packages/proxy/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -116,7 +116,7 @@
     ...fresh,
     table: built.value,
     asOf: now,
-    berth: { ...fresh.berth, heard: now, origins, members: [member] },
+    berth: { ...fresh.berth, registryHeardAt: now, origins, members: [member] },
   };
   const legs: Stand['legs'] = [];
   const waiting: { readonly many: number; readonly done: () => void }[] = [];
--- a/packages/proxy/src/direct/door.ts
+++ b/packages/proxy/src/direct/door.ts
@@ -1,7 +1,7 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import rangeParser from 'range-parser';
-import { type Address, type Kind, tell as tellingOf } from '@switchwheel/types';
-import { type Fields, parts } from '@switchwheel/transport';
+import { type Address, type Kind, responseFor as tellingOf } from '@switchwheel/types';
+import { type Fields, splitAddress } from '@switchwheel/transport';
 import type { Call, DirectLine, Word, Words } from '@switchwheel/routing';
 import { type Entry, fieldOf, handOn } from '@switchwheel/proxy-core';
 import type { Limits } from '@switchwheel/configuration';
@@ -68,7 +68,7 @@
   listen(at: Address): Promise<void> {
     return new Promise((done, fail) => {
       this.#server.once('error', fail);
-      this.#server.listen({ ...parts(at), backlog: 1024 }, () => {
+      this.#server.listen({ ...splitAddress(at), backlog: 1024 }, () => {
         this.#server.off('error', fail);
         done();
       });
--- a/packages/proxy/src/direct/leg.ts
+++ b/packages/proxy/src/direct/leg.ts
@@ -1,7 +1,7 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { InstanceId } from '@switchwheel/types';
-import { type Fields, parts } from '@switchwheel/transport';
+import { type Fields, splitAddress } from '@switchwheel/transport';
 import type { LegEars, LegOrder, LegPort, Words } from '@switchwheel/routing';
 import { fieldOf } from '@switchwheel/proxy-core';
 
@@ -61,7 +61,7 @@
   }
 
   send(order: LegOrder, ears: LegEars): () => void {
-    const { host, port } = parts(order.address);
+    const { host, port } = splitAddress(order.address);
     const headers = order.fields.flat();
     const bare = order.method === 'GET' || order.method === 'HEAD';
     if (!bare || order.body.length > 0) headers.push('Content-Length', String(order.body.length));
--- a/packages/proxy/src/direct/program.ts
+++ b/packages/proxy/src/direct/program.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import { type Address, type AreaName, type NodeId, primary } from '@switchwheel/types';
-import { type WireEffect, Yard, parts } from '@switchwheel/transport';
+import { type WireEffect, ChannelPool, splitAddress } from '@switchwheel/transport';
 import { build } from '@switchwheel/configuration';
 import { type Bounds, DirectLine, type Words } from '@switchwheel/routing';
 import {
@@ -59,7 +59,7 @@
     door: boot.door,
     incarnation: newIncarnation(),
   };
-  const yard = new Yard({
+  const yard = new ChannelPool({
     node: member.node,
     address: member.address,
     incarnation: member.incarnation,
@@ -145,7 +145,7 @@
     answer.writeHead(!known ? 404 : ready() ? 200 : 503, ['content-length', '0']).end();
   });
   await new Promise<void>((done) => {
-    readyServer.listen(parts(boot.ready.address), done);
+    readyServer.listen(splitAddress(boot.ready.address), done);
   });
   await yard.listen();
   await door.listen(boot.door);
--- a/packages/proxy/src/edge/faults.ts
+++ b/packages/proxy/src/edge/faults.ts
@@ -1,9 +1,9 @@
 import type Koa from 'koa';
-import { type Kind, tell } from '@switchwheel/types';
+import { type Kind, responseFor } from '@switchwheel/types';
 
 /** Tells a caller what went wrong: the kind says whether the request ran. */
 export const sendFault = (ctx: Koa.Context, kind: Kind, text: string, retryMs: number): void => {
-  const told = tell(kind);
+  const told = responseFor(kind);
   const shown = kind === 'slow' || kind === 'lost' ? 'unknown' : kind;
   ctx.status = told.status;
   ctx.set('cache-control', 'no-store');
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,5 +1,5 @@
 import Koa from 'koa';
-import { type Frame, Yard } from '@switchwheel/transport';
+import { type Frame, ChannelPool } from '@switchwheel/transport';
 import {
   type Cab,
   Cache,
@@ -49,7 +49,7 @@
   admin: boot.admin,
   incarnation: newIncarnation(),
 };
-const yard = new Yard({
+const yard = new ChannelPool({
   node: member.node,
   address: member.address,
   incarnation: member.incarnation,
@@ -115,7 +115,7 @@
 
 const dial: Dial = (to, ears) => {
   const channel = yard.open(to);
-  const late = setTimeout(() => channel.hang('no hello in time'), dialSpan);
+  const late = setTimeout(() => channel.terminate('no hello in time'), dialSpan);
   channel.on('up', () => {
     clearTimeout(late);
     ears.up();
--- a/packages/query-shell/src/gather/gather.ts
+++ b/packages/query-shell/src/gather/gather.ts
@@ -21,7 +21,7 @@
   phase: text,
   ready: v.nullish(v.boolean()),
   failed: v.nullish(loose({ text: v.string() })),
-  fitness: v.nullish(loose({ fit: v.boolean(), text: v.string() })),
+  health: v.nullish(loose({ healthy: v.boolean(), text: v.string() })),
 });
 export const fleetForm = loose({
   registry: v.string(),
@@ -34,8 +34,8 @@
   electorate: v.nullish(
     loose({ serial: v.number(), members: v.array(loose({ node: v.string() })) }),
   ),
-  witness: loose({
-    blank: v.boolean(),
+  voter: loose({
+    recovering: v.boolean(),
     grants: v.array(
       loose({ duty: v.string(), epoch: v.number(), node: v.string(), leftMs: v.number() }),
     ),
@@ -148,8 +148,8 @@
     epoch: v.number(),
     entries: v.number(),
     waitlist: v.number(),
-    charter: v.nullish(
-      loose({ insync: v.array(v.string()), stores: v.array(loose({ node: v.string() })) }),
+    metadata: v.nullish(
+      loose({ inSyncSet: v.array(v.string()), stores: v.array(loose({ node: v.string() })) }),
     ),
   }),
 } as const;
--- a/packages/query-shell/src/table/tables.ts
+++ b/packages/query-shell/src/table/tables.ts
@@ -72,7 +72,7 @@
         'generation',
         'desired',
         'phase',
-        'fit',
+        'healthy',
         'why',
         'registry',
         'age',
@@ -89,8 +89,8 @@
             ['generation', one.generation],
             ['desired', desiredOf(words, one.node)],
             ['phase', one.phase],
-            ['fit', one.fitness?.fit],
-            ['why', one.failed?.text ?? one.fitness?.text],
+            ['healthy', one.health?.healthy],
+            ['why', one.failed?.text ?? one.health?.text],
             ['registry', one.registry],
             ['age', one.ageMs],
             ['address', one.address],
@@ -144,9 +144,9 @@
   [
     'duties',
     {
-      about: 'duties with holders, epochs and the leases that witnesses know',
+      about: 'duties with holders, epochs and the leases that voters know',
       wants: [],
-      columns: ['duty', 'node', 'epoch', 'witnesses', 'left'],
+      columns: ['duty', 'node', 'epoch', 'voters', 'left'],
       rows: (words) => {
         const best = new Map<string, FleetWord['holders'][number]>();
         for (const fleet of words.fleets)
@@ -156,7 +156,7 @@
           .sort((one, two) => (one.duty < two.duty ? -1 : 1))
           .map((one) => {
             const grants = words.fleets.flatMap((fleet) =>
-              fleet.witness.grants.filter(
+              fleet.voter.grants.filter(
                 (grant) => grant.duty === one.duty && grant.epoch === one.epoch && grant.leftMs > 0,
               ),
             );
@@ -164,7 +164,7 @@
               ['duty', one.duty],
               ['node', one.node],
               ['epoch', one.epoch],
-              ['witnesses', grants.length],
+              ['voters', grants.length],
               ['left', Math.max(0, ...grants.map((grant) => grant.leftMs))],
             );
           });
@@ -176,7 +176,16 @@
     {
       about: 'registries: what each knows',
       wants: [],
-      columns: ['registry', 'touch', 'feed', 'epoch', 'generation', 'purges', 'blank', 'witnesses'],
+      columns: [
+        'registry',
+        'touch',
+        'feed',
+        'epoch',
+        'generation',
+        'purges',
+        'recovering',
+        'voters',
+      ],
       rows: (words) =>
         words.fleets.map((one) =>
           row(
@@ -186,8 +195,8 @@
             ['epoch', one.epoch],
             ['generation', one.generation],
             ['purges', one.purges.top],
-            ['blank', one.witness.blank],
-            ['witnesses', one.electorate?.members.map((member) => member.node).join(' ')],
+            ['recovering', one.voter.recovering],
+            ['voters', one.electorate?.members.map((member) => member.node).join(' ')],
           ),
         ),
     },
@@ -424,14 +433,14 @@
     {
       about: 'stores: who is in sync',
       wants: ['store'],
-      columns: ['store', 'primary', 'insync', 'epoch', 'entries', 'waiting'],
+      columns: ['store', 'primary', 'inSyncSet', 'epoch', 'entries', 'waiting'],
       rows: (words) => {
         const told = words.stored.store;
-        return (told?.charter?.stores ?? []).map((one) =>
+        return (told?.metadata?.stores ?? []).map((one) =>
           row(
             ['store', one.node],
             ['primary', told?.store === one.node],
-            ['insync', told?.charter?.insync.includes(one.node)],
+            ['inSyncSet', told?.metadata?.inSyncSet.includes(one.node)],
             ['epoch', told?.epoch],
             ['entries', told?.store === one.node ? told.entries : null],
             ['waiting', told?.store === one.node ? told.waitlist : null],
--- a/packages/registry/src/outside/app.ts
+++ b/packages/registry/src/outside/app.ts
@@ -10,7 +10,7 @@
   isGeneration,
   isServiceName,
   noGeneration,
-  tell,
+  responseFor,
   toCallId,
 } from '@switchwheel/types';
 import { type Fault, build, cut, readInto } from '@switchwheel/configuration';
@@ -33,7 +33,7 @@
 const smallLimit = 4 * 1024 * 1024;
 
 const fail = (ctx: Koa.Context, kind: Kind, text: string, faults?: readonly Fault[]): void => {
-  const told = tell(kind);
+  const told = responseFor(kind);
   ctx.status = told.status;
   if (told.retryAfter !== undefined) ctx.set('retry-after', String(told.retryAfter));
   ctx.body = { kind, text, ...(faults === undefined ? {} : { faults }) };
@@ -234,7 +234,7 @@
               id: form.id ?? toCallId(randomUUID()),
               fleet: form.fleet,
               stores: form.stores,
-              witnesses: form.witnesses,
+              voters: form.voters,
             }),
           );
         return;
--- a/packages/registry/src/outside/forms.ts
+++ b/packages/registry/src/outside/forms.ts
@@ -26,7 +26,7 @@
   id: v.optional(g.callId),
   fleet: g.fleetId,
   stores: v.optional(v.array(g.nodeId), []),
-  witnesses: v.optional(v.array(g.nodeId), []),
+  voters: v.optional(v.array(g.nodeId), []),
 });
 
 export const electorateForm = v.strictObject({
--- a/packages/registry/src/run.ts
+++ b/packages/registry/src/run.ts
@@ -1,13 +1,13 @@
 import type Koa from 'koa';
 import type { Address, AreaName, NodeId } from '@switchwheel/types';
-import { type WireEffect, Yard } from '@switchwheel/transport';
+import { type WireEffect, ChannelPool } from '@switchwheel/transport';
 import {
   type Outside,
-  type Proposal,
+  type ClusterProposal,
   type Registry,
   type RegistryEffect,
   type RegistryEvent,
-  inTouch,
+  hasMajorityContact,
   newRegistry,
   registryStep,
 } from '@switchwheel/membership';
@@ -45,7 +45,7 @@
 
 /** What a fleet that founds itself gives a registry besides. */
 export interface RegistryWays {
-  readonly proposal?: Proposal | undefined;
+  readonly proposal?: ClusterProposal | undefined;
   /** Whether nodes that run nothing may start on what disks hold. */
   readonly eager?: boolean;
   /** How often time is let pass, in milliseconds. */
@@ -73,7 +73,7 @@
     admin: boot.door,
     incarnation: newIncarnation(),
   };
-  const yard = new Yard({
+  const yard = new ChannelPool({
     node: member.node,
     address: member.address,
     incarnation: member.incarnation,
@@ -119,14 +119,14 @@
       plain('generation', one.feed.current?.generation ?? 0),
       plain('purges_top', one.feed.top),
       plain('feed_age_ms', one.feed.asOf === undefined ? -1 : Math.round(now() - one.feed.asOf)),
-      plain('witness_blank', one.witness.blank ? 1 : 0),
+      plain('voter_recovering', one.voter.recovering ? 1 : 0),
       plain('loop_lag_worst_ms', worstLag),
       plain('foreign_channels_total', yard.foreign),
       plain('memory_bytes', process.memoryUsage.rss()),
     ]);
   };
 
-  const ready = (): boolean => !state().stopping && inTouch(state(), now());
+  const ready = (): boolean => !state().stopping && hasMajorityContact(state(), now());
   const door = await openDoor(app({ ask, ready, metrics, state }), boot.door, {
     headersMs: 5000,
     requestMs: 30_000,
--- a/packages/replicated-store/src/command/calls.ts
+++ b/packages/replicated-store/src/command/calls.ts
@@ -15,20 +15,19 @@
   serviceName,
   step,
 } from '@switchwheel/types';
-import { type Colleague, type Electorate, type FrameOf, aim, send } from '@switchwheel/transport';
+import { type Peer, type Electorate, type FrameOf, aim, send } from '@switchwheel/transport';
 import { bundleHash, hashOf } from '@switchwheel/configuration';
-import { isPrimary } from '../duty/poll.js';
-import { startJob, tellCall } from '../job/job.js';
+import { isPrimary } from '../leadership/candidacy.js';
+import { callReply, enqueue } from './queue.js';
 import type { StoreEffect } from '../state/event.js';
-import { type Command, type Store, me } from '../state/state.js';
+import { type Command, type Store, ownId } from '../state/state.js';
 import { view, viewRelease } from './view.js';
 
 type Done = Step<Store, StoreEffect>;
 type ApplyCommand = Extract<Command, { kind: 'apply' }>;
-export const maxWaiting = 1024;
-const lackSpan = 6000;
-const askSpan = 300;
-const wantMost = 64;
+const piecesTimeout = 6000;
+const askPiecesInterval = 300;
+const maxPiecesPerRequest = 64;
 
 const applyBody = v.object({
   hash: hashSchema,
@@ -56,43 +55,21 @@
   }
 };
 
-/** Puts a command in its turn, unless too many wait. */
-export const queue = (state: Store, command: Command, now: Moment): Done => {
-  if (state.waitlist.length >= maxWaiting) {
-    return 'asker' in command
-      ? step(
-          state,
-          tellCall({
-            ...command.asker,
-            status: 503,
-            body: JSON.stringify({
-              kind: 'bounced',
-              id: command.asker.id,
-              text: 'too many writes wait',
-              retryAfterMs: 1000,
-            }),
-          }),
-        )
-      : step(state);
-  }
-  return startJob({ ...state, waitlist: [...state.waitlist, command] }, now);
-};
-
-const lacks = (state: Store, order: readonly Hash[]): readonly Hash[] =>
-  order.filter((one) => !state.control.pieces.has(one) && !state.spare.has(one));
+const missingPieces = (state: Store, order: readonly Hash[]): readonly Hash[] =>
+  order.filter((one) => !state.control.pieces.has(one) && !state.receivedPieces.has(one));
 
 /** Has the description compiled with the nodes' own code once all its pieces are here. */
-const ready = (state: Store, command: ApplyCommand): Done => {
+const compile = (state: Store, command: ApplyCommand): Done => {
   const others = state.compiling.get(command.hash) ?? [];
   const next = { ...state, compiling: put(state.compiling, command.hash, [...others, command]) };
   if (others.length > 0) return step(next);
   const texts = command.order.map(
-    (one) => state.control.pieces.get(one) ?? state.spare.get(one) ?? '',
+    (one) => state.control.pieces.get(one) ?? state.receivedPieces.get(one) ?? '',
   );
   return step(next, { kind: 'compile', hash: command.hash, texts });
 };
 
-type Lacking = NonNullable<ReturnType<Store['lacking']['get']>>;
+type Lacking = NonNullable<ReturnType<Store['awaitingPieces']['get']>>;
 
 /** Asks for some of the pieces that lack: the next ones when these are here. */
 const askPieces = (
@@ -101,27 +78,27 @@
   missing: readonly Hash[],
   now: Moment,
 ): Done => {
-  const hashes = missing.slice(0, wantMost);
-  const lacking = put(state.lacking, one.command.asker.id, {
+  const hashes = missing.slice(0, maxPiecesPerRequest);
+  const lacking = put(state.awaitingPieces, one.command.asker.id, {
     ...one,
     asked: now,
     awaited: hashes.length,
   });
   return step(
-    { ...state, lacking },
-    send(one.command.asker.to, { kind: 'want', node: me(state), hashes: [...hashes] }),
+    { ...state, awaitingPieces: lacking },
+    send(one.command.asker.to, { kind: 'piece-request', node: ownId(state), hashes: [...hashes] }),
   );
 };
 
 const onApply = (state: Store, command: ApplyCommand, now: Moment): Done => {
   const open =
-    state.lacking.has(command.asker.id) ||
+    state.awaitingPieces.has(command.asker.id) ||
     [...state.compiling.values()].flat().some((one) => one.asker.id === command.asker.id) ||
-    state.waitlist.some((one) => one.kind === 'apply' && one.asker.id === command.asker.id) ||
-    (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
+    state.commandQueue.some((one) => one.kind === 'apply' && one.asker.id === command.asker.id) ||
+    (state.primaryWrite?.results.some((one) => one.id === command.asker.id) ?? false);
   if (open) return step(state);
-  const missing = lacks(state, command.order);
-  if (missing.length === 0) return ready(state, command);
+  const missing = missingPieces(state, command.order);
+  if (missing.length === 0) return compile(state, command);
   return askPieces(state, { command, since: now }, missing, now);
 };
 
@@ -139,14 +116,14 @@
   return { serial: nextSeq(old.serial), members };
 };
 
-export const onCall = (state: Store, from: Colleague, word: FrameOf<'call'>, now: Moment): Done => {
+export const onCall = (state: Store, from: Peer, word: FrameOf<'call'>, now: Moment): Done => {
   // A store without the duty stays silent: the registry asks the holder as soon as it knows it.
   if (!isPrimary(state, now)) return step(state);
   const asker = { to: from.address, id: word.id };
   const bad = (text: string): Done =>
     step(
       state,
-      tellCall({
+      callReply({
         ...asker,
         status: 422,
         body: JSON.stringify({ kind: 'invalid', id: word.id, text }),
@@ -154,15 +131,15 @@
     );
   const before = state.control.calls.get(word.id);
   if (before !== undefined)
-    return step(state, tellCall({ ...asker, status: before.status, body: before.body }));
-  if (state.muted && word.verb !== 'ask' && word.verb !== 'view') {
+    return step(state, callReply({ ...asker, status: before.status, body: before.body }));
+  if (state.readOnly && word.verb !== 'ask' && word.verb !== 'view') {
     return step(
       state,
-      tellCall({
+      callReply({
         ...asker,
         status: 503,
         body: JSON.stringify({
-          kind: 'bounced',
+          kind: 'rejected',
           id: word.id,
           text: 'the disk is full: nothing can be written',
           retryAfterMs: 2000,
@@ -192,42 +169,41 @@
     case 'purge': {
       const aims = parse(aimsBody, word.body);
       if (aims === undefined) return bad('a purge names 1 to 10000 objects or tags');
-      return queueOnce(state, { kind: 'purge', asker, aims }, now);
+      return enqueueOnce(state, { kind: 'purge', asker, aims });
     }
     case 'electorate': {
       const body = parse(electorateBody, word.body);
       const next =
-        body === undefined || state.charter === undefined
+        body === undefined || state.metadata === undefined
           ? undefined
-          : changed(state.charter.electorate, body);
+          : changed(state.metadata.electorate, body);
       if (next === undefined) return bad('that would not change the electorate by one');
-      return queueOnce(state, { kind: 'electorate', asker, electorate: next }, now);
+      return enqueueOnce(state, { kind: 'electorate', asker, electorate: next });
     }
     case 'release': {
       const body = parse(releaseBody, word.body);
       if (body === undefined)
         return bad('an order names a service, a release, and a span of 1 s to a day');
-      return queueOnce(state, { kind: 'order', asker, ...body }, now);
+      return enqueueOnce(state, { kind: 'order', asker, ...body });
     }
     case 'ask':
-      return step(state, tellCall({ ...asker, ...asked(state, word.body) }));
+      return step(state, callReply({ ...asker, ...outcomeReply(state, word.body) }));
     case 'view':
-      return step(state, tellCall({ ...asker, ...viewed(state, word.body, now) }));
+      return step(state, callReply({ ...asker, ...viewReply(state, word.body, now) }));
   }
 };
 
-const queueOnce = (
+const enqueueOnce = (
   state: Store,
   command: Extract<Command, { kind: 'purge' | 'electorate' | 'order' }>,
-  now: Moment,
 ): Done => {
   const open =
-    state.waitlist.some((one) => 'asker' in one && one.asker.id === command.asker.id) ||
-    (state.job?.results.some((one) => one.id === command.asker.id) ?? false);
-  return open ? step(state) : queue(state, command, now);
+    state.commandQueue.some((one) => 'asker' in one && one.asker.id === command.asker.id) ||
+    (state.primaryWrite?.results.some((one) => one.id === command.asker.id) ?? false);
+  return open ? step(state) : enqueue(state, command);
 };
 
-const viewed = (
+const viewReply = (
   state: Store,
   what: string,
   now: Moment,
@@ -243,7 +219,10 @@
     : { status: 200, body: JSON.stringify(found) };
 };
 
-const asked = (state: Store, id: string): { readonly status: number; readonly body: string } => {
+const outcomeReply = (
+  state: Store,
+  id: string,
+): { readonly status: number; readonly body: string } => {
   const found = [...state.control.calls].find(([one]) => one === id);
   if (found !== undefined) return { status: found[1].status, body: found[1].body };
   return {
@@ -257,23 +236,27 @@
 
 /** A piece of a description came in. */
 export const onPiece = (state: Store, word: FrameOf<'piece'>, now: Moment): Done => {
-  if (state.spare.has(word.hash) || hashOf(word.data) !== word.hash) return step(state);
-  let next: Store = { ...state, spare: put(state.spare, word.hash, word.data) };
+  if (state.receivedPieces.has(word.hash) || hashOf(word.data) !== word.hash) return step(state);
+  let next: Store = { ...state, receivedPieces: put(state.receivedPieces, word.hash, word.data) };
   const effects: StoreEffect[] = [];
-  for (const [id, one] of state.lacking) {
+  for (const [id, one] of state.awaitingPieces) {
     if (one.awaited > 1 || !one.command.order.includes(word.hash)) {
       if (one.command.order.includes(word.hash))
         next = {
           ...next,
-          lacking: put(next.lacking, id, { ...one, awaited: one.awaited - 1, asked: now }),
+          awaitingPieces: put(next.awaitingPieces, id, {
+            ...one,
+            awaited: one.awaited - 1,
+            asked: now,
+          }),
         };
       continue;
     }
-    const missing = lacks(next, one.command.order);
+    const missing = missingPieces(next, one.command.order);
     const done =
       missing.length > 0
         ? askPieces(next, one, missing, now)
-        : ready({ ...next, lacking: drop(next.lacking, id) }, one.command);
+        : compile({ ...next, awaitingPieces: drop(next.awaitingPieces, id) }, one.command);
     next = done.state;
     effects.push(...done.effects);
   }
@@ -281,28 +264,23 @@
 };
 
 /** The compile of a description ended. */
-export const onCompiled = (
-  state: Store,
-  hash: Hash,
-  faults: ApplyCommand['faults'],
-  now: Moment,
-): Done => {
+export const onCompiled = (state: Store, hash: Hash, faults: ApplyCommand['faults']): Done => {
   let next: Done = step({ ...state, compiling: drop(state.compiling, hash) });
   for (const command of state.compiling.get(hash) ?? [])
-    next = join(next.effects, queue(next.state, { ...command, faults }, now));
+    next = join(next.effects, enqueue(next.state, { ...command, faults }));
   return next;
 };
 
 /** Lets time pass over calls that lack pieces. */
-export const passCalls = (state: Store, now: Moment): Done => {
+export const tickCalls = (state: Store, now: Moment): Done => {
   let next: Done = step(state);
-  for (const [id, one] of state.lacking) {
-    if (now - one.since > lackSpan) {
-      const told = tellCall({
+  for (const [id, one] of state.awaitingPieces) {
+    if (now - one.since > piecesTimeout) {
+      const told = callReply({
         ...one.command.asker,
         status: 503,
         body: JSON.stringify({
-          kind: 'bounced',
+          kind: 'rejected',
           id,
           text: 'not all pieces came in time',
           retryAfterMs: 1000,
@@ -310,12 +288,12 @@
       });
       next = join(
         next.effects,
-        step({ ...next.state, lacking: drop(next.state.lacking, id) }, told),
+        step({ ...next.state, awaitingPieces: drop(next.state.awaitingPieces, id) }, told),
       );
-    } else if (now - one.asked > askSpan) {
+    } else if (now - one.asked > askPiecesInterval) {
       next = join(
         next.effects,
-        askPieces(next.state, one, lacks(next.state, one.command.order), now),
+        askPieces(next.state, one, missingPieces(next.state, one.command.order), now),
       );
     }
   }
@@ -323,7 +301,7 @@
 };
 
 /** A registry lacks pieces of the description in force. */
-export const onWant = (state: Store, from: Colleague, word: FrameOf<'want'>): Done =>
+export const onWant = (state: Store, from: Peer, word: FrameOf<'piece-request'>): Done =>
   step(
     state,
     ...word.hashes.flatMap((one): readonly StoreEffect[] => {
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -24,12 +24,12 @@
   readonly puts: readonly Put[];
   readonly results: readonly CallResult[];
   /** Told at once: nothing is written for them. */
-  readonly bounces: readonly CallResult[];
+  readonly immediateReplies: readonly CallResult[];
   readonly electorate?: Electorate;
 }
-const nothing: Decision = { puts: [], results: [], bounces: [] };
+const noChange: Decision = { puts: [], results: [], immediateReplies: [] };
 
-const told = (
+const callResult = (
   command: Extract<Command, { asker: unknown }>,
   status: number,
   body: object,
@@ -40,7 +40,7 @@
 });
 
 /** Keeps the answer with the write it belongs to, and lets the oldest go. */
-const kept = (control: Control, result: CallResult, seq: Seq): readonly Put[] => {
+const rememberResult = (control: Control, result: CallResult, seq: Seq): readonly Put[] => {
   const old =
     control.calls.size < keptCalls
       ? []
@@ -53,14 +53,17 @@
   ];
 };
 
-const repeated = (
+const earlierResult = (
   control: Control,
   command: Extract<Command, { asker: unknown }>,
 ): Decision | undefined => {
   const before = control.calls.get(command.asker.id);
   return before === undefined
     ? undefined
-    : { ...nothing, bounces: [{ ...command.asker, status: before.status, body: before.body }] };
+    : {
+        ...noChange,
+        immediateReplies: [{ ...command.asker, status: before.status, body: before.body }],
+      };
 };
 
 const decideApply = (
@@ -69,15 +72,15 @@
   command: Extract<Command, { kind: 'apply' }>,
   seq: Seq,
 ): Decision => {
-  const again = repeated(control, command);
+  const again = earlierResult(control, command);
   if (again !== undefined) return again;
   const current = control.stored?.offer;
   const now = current?.generation ?? noGeneration;
   if (command.base !== undefined && command.base !== now) {
     return {
-      ...nothing,
-      bounces: [
-        told(command, 409, {
+      ...noChange,
+      immediateReplies: [
+        callResult(command, 409, {
           kind: 'stale',
           text: `the base is generation ${command.base}, in force is ${now}`,
           generation: now,
@@ -87,9 +90,9 @@
   }
   if (command.faults.length > 0)
     return {
-      ...nothing,
-      bounces: [
-        told(command, 422, {
+      ...noChange,
+      immediateReplies: [
+        callResult(command, 422, {
           kind: 'invalid',
           text: 'the description is refused whole',
           faults: command.faults,
@@ -99,14 +102,14 @@
   // Where the operator numbers the descriptions the highest holds, whatever order they come in.
   // It is told once this write lasts, and with it the higher one that may be in the same batch.
   if (command.number !== undefined && command.number <= now)
-    return { ...nothing, results: [told(command, 200, { kind: 'held', generation: now })] };
+    return { ...noChange, results: [callResult(command, 200, { kind: 'held', generation: now })] };
   const generation = command.number ?? nextGeneration(now);
   const offer = { generation, hash: command.hash, pieces: [...command.order] };
-  const result = told(command, 200, { kind: 'accepted', generation, hash: command.hash });
+  const result = callResult(command, 200, { kind: 'accepted', generation, hash: command.hash });
   const keep = new Set([...command.order, ...(current?.pieces ?? [])]);
   const puts: Put[] = [];
   for (const hash of command.order) {
-    const data = state.spare.get(hash);
+    const data = state.receivedPieces.get(hash);
     if (!control.pieces.has(hash) && data !== undefined)
       puts.push({ key: keyOf.piece(hash), data });
   }
@@ -116,8 +119,11 @@
     if (target.generation + 8 < generation) puts.push(erase(key));
   for (const one of control.rollouts.keys())
     if (one + 8 < generation) puts.push(erase(keyOf.rollout(one)));
-  puts.push(write(keyOf.stored, { offer, call: command.asker.id }), ...kept(control, result, seq));
-  return { ...nothing, puts, results: [result] };
+  puts.push(
+    write(keyOf.stored, { offer, call: command.asker.id }),
+    ...rememberResult(control, result, seq),
+  );
+  return { ...noChange, puts, results: [result] };
 };
 
 const decidePurge = (
@@ -125,19 +131,23 @@
   command: Extract<Command, { kind: 'purge' }>,
   seq: Seq,
 ): Decision => {
-  const again = repeated(control, command);
+  const again = earlierResult(control, command);
   if (again !== undefined) return again;
   const number = nextSeq(topPurge(control));
   const batch: Purge = { seq: number, aims: [...command.aims] };
-  const result = told(command, 200, { kind: 'accepted', purge: number, aims: command.aims.length });
+  const result = callResult(command, 200, {
+    kind: 'accepted',
+    purge: number,
+    aims: command.aims.length,
+  });
   const old = control.purges.slice(0, Math.max(0, control.purges.length + 1 - keptPurges));
   return {
-    ...nothing,
+    ...noChange,
     results: [result],
     puts: [
       write(keyOf.purge(number), batch),
       ...old.map((one) => erase(keyOf.purge(one.seq))),
-      ...kept(control, result, seq),
+      ...rememberResult(control, result, seq),
     ],
   };
 };
@@ -145,7 +155,7 @@
 const decideNode = (control: Control, command: Extract<Command, { kind: 'node' }>): Decision => {
   const known = control.nodes.get(command.node);
   const { role, incarnation, online, report } = command;
-  if (known !== undefined && known.incarnation > incarnation) return nothing;
+  if (known !== undefined && known.incarnation > incarnation) return noChange;
   const fresh = known?.incarnation !== incarnation;
   const row: NodeRow = {
     role,
@@ -157,8 +167,8 @@
     // A new run of a node starts without a mark; a mark ends when the node runs what it was for.
     failed: report.failed?.hash ?? (fresh || report.phase === 'applied' ? undefined : known.failed),
   };
-  if (known !== undefined && alike(known, row)) return nothing;
-  return { ...nothing, puts: [write(keyOf.node(command.node), row)] };
+  if (known !== undefined && alike(known, row)) return noChange;
+  return { ...noChange, puts: [write(keyOf.node(command.node), row)] };
 };
 
 const decideTrial = (control: Control, command: Extract<Command, { kind: 'trial' }>): Decision => {
@@ -186,8 +196,8 @@
     known.bad === next.bad &&
     known.state === next.state
   )
-    return nothing;
-  return { ...nothing, puts: [write(key, next)] };
+    return noChange;
+  return { ...noChange, puts: [write(key, next)] };
 };
 
 const policyOf = (control: Control): v.InferOutput<typeof policySchema> => {
@@ -220,7 +230,7 @@
   control: Control,
   command: Command,
   seq: Seq,
-  now: Store['turned'],
+  now: Store['engineRanAt'],
 ): Decision & { readonly seen?: Store['seen']; readonly opened?: Store['opened'] } => {
   switch (command.kind) {
     case 'apply':
@@ -228,65 +238,65 @@
     case 'purge':
       return decidePurge(control, command, seq);
     case 'electorate': {
-      const again = repeated(control, command);
+      const again = earlierResult(control, command);
       if (again !== undefined) return again;
       if (
-        state.charter !== undefined &&
-        command.electorate.serial <= state.charter.electorate.serial
+        state.metadata !== undefined &&
+        command.electorate.serial <= state.metadata.electorate.serial
       ) {
         return {
-          ...nothing,
-          bounces: [
-            told(command, 409, {
+          ...noChange,
+          immediateReplies: [
+            callResult(command, 409, {
               kind: 'stale',
               text: 'the electorate changed meanwhile; ask again with a new id',
             }),
           ],
         };
       }
-      const result = told(command, 200, { kind: 'accepted', electorate: command.electorate });
+      const result = callResult(command, 200, { kind: 'accepted', electorate: command.electorate });
       return {
-        ...nothing,
+        ...noChange,
         results: [result],
-        puts: kept(control, result, seq),
+        puts: rememberResult(control, result, seq),
         electorate: command.electorate,
       };
     }
     case 'seats':
-      return { ...nothing, electorate: command.electorate };
+      return { ...noChange, electorate: command.electorate };
     case 'node':
       return decideNode(control, command);
     case 'forget':
       return control.nodes.get(command.node)?.online === false
-        ? { ...nothing, puts: [erase(keyOf.node(command.node))] }
-        : nothing;
+        ? { ...noChange, puts: [erase(keyOf.node(command.node))] }
+        : noChange;
     case 'trial':
       return decideTrial(control, command);
     case 'order': {
-      const again = repeated(control, command);
+      const again = earlierResult(control, command);
       if (again !== undefined) return again;
       const ordered = decideOrder(state, control, command, now);
-      const result = told(command, ordered.status, ordered.body);
-      if (ordered.status !== 200) return { ...nothing, bounces: [result] };
+      const result = callResult(command, ordered.status, ordered.body);
+      if (ordered.status !== 200) return { ...noChange, immediateReplies: [result] };
       return {
-        ...nothing,
+        ...noChange,
         results: [result],
-        puts: [...ordered.puts, ...kept(control, result, seq)],
+        puts: [...ordered.puts, ...rememberResult(control, result, seq)],
       };
     }
     case 'release':
-      return { ...nothing, puts: decideRelease(control, command.next) };
+      return { ...noChange, puts: decideRelease(control, command.next) };
     case 'origins':
       return {
-        ...nothing,
-        puts: originPuts(control.origins, state.berth.origins, command.sure, now),
+        ...noChange,
+        puts: originPuts(control.origins, state.session.origins, command.sure, now),
       };
     case 'plan':
-      return { ...nothing, puts: guard(control, plan(control, policyOf(control))) };
+      return { ...noChange, puts: guard(control, plan(control, policyOf(control))) };
     case 'turn': {
       const result = turn(control, state.seen, state.opened, now);
       return {
-        ...nothing,
+        ...noChange,
         puts: guard(control, result.puts),
         seen: result.seen,
         opened: result.opened,
--- a/packages/replicated-store/src/command/view.ts
+++ b/packages/replicated-store/src/command/view.ts
@@ -2,11 +2,11 @@
 import { heldEpoch } from '@switchwheel/election';
 import { whole } from '@switchwheel/configuration';
 import { spentOf } from '../release/release.js';
-import { type Store, me } from '../state/state.js';
+import { type Store, ownId } from '../state/state.js';
 
 const about = (state: Store): object => ({
-  store: me(state),
-  epoch: heldEpoch(state.stand),
+  store: ownId(state),
+  epoch: heldEpoch(state.candidate),
   stamp: state.stamp,
   generation: state.control.stored?.offer.generation ?? noGeneration,
 });
@@ -67,14 +67,14 @@
     default:
       return {
         ...about(state),
-        charter: state.charter ?? null,
+        metadata: state.metadata ?? null,
         entries: state.table.size,
-        waitlist: state.waitlist.length,
+        waitlist: state.commandQueue.length,
         diskFullMs: state.diskFull === undefined ? null : Math.round(now - state.diskFull),
-        colleagues: [...state.colleagues.values()].map((one) => ({
+        peers: [...state.peers.values()].map((one) => ({
           node: one.node,
           stamp: one.stamp,
-          epoch: one.charter?.epoch ?? null,
+          epoch: one.metadata?.epoch ?? null,
           ageMs: Math.round(now - one.at),
         })),
       };
--- a/packages/replicated-store/src/feed/feed.ts
+++ b/packages/replicated-store/src/feed/feed.ts
@@ -4,9 +4,9 @@
 import { heldEpoch } from '@switchwheel/election';
 import type { StoreEffect } from '../state/event.js';
 import { spentOf } from '../release/release.js';
-import type { Store, Tuned } from '../state/state.js';
+import type { Store, Subscriber } from '../state/state.js';
 
-const tunedSpan = 3000;
+const subscriberTimeout = 3000;
 
 const offersOf = (state: Store): readonly Offer[] => {
   const stored = state.control.stored?.offer;
@@ -14,10 +14,15 @@
 };
 
 /** What a registry is told: all of the desired state if it lacks any, and the purges it lacks. */
-const feed = (state: Store, to: Tuned, at: Moment, now: Moment): FrameOf<'feed'> | undefined => {
-  const charter = state.charter;
-  if (charter === undefined) return undefined;
-  const behind = to.serial === noSeq || to.serial < state.listed;
+const feed = (
+  state: Store,
+  to: Subscriber,
+  at: Moment,
+  now: Moment,
+): FrameOf<'feed'> | undefined => {
+  const metadata = state.metadata;
+  if (metadata === undefined) return undefined;
+  const behind = to.serial === noSeq || to.serial < state.lastNodeChange;
   const rows = [...state.control.nodes].flatMap(([node, row]) => {
     if (row.desired === undefined) return [];
     return [{ node, ...row.desired, ...(row.failed === undefined ? {} : { failed: row.failed }) }];
@@ -26,10 +31,10 @@
   return {
     kind: 'feed',
     at,
-    epoch: heldEpoch(state.stand),
+    epoch: heldEpoch(state.candidate),
     serial: state.stamp.seq,
-    fleet: charter.fleet,
-    electorate: charter.electorate,
+    fleet: metadata.fleet,
+    electorate: metadata.electorate,
     ...(behind ? { desired: rows } : {}),
     offers: behind ? [...offersOf(state)] : [],
     ...(behind && current !== undefined ? { current } : {}),
@@ -45,7 +50,7 @@
 
 export const feedOne = (
   state: Store,
-  to: Tuned,
+  to: Subscriber,
   at: Moment,
   now: Moment,
 ): readonly StoreEffect[] => {
@@ -55,6 +60,6 @@
 
 /** Pushes news to every registry that listens; the time it bears renews nothing. */
 export const feedAll = (state: Store, now: Moment): readonly StoreEffect[] =>
-  [...state.tuned.values()]
-    .filter((one) => now - one.at < tunedSpan)
+  [...state.subscribers.values()]
+    .filter((one) => now - one.at < subscriberTimeout)
     .flatMap((one) => feedOne(state, one, start, now));
--- /dev/null
+++ b/packages/replicated-store/src/leadership/candidacy.ts
@@ -0,0 +1,165 @@
+import { type Moment, type NodeId, type Step, noEpoch, step, toMoment } from '@switchwheel/types';
+import type { ClusterMetadata, Electorate, Holder, WireEffect } from '@switchwheel/transport';
+import { type ElectionContext, holdsLease, stepDown } from '@switchwheel/election';
+import { type PeerStatus, type Store, ownId } from '../state/state.js';
+import { newerStamp } from '../table/table.js';
+
+/** How fresh a peer's consent must be. */
+const evidenceLimit = 500;
+export const backupTimeout = 650;
+/** How long the primary must be silent before a backup stands. */
+export const primaryTimeout = 700;
+/** How much longer each backup waits than the one before it, so that not all stand at once. */
+const standDelayPerRank = 40;
+/** How long a store without voters that remember waits for those of its in-sync set that do not speak. */
+const silentPeerTimeout = 1400;
+/** How long it waits for others to speak up when one of its in-sync set has lost its disk. */
+const lostDiskWait = 1000;
+
+export const isPrimary = (state: Store, now: Moment): boolean =>
+  state.serving && holdsLease(state.candidate, now);
+
+/** Whether this store holds every confirmed write, as far as it knows. */
+export const inSync = (state: Store): boolean =>
+  state.metadata !== undefined &&
+  state.metadata.inSyncSet.includes(ownId(state)) &&
+  state.excludedAtEpoch <= state.metadata.epoch;
+
+type PeerEvidence = 'same' | 'later' | 'empty' | 'silent';
+
+/** What a peer's record says of holdings after this store's own metadata. */
+const evidenceOf = (
+  state: Store,
+  metadata: ClusterMetadata,
+  word: PeerStatus | undefined,
+  now: Moment,
+): PeerEvidence => {
+  if (word === undefined || now - word.at >= evidenceLimit) return 'silent';
+  if (word.metadata === undefined) return 'empty';
+  if (word.metadata.fleet !== metadata.fleet) return 'silent';
+  return word.metadata.epoch > metadata.epoch || newerStamp(word.stamp, state.stamp)
+    ? 'later'
+    : 'same';
+};
+
+/** Whether a store is heard that belongs to a later holding without this one. */
+const newerPrimaryHeard = (state: Store, metadata: ClusterMetadata, now: Moment): boolean =>
+  [...state.peers.values()].some(
+    (word) =>
+      now - word.at < silentPeerTimeout &&
+      word.metadata?.fleet === metadata.fleet &&
+      word.metadata.epoch > metadata.epoch &&
+      !word.metadata.inSyncSet.includes(ownId(state)),
+  );
+
+/** Whether no later holding can have confirmed anything without this store, as far as records tell: then it needs no voter that remembers. */
+const survivorsProveNoNewerPrimary = (
+  state: Store,
+  metadata: ClusterMetadata,
+  now: Moment,
+): boolean => {
+  const others = metadata.inSyncSet
+    .filter((one) => one !== ownId(state))
+    .map((one) => {
+      const word = state.peers.get(one);
+      return {
+        tells: evidenceOf(state, metadata, word, now),
+        heard: Math.max(word?.at ?? state.startedAt, state.startedAt),
+      };
+    });
+  if (newerPrimaryHeard(state, metadata, now)) return false;
+  if (others.every((one) => one.tells === 'same')) return true;
+  if (
+    metadata.epoch === noEpoch ||
+    others.some((one) => one.tells === 'later') ||
+    now - state.startedAt < lostDiskWait
+  )
+    return false;
+  // A disk that is lost tells nothing ever again; one that is silent can have gone on only if it lost all who speak at once.
+  const silent = others.filter((one) => one.tells === 'silent');
+  const same = 1 + others.filter((one) => one.tells === 'same').length;
+  return (
+    silent.length === 0 ||
+    (same > state.settings.tolerate && silent.every((one) => now - one.heard >= silentPeerTimeout))
+  );
+};
+
+export const electionContext = (
+  state: Store,
+  metadata: ClusterMetadata,
+  now: Moment,
+): ElectionContext => {
+  const known = state.session.electorate;
+  const electorate: Electorate =
+    known !== undefined && known.serial > metadata.electorate.serial ? known : metadata.electorate;
+  const held: Holder = {
+    duty: state.candidate.duty,
+    epoch: metadata.epoch,
+    node: ownId(state),
+    address: state.session.member.address,
+  };
+  return {
+    fleet: metadata.fleet,
+    electorate,
+    held,
+    countRecovering: survivorsProveNoNewerPrimary(state, metadata, now),
+  };
+};
+
+/** The stores in sync that are in touch and whose disks take writes. */
+export const reachableInSync = (state: Store, now: Moment): ClusterMetadata['inSyncSet'] =>
+  (state.metadata?.inSyncSet ?? []).filter((one) => {
+    const word = state.peers.get(one);
+    return (
+      one === ownId(state) ||
+      (word?.metadata !== undefined &&
+        word.metadata.fleet === state.metadata?.fleet &&
+        !word.full &&
+        now - word.at < backupTimeout)
+    );
+  });
+
+export const areaOf = (state: Store, node: NodeId): string =>
+  node === ownId(state)
+    ? state.session.member.area
+    : (state.session.members.find((one) => one.node === node)?.area ?? `around ${node}`);
+
+/** The stores to stand with: no more than copies are wanted, in as many areas as there are. */
+export const chooseBackups = (state: Store, now: Moment): ClusterMetadata['inSyncSet'] => {
+  const near = reachableInSync(state, now);
+  if (near.length <= state.settings.copies) return near;
+  const taken = [ownId(state)];
+  while (taken.length < state.settings.copies) {
+    const areas = new Set(taken.map((one) => areaOf(state, one)));
+    const left = near.filter((one) => !taken.includes(one));
+    const next = left.find((one) => !areas.has(areaOf(state, one))) ?? left[0];
+    if (next === undefined) break;
+    taken.push(next);
+  }
+  return taken;
+};
+
+/** Whether this store may and should stand for the duty. */
+export const wantsElection = (state: Store, now: Moment): boolean => {
+  if (state.phase !== 'member' || !inSync(state) || now < state.standDownUntil) return false;
+  const rank = [...reachableInSync(state, now)].sort().indexOf(ownId(state));
+  return (
+    state.backupWrite === undefined &&
+    state.primaryWrite === undefined &&
+    now - state.primaryHeardAt > primaryTimeout + standDelayPerRank * rank
+  );
+};
+
+/** Gives the duty up for a while. */
+export const resignFor = (state: Store, rest: number, now: Moment): Step<Store, WireEffect> => {
+  const given = stepDown(
+    state.candidate,
+    state.metadata === undefined ? undefined : electionContext(state, state.metadata, now),
+    now,
+    0,
+  );
+  return step(
+    { ...state, candidate: given.state, standDownUntil: toMoment(now + rest) },
+    ...given.effects,
+  );
+};
