--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -11,68 +11,85 @@
   step,
 } from '@switchwheel/types';
 import {
-  type Colleague,
+  type Peer,
   type Frame,
   type FrameOf,
   type Report,
   log,
   send,
 } from '@switchwheel/transport';
-import { count, hear, heldEpoch, pass } from '@switchwheel/election';
-import { nextElectorate } from './duty/seats.js';
+import { countVote, observeEpoch, heldEpoch, tickCandidate } from '@switchwheel/election';
+import { nextElectorate } from './leadership/electorate.js';
 import {
-  type Words,
-  adrift,
-  drift,
-  hail,
-  highest,
-  takeHeard,
-  takeRoster,
+  type HeartbeatContent,
+  onRegistryLost,
+  tickSession,
+  sendHeartbeat,
+  highestEpoch,
+  applyHeartbeatReply,
+  applyMemberList,
 } from '@switchwheel/membership';
 import { absorbAll, noControl } from '@switchwheel/configuration';
-import { onCall, onCompiled, onPiece, onWant, passCalls, queue } from './command/calls.js';
-import { inSync, isPrimary, keen, partners, poll, quietSpan } from './duty/poll.js';
+import { onCall, onCompiled, onPiece, onWant, tickCalls } from './command/calls.js';
+import {
+  inSync,
+  isPrimary,
+  wantsElection,
+  chooseBackups,
+  electionContext,
+  primaryTimeout,
+} from './leadership/candidacy.js';
+import { enqueue } from './command/queue.js';
 import { feedOne } from './feed/feed.js';
-import { endHolding, onCopied, onSynced, onUnsynced, onWon, passJob, retire } from './job/job.js';
 import {
-  greet,
-  onChoreSynced,
-  onChoreUnsynced,
-  onCopy,
-  onFetch,
-  onFound,
-  onGreet,
-  onListing,
-  onMend,
-} from './mend/mend.js';
-import { passOrigins, recalled } from './origins/origins.js';
-import { onTally, passReleases } from './release/release.js';
+  endLeadership,
+  onReplicated,
+  onSynced,
+  onUnsynced,
+  onElected,
+  startWrite,
+  tickWrite,
+  handOverLeadership,
+} from './primary-write/primary-write.js';
+import {
+  sendStatus,
+  onBackupWriteSynced,
+  onBackupWriteFailed,
+  onReplicate,
+  onFetchEntries,
+  onBootstrap,
+  onPeerStatus,
+  onRangeListing,
+  onResyncEntries,
+} from './resync/resync.js';
+import { tickOrigins, storedOrigins } from './origins/origins.js';
+import { onTally, tickReleases } from './release/release.js';
 import type { Found, StoreEffect, StoreEvent } from './state/event.js';
-import { type Store, me } from './state/state.js';
+import { type Store, ownId } from './state/state.js';
 
 type Done = Step<Store, StoreEffect>;
-const planSpan = 60_000;
-const tickSpan = 5000;
-const lostSpan = 2000;
-const hintSpan = 300;
+const planInterval = 60_000;
+const engineInterval = 5000;
+const offlineAfter = 2000;
+const hintInterval = 300;
 /** How long a registry may be silent and still count as in touch without a break. */
-const breakSpan = 1000;
+const subscriptionGap = 1000;
 /** How long a node may be out of touch before it is forgotten. */
-const forgetSpan = 3_600_000;
+const forgetAfter = 3_600_000;
 
-const report = (state: Store, now: Moment): Report => ({
+const ownReport = (state: Store, now: Moment): Report => ({
   generation: state.control.stored?.offer.generation ?? noGeneration,
   phase: 'none',
   ready: state.phase === 'member' && (isPrimary(state, now) || inSync(state)),
-  fitness: {
+  health: {
     name: 'store',
-    fit: state.trouble === '' && state.diskFull === undefined,
+    healthy: state.trouble === '' && state.diskFull === undefined,
     text:
       state.trouble !== '' ? state.trouble : state.diskFull === undefined ? '' : 'the disk is full',
     parts: [
       {
         name: isPrimary(state, now) ? 'primary' : inSync(state) ? 'backup' : 'out of sync',
-        fit: inSync(state),
+        healthy: inSync(state),
         text: '',
         parts: [],
       },
@@ -80,28 +97,27 @@
   },
 });
 
-const words = (state: Store, now: Moment, bye: boolean): Words => ({
-  report: report(state, now),
+const heartbeatContent = (state: Store, now: Moment, bye: boolean): HeartbeatContent => ({
+  report: ownReport(state, now),
   held: [],
   purged: noSeq,
   bye,
 });
 
 const onRead = (before: Store, found: Found, now: Moment): Done => {
-  const state: Store = { ...before, born: now };
+  const state: Store = { ...before, startedAt: now };
   if (found.found === 'nothing')
     return step(
-      { ...state, phase: 'blank' },
+      { ...state, phase: 'empty' },
       log('info', 'the disk is empty: this store is no member until it is founded or mended'),
     );
   if (found.found === 'damaged') {
     return step(
-      { ...state, phase: 'blank', soiled: true, trouble: `damaged disk: ${found.text}` },
-      log(
-        'error',
-        'the disk is damaged: nothing of it is used, a colleague has to mend this store',
-        ['why', found.text],
-      ),
+      { ...state, phase: 'empty', mustWipe: true, trouble: `damaged disk: ${found.text}` },
+      log('error', 'the disk is damaged: nothing of it is used, a peer has to mend this store', [
+        'why',
+        found.text,
+      ]),
     );
   }
   const table = new Map(found.entries.map(({ key, ...entry }) => [key, entry]));
@@ -112,11 +128,14 @@
   const next: Store = {
     ...state,
     phase: 'member',
-    charter: found.charter,
+    metadata: found.metadata,
     stamp: found.stamp,
     table,
     control,
-    stand: hear({ ...state.stand, insync: found.charter.insync }, found.charter.epoch),
+    candidate: observeEpoch(
+      { ...state.candidate, inSyncSet: found.metadata.inSyncSet },
+      found.metadata.epoch,
+    ),
   };
   return step(
     next,
@@ -124,58 +143,61 @@
       'info',
       'the disk is read',
       ['entries', found.entries.length],
-      ['epoch', found.charter.epoch],
+      ['epoch', found.metadata.epoch],
       ['generation', control.stored?.offer.generation ?? 0],
     ),
   );
 };
 
 /** Follows a change of the stand: a win is served, a loss ends all that was under way. */
-const follow = (before: Store, after: Store, now: Moment): Done => {
-  const was = before.stand.phase.phase;
-  const is = after.stand.phase.phase;
-  if (was === 'asking' && is === 'holding')
+const onCandidateChange = (before: Store, after: Store, now: Moment): Done => {
+  const was = before.candidate.phase.phase;
+  const is = after.candidate.phase.phase;
+  if (was === 'requestingVotes' && is === 'holdingLease')
     return join(
-      [log('info', 'won the duty', ['epoch', heldEpoch(after.stand)])],
-      onWon(after, now),
+      [log('info', 'won the duty', ['epoch', heldEpoch(after.candidate)])],
+      onElected(after, now),
     );
-  if ((was === 'asking' || was === 'holding') && is === 'idle') {
-    const ended = endHolding(after);
-    return join(was === 'holding' ? [log('warn', 'the duty is over')] : [], ended);
+  if ((was === 'requestingVotes' || was === 'holdingLease') && is === 'idle') {
+    const ended = endLeadership(after);
+    return join(was === 'holdingLease' ? [log('warn', 'the duty is over')] : [], ended);
   }
   return step(after);
 };
 
 const onVote = (state: Store, word: FrameOf<'vote'>, now: Moment): Done => {
-  if (state.charter === undefined) return step(state);
+  if (state.metadata === undefined) return step(state);
   const berth =
     word.electorate === undefined ||
-    (state.berth.electorate !== undefined &&
-      state.berth.electorate.serial >= word.electorate.serial)
-      ? state.berth
-      : { ...state.berth, electorate: word.electorate };
-  const base = { ...state, berth };
-  return follow(
+    (state.session.electorate !== undefined &&
+      state.session.electorate.serial >= word.electorate.serial)
+      ? state.session
+      : { ...state.session, electorate: word.electorate };
+  const base = { ...state, session: berth };
+  return onCandidateChange(
     base,
-    { ...base, stand: count(base.stand, poll(base, state.charter, now), word, now) },
+    {
+      ...base,
+      candidate: countVote(base.candidate, electionContext(base, state.metadata, now), word, now),
+    },
     now,
   );
 };
 
-const onTune = (state: Store, word: FrameOf<'tune'>, now: Moment): Done => {
+const onSubscribe = (state: Store, word: FrameOf<'subscribe'>, now: Moment): Done => {
   if (!isPrimary(state, now)) return step(state);
-  const before = state.tuned.get(word.registry.node);
-  const since = before !== undefined && now - before.at < breakSpan ? before.since : now;
+  const before = state.subscribers.get(word.registry.node);
+  const since = before !== undefined && now - before.at < subscriptionGap ? before.since : now;
   const row = {
     address: word.registry.address,
     since,
     at: now,
-    serial: word.epoch === heldEpoch(state.stand) ? word.serial : noSeq,
+    serial: word.epoch === heldEpoch(state.candidate) ? word.serial : noSeq,
     purged: word.purged,
   };
-  let next: Store = { ...state, tuned: put(state.tuned, word.registry.node, row) };
+  let next: Store = { ...state, subscribers: put(state.subscribers, word.registry.node, row) };
   const effects: StoreEffect[] = [...feedOne(next, row, word.at, now)];
-  let touch = next.touch;
+  let touch = next.contacts;
   let fresh = false;
   for (const one of word.reports) {
     const known = state.control.nodes.get(one.node);
@@ -189,7 +211,7 @@
       alike(known.reported, one.report);
     if (same) continue;
     fresh ||= known === undefined;
-    const waits = next.waitlist.some(
+    const waits = next.commandQueue.some(
       (command) =>
         command.kind === 'node' &&
         command.node === one.node &&
@@ -198,86 +220,83 @@
         command.online === one.open,
     );
     if (waits) continue;
-    const queued = queue(
-      next,
-      {
-        kind: 'node',
-        node: one.node,
-        role: one.role,
-        incarnation: one.incarnation,
-        online: one.open,
-        report: one.report,
-      },
-      now,
-    );
+    const queued = enqueue(next, {
+      kind: 'node',
+      node: one.node,
+      role: one.role,
+      incarnation: one.incarnation,
+      online: one.open,
+      report: one.report,
+    });
     next = queued.state;
     effects.push(...queued.effects);
   }
   if (fresh) {
-    const queued = queue(next, { kind: 'plan' }, now);
+    const queued = enqueue(next, { kind: 'plan' });
     next = queued.state;
     effects.push(...queued.effects);
   }
-  return step({ ...next, touch }, ...effects);
+  return step({ ...next, contacts: touch }, ...effects);
 };
 
 /** Nodes that no registry has told of for a while are out of touch. */
-const lose = (state: Store, now: Moment): Done => {
+const markOffline = (state: Store, now: Moment): Done => {
   let next: Done = step(state);
   for (const [node, row] of state.control.nodes) {
-    const near = state.touch.get(node);
-    if (!row.online && near !== undefined && now - near.at > forgetSpan) {
+    const near = state.contacts.get(node);
+    if (!row.online && near !== undefined && now - near.at > forgetAfter) {
       next = join(
         next.effects,
-        queue(
-          { ...next.state, touch: drop(next.state.touch, node) },
+        enqueue(
+          { ...next.state, contacts: drop(next.state.contacts, node) },
           { kind: 'forget', node },
-          now,
         ),
       );
       continue;
     }
     if (!row.online && near === undefined)
       next = step(
-        { ...next.state, touch: put(next.state.touch, node, { registry: me(state), at: now }) },
+        {
+          ...next.state,
+          contacts: put(next.state.contacts, node, { registry: ownId(state), at: now }),
+        },
         ...next.effects,
       );
-    if (!row.online || (near !== undefined && now - near.at < lostSpan)) continue;
+    if (!row.online || (near !== undefined && now - near.at < offlineAfter)) continue;
     if (near === undefined) {
       next = step(
-        { ...next.state, touch: put(next.state.touch, node, { registry: me(state), at: now }) },
+        {
+          ...next.state,
+          contacts: put(next.state.contacts, node, { registry: ownId(state), at: now }),
+        },
         ...next.effects,
       );
       continue;
     }
-    if (next.state.waitlist.some((one) => one.kind === 'node' && one.node === node)) continue;
+    if (next.state.commandQueue.some((one) => one.kind === 'node' && one.node === node)) continue;
     next = join(
       next.effects,
-      queue(
-        next.state,
-        {
-          kind: 'node',
-          node,
-          role: row.role,
-          incarnation: row.incarnation,
-          online: false,
-          report: row.reported,
-        },
-        now,
-      ),
+      enqueue(next.state, {
+        kind: 'node',
+        node,
+        role: row.role,
+        incarnation: row.incarnation,
+        online: false,
+        report: row.reported,
+      }),
     );
   }
   return next;
 };
 
 /** Lets the electorate follow the registries, one seat at a time. */
-const seat = (state: Store, now: Moment): Done => {
+const followRegistries = (state: Store, now: Moment): Done => {
   const open =
-    state.job !== undefined ||
-    state.waitlist.some((one) => one.kind === 'electorate' || one.kind === 'seats');
-  const electorate = state.limits.follow && !open ? nextElectorate(state, now) : undefined;
+    state.primaryWrite !== undefined ||
+    state.commandQueue.some((one) => one.kind === 'electorate' || one.kind === 'seats');
+  const electorate = state.settings.follow && !open ? nextElectorate(state, now) : undefined;
   if (electorate === undefined) return step(state);
-  const queued = queue({ ...state, seated: now }, { kind: 'seats', electorate }, now);
+  const queued = enqueue({ ...state, electorateChangedAt: now }, { kind: 'seats', electorate });
   return join(
     [
       log('info', 'the electorate follows the registries', [
@@ -289,119 +308,132 @@
   );
 };
 
-const lead = (state: Store, now: Moment): Done => {
-  const seated = seat(state, now);
-  let next = join(seated.effects, lose(seated.state, now));
-  if (now - next.state.planned >= planSpan)
-    next = join(next.effects, queue({ ...next.state, planned: now }, { kind: 'plan' }, now));
-  next = join(next.effects, passReleases(next.state, now));
-  next = join(next.effects, passOrigins(next.state, now));
-  const due = next.state.due;
-  if ((due !== undefined && now >= due) || now - next.state.turned >= tickSpan) {
+const tickPrimary = (state: Store, now: Moment): Done => {
+  const seated = followRegistries(state, now);
+  let next = join(seated.effects, markOffline(seated.state, now));
+  if (now - next.state.plannedAt >= planInterval)
+    next = join(next.effects, enqueue({ ...next.state, plannedAt: now }, { kind: 'plan' }));
+  next = join(next.effects, tickReleases(next.state, now));
+  next = join(next.effects, tickOrigins(next.state, now));
+  const due = next.state.engineDueAt;
+  if ((due !== undefined && now >= due) || now - next.state.engineRanAt >= engineInterval) {
     next = join(
       next.effects,
-      queue({ ...next.state, due: undefined, turned: now }, { kind: 'turn' }, now),
+      enqueue({ ...next.state, engineDueAt: undefined, engineRanAt: now }, { kind: 'turn' }),
     );
   }
   return next;
 };
 
 /** While no primary is heard of, the registry is told what this disk holds: nodes that run nothing need not wait for an election. */
-const hint = (state: Store, now: Moment): readonly StoreEffect[] => {
+const sendHint = (state: Store, now: Moment): readonly StoreEffect[] => {
   const offer = state.control.stored?.offer;
-  const { charter, berth } = state;
+  const { metadata: metadata, session: berth } = state;
   if (
     offer === undefined ||
-    charter === undefined ||
-    berth.moor === undefined ||
+    metadata === undefined ||
+    berth.registryLink === undefined ||
     isPrimary(state, now) ||
-    now - state.led < quietSpan
+    now - state.primaryHeardAt < primaryTimeout
   )
     return [];
   const { node, address } = berth.member;
   return [
-    send(berth.moor.address, {
+    send(berth.registryLink.address, {
       kind: 'hint',
       node,
       address,
-      epoch: charter.epoch,
-      fleet: charter.fleet,
+      epoch: metadata.epoch,
+      fleet: metadata.fleet,
       offer,
-      origins: recalled(state),
+      origins: storedOrigins(state),
     }),
   ];
 };
 
 const onTick = (state: Store, now: Moment): Done => {
   if (state.phase === 'reading') return step(state);
-  const drifted = drift(state.berth, words(state, now, false), now);
-  let next: Done = step({ ...state, berth: drifted.state }, ...drifted.effects);
-  const charter = next.state.charter;
-  if (charter !== undefined && state.phase === 'member') {
+  const drifted = tickSession(state.session, heartbeatContent(state, now, false), now);
+  let next: Done = step({ ...state, session: drifted.state }, ...drifted.effects);
+  const metadata = next.state.metadata;
+  if (metadata !== undefined && state.phase === 'member') {
     const base: Store =
-      next.state.stand.phase.phase === 'idle'
-        ? { ...next.state, stand: { ...next.state.stand, insync: partners(next.state, now) } }
+      next.state.candidate.phase.phase === 'idle'
+        ? {
+            ...next.state,
+            candidate: { ...next.state.candidate, inSyncSet: chooseBackups(next.state, now) },
+          }
         : next.state;
-    const known = hear(base.stand, highest(base.berth, base.stand.duty));
-    const passed = pass(known, poll(base, charter, now), keen(base, now), base.dice, now);
+    const known = observeEpoch(base.candidate, highestEpoch(base.session, base.candidate.duty));
+    const passed = tickCandidate(
+      known,
+      electionContext(base, metadata, now),
+      wantsElection(base, now),
+      base.dice,
+      now,
+    );
     next = join(
       [...next.effects, ...passed.effects],
-      follow(base, { ...base, stand: passed.state.stand, dice: passed.state.dice }, now),
+      onCandidateChange(
+        base,
+        { ...base, candidate: passed.state.stand, dice: passed.state.dice },
+        now,
+      ),
     );
   }
-  if (now - state.greeted >= hintSpan)
-    next = step(next.state, ...next.effects, ...hint(next.state, now));
-  next = join(next.effects, greet(next.state, now));
-  next = join(next.effects, passJob(next.state, now));
-  next = join(next.effects, passCalls(next.state, now));
-  return isPrimary(next.state, now) ? join(next.effects, lead(next.state, now)) : next;
+  if (now - state.statusSentAt >= hintInterval)
+    next = step(next.state, ...next.effects, ...sendHint(next.state, now));
+  next = join(next.effects, sendStatus(next.state, now));
+  next = join(next.effects, tickWrite(next.state, now));
+  next = join(next.effects, tickCalls(next.state, now));
+  return isPrimary(next.state, now) ? join(next.effects, tickPrimary(next.state, now)) : next;
 };
 
 const onStop = (state: Store, now: Moment): Done => {
-  const bye = hail(state.berth, words(state, now, true), now);
-  const done = retire({ ...state, berth: bye.state }, 60_000, now);
-  const told = greet({ ...done.state, phase: 'member', greeted: start }, now);
+  const bye = sendHeartbeat(state.session, heartbeatContent(state, now, true), now);
+  const done = handOverLeadership({ ...state, session: bye.state }, 60_000, now);
+  const told = sendStatus({ ...done.state, phase: 'member', statusSentAt: start }, now);
   return join(
     [...bye.effects, ...done.effects, ...told.effects],
     step({ ...told.state, phase: 'stopping' }, { kind: 'stopped' }),
   );
 };
 
-const onFrame = (state: Store, from: Colleague, frame: Frame, now: Moment): Done => {
+const onFrame = (state: Store, from: Peer, frame: Frame, now: Moment): Done => {
   switch (frame.kind) {
-    case 'heard':
-      return step({ ...state, berth: takeHeard(state.berth, from, frame, now) });
-    case 'roster':
-      return step({ ...state, berth: takeRoster(state.berth, from, frame, now) });
+    case 'heartbeat-reply':
+      return step({ ...state, session: applyHeartbeatReply(state.session, from, frame, now) });
+    case 'member-list':
+      return step({ ...state, session: applyMemberList(state.session, from, frame, now) });
     case 'vote':
       return onVote(state, frame, now);
-    case 'tune':
-      return onTune(state, frame, now);
+    case 'subscribe':
+      return onSubscribe(state, frame, now);
     case 'call':
       return onCall(state, from, frame, now);
     case 'piece':
       return onPiece(state, frame, now);
-    case 'want':
+    case 'piece-request':
       return onWant(state, from, frame);
-    case 'copy':
-      return onCopy(state, from, frame, now);
-    case 'copied':
-      return onCopied(state, frame, now);
-    case 'greet':
-      return onGreet(state, from, frame, now);
-    case 'listing':
-      return onListing(state, from, frame, now);
-    case 'fetch':
-      return onFetch(state, from, frame, now);
-    case 'mend':
-      return onMend(state, from, frame, now);
-    case 'found':
-      return onFound(state, from, frame, now);
+    case 'replicate':
+      return onReplicate(state, from, frame, now);
+    case 'replicated':
+      return onReplicated(state, frame, now);
+    case 'replica-status':
+      return onPeerStatus(state, from, frame, now);
+    case 'range-listing':
+      return onRangeListing(state, from, frame, now);
+    case 'fetch-entries':
+      return onFetchEntries(state, from, frame, now);
+    case 'resync-entries':
+      return onResyncEntries(state, from, frame, now);
+    case 'bootstrap':
+      return onBootstrap(state, from, frame, now);
     case 'tally':
       return isPrimary(state, now) ? onTally(state, frame, now) : step(state);
     case 'trial':
       return isPrimary(state, now)
-        ? queue(state, { kind: 'trial', to: from.address, word: frame }, now)
+        ? enqueue(state, { kind: 'trial', to: from.address, word: frame })
         : step(state);
     default:
       return step(
@@ -416,8 +448,7 @@
   }
 };
 
-/** The store: one function for every change of its state. */
-export const storeStep = (state: Store, event: StoreEvent): Done => {
+const onEvent = (state: Store, event: StoreEvent): Done => {
   if (state.phase === 'stopping') return step(state);
   switch (event.kind) {
     case 'read':
@@ -429,18 +460,24 @@
         ? step(state)
         : onFrame(state, event.from, event.frame, event.now);
     case 'gone':
-      return step({ ...state, berth: adrift(state.berth, event.address, event.now) });
+      return step({ ...state, session: onRegistryLost(state.session, event.address, event.now) });
     case 'synced':
-      return state.chore?.id === event.id
-        ? onChoreSynced(state, event.id, event.now)
+      return state.backupWrite?.id === event.id
+        ? onBackupWriteSynced(state, event.id, event.now)
         : onSynced(state, event.id, event.now);
     case 'unsynced':
-      return state.chore?.id === event.id
-        ? onChoreUnsynced(state, event.id, event.text, event.full, event.now)
+      return state.backupWrite?.id === event.id
+        ? onBackupWriteFailed(state, event.id, event.text, event.full, event.now)
         : onUnsynced(state, event.id, event.text, event.full, event.now);
     case 'compiled':
-      return onCompiled(state, event.hash, event.faults, event.now);
+      return onCompiled(state, event.hash, event.faults);
     case 'stop':
       return onStop(state, event.now);
   }
 };
+
+/** The store: one function for every change of its state. What an event queued is written at its end. */
+export const storeStep = (state: Store, event: StoreEvent): Done => {
+  const handled = onEvent(state, event);
+  return join(handled.effects, startWrite(handled.state, event.now));
+};
--- a/packages/replicated-store/src/origins/origins.ts
+++ b/packages/replicated-store/src/origins/origins.ts
@@ -2,16 +2,16 @@
 import type { Origin, Put } from '@switchwheel/transport';
 import { type Seen, silentSpan, standing } from '@switchwheel/membership';
 import { erase, keyOf, write } from '@switchwheel/configuration';
-import { queue } from '../command/calls.js';
+import { enqueue } from '../command/queue.js';
 import type { StoreEffect } from '../state/event.js';
 import type { Store } from '../state/state.js';
 
 type Done = Step<Store, StoreEffect>;
-const lookSpan = 500;
+const checkInterval = 500;
 /** After how long a primary takes one that it has never heard of for gone. */
-const absentSpan = 12_000;
+const absentAfter = 12_000;
 /** How long one that only a disk tells of may be used until it is heard itself. */
-const provisionalSpan = 2500;
+const provisionalTime = 2500;
 
 const stored = ({ service, instance, address, release, slots, area }: Seen): Origin => ({
   service,
@@ -34,7 +34,7 @@
 /** What the record of origins lacks, and what is in it that should not be. */
 export const originPuts = (
   known: ReadonlyMap<InstanceId, Origin>,
-  heard: Store['berth']['origins'],
+  heard: Store['session']['origins'],
   sure: boolean,
   now: Moment,
 ): readonly Put[] => {
@@ -55,23 +55,27 @@
 };
 
 /** Keeps a record of the origins that stand, so that a fleet that lost all its processes need not wait until each speaks. */
-export const passOrigins = (state: Store, now: Moment): Done => {
-  const own = state.stand.phase;
-  if (!state.limits.origins || own.phase !== 'holding' || now - state.noted < lookSpan)
+export const tickOrigins = (state: Store, now: Moment): Done => {
+  const own = state.candidate.phase;
+  if (
+    !state.settings.origins ||
+    own.phase !== 'holdingLease' ||
+    now - state.originsCheckedAt < checkInterval
+  )
     return step(state);
-  const next: Store = { ...state, noted: now };
-  if (state.waitlist.some((one) => one.kind === 'origins')) return step(next);
+  const next: Store = { ...state, originsCheckedAt: now };
+  if (state.commandQueue.some((one) => one.kind === 'origins')) return step(next);
   if (
-    originPuts(state.control.origins, state.berth.origins, now - own.won > absentSpan, now)
+    originPuts(state.control.origins, state.session.origins, now - own.won > absentAfter, now)
       .length === 0
   )
     return step(next);
-  return queue(next, { kind: 'origins', sure: now - own.won > absentSpan }, now);
+  return enqueue(next, { kind: 'origins', sure: now - own.won > absentAfter });
 };
 
 /** The recorded origins as they are told from a disk: for a short time only, as they may be gone. */
-export const recalled = (state: Store): Origin[] =>
+export const storedOrigins = (state: Store): Origin[] =>
   [...state.control.origins.values()].map((one) => ({
     ...one,
-    age: toSpan(silentSpan - provisionalSpan),
+    age: toSpan(silentSpan - provisionalTime),
   }));
--- /dev/null
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -0,0 +1,484 @@
+import {
+  type Moment,
+  type NodeId,
+  type Step,
+  join,
+  nextSeq,
+  start,
+  step,
+  toMoment,
+} from '@switchwheel/types';
+import {
+  type ClusterMetadata,
+  type FrameOf,
+  type Put,
+  type Stamp,
+  log,
+  send,
+} from '@switchwheel/transport';
+import { requestVotes, heldEpoch, holdsLease } from '@switchwheel/election';
+import { absorbAll } from '@switchwheel/configuration';
+import { decide } from '../command/decide.js';
+import { callReply } from '../command/queue.js';
+import { isPrimary, electionContext, resignFor } from '../leadership/candidacy.js';
+import { feedAll } from '../feed/feed.js';
+import type { StoreEffect } from '../state/event.js';
+import {
+  type CallResult,
+  type Command,
+  type PrimaryWrite,
+  type Store,
+  ownId,
+} from '../state/state.js';
+import { apply } from '../table/table.js';
+
+type Done = Step<Store, StoreEffect>;
+/** How long a backup may take before the primary goes on without it. */
+export const replicateTimeout = 400;
+/** How long the own disk may make no progress before the duty is given up. */
+export const diskTimeout = 700;
+const resendInterval = 150;
+/** At most how often the engine acts on events; the first is acted on at once. */
+const engineThrottle = 250;
+/** How often a full disk is tried again for the metadata of a holding. */
+const fullDiskRetry = 1000;
+const maxBatch = 512;
+const noReceivedPieces: Store['receivedPieces'] = new Map();
+const noConfirmations: PrimaryWrite['confirmed'] = new Set();
+
+const diskWrite = (
+  id: number,
+  metadata: ClusterMetadata,
+  stamp: Stamp,
+  puts: readonly Put[],
+): StoreEffect => ({
+  kind: 'sync',
+  write: {
+    id,
+    metadata,
+    stamp,
+    wipe: false,
+    sets: puts.flatMap(({ key, data }) => (data === null ? [] : [{ key, stamp, data }])),
+    drops: puts.flatMap(({ key, data }) => (data === null ? [key] : [])),
+  },
+});
+
+/** Opens a write with nothing in it but a metadata. */
+export const writeMetadata = (state: Store, metadata: ClusterMetadata, now: Moment): Done => {
+  const stamp: Stamp = { epoch: metadata.epoch, seq: nextSeq(state.stamp.seq) };
+  const primaryWrite: PrimaryWrite = {
+    id: state.nextId,
+    phase: 'disk',
+    onOwnDisk: false,
+    since: now,
+    sent: now,
+    metadata,
+    confirmed: noConfirmations,
+    stamp,
+    prior: state.stamp,
+    puts: [],
+    draft: state.control,
+    results: [],
+    trialReports: [],
+  };
+  return step(
+    { ...state, primaryWrite, nextId: state.nextId + 1 },
+    diskWrite(primaryWrite.id, metadata, stamp, []),
+  );
+};
+
+const unknownOutcome = (results: readonly CallResult[]): readonly StoreEffect[] =>
+  results.map((one) =>
+    callReply({
+      ...one,
+      status: 504,
+      body: JSON.stringify({
+        kind: 'unknown',
+        id: one.id,
+        text: 'the duty moved while this was being written; ask again with this id',
+      }),
+    }),
+  );
+
+/** What lasts on this disk alone stays in the table: the digests will tell it from what the next primary has. */
+const applyLocally = (state: Store, primaryWrite: PrimaryWrite): Store => ({
+  ...state,
+  primaryWrite: undefined,
+  standDownUntil: start,
+  stamp: primaryWrite.stamp,
+  table: apply(state.table, primaryWrite.puts, primaryWrite.stamp),
+  control: primaryWrite.draft,
+});
+
+/** Gives a write up that this store can no longer finish: whether it takes effect is not known. */
+export const abandon = (state: Store): Done => {
+  const primaryWrite = state.primaryWrite;
+  if (primaryWrite === undefined || primaryWrite.phase === 'orphan') return step(state);
+  const next =
+    primaryWrite.phase === 'copy'
+      ? applyLocally(state, primaryWrite)
+      : { ...state, primaryWrite: { ...primaryWrite, phase: 'orphan' as const } };
+  return step(next, ...unknownOutcome(primaryWrite.results));
+};
+
+/** Ends all that was under way in a holding. */
+export const endLeadership = (state: Store): Done =>
+  abandon({
+    ...state,
+    serving: false,
+    readOnly: false,
+    commandQueue: [],
+    awaitingPieces: new Map(),
+    compiling: new Map(),
+    watches: new Map(),
+    engineDueAt: undefined,
+  });
+
+/** Gives the duty up for a while, and with it all that was under way. */
+export const handOverLeadership = (state: Store, rest: number, now: Moment): Done => {
+  const resigned = resignFor(state, rest, now);
+  // The peer hears of it at once: the next greeting is due now.
+  return join(resigned.effects, endLeadership({ ...resigned.state, statusSentAt: start }));
+};
+
+/** Takes what waits, in its order, and makes one write of it. */
+export const startWrite = (state: Store, now: Moment): Done => {
+  const metadata = state.metadata;
+  if (
+    state.primaryWrite !== undefined ||
+    metadata === undefined ||
+    state.commandQueue.length === 0 ||
+    state.readOnly ||
+    !isPrimary(state, now)
+  )
+    return step(state);
+  const stamp: Stamp = { epoch: heldEpoch(state.candidate), seq: nextSeq(state.stamp.seq) };
+  let draft = state.control;
+  let electorate = metadata.electorate;
+  let next = state;
+  const puts: Put[] = [];
+  const results: CallResult[] = [];
+  const rejections: CallResult[] = [];
+  const tried: PrimaryWrite['trialReports'][number][] = [];
+  for (const command of state.commandQueue.slice(0, maxBatch)) {
+    const decision = decide(next, draft, command, stamp.seq, now);
+    draft = absorbAll(draft, decision.puts);
+    puts.push(...decision.puts);
+    results.push(...decision.results);
+    rejections.push(...decision.immediateReplies);
+    electorate = decision.electorate ?? electorate;
+    if (command.kind === 'trial') tried.push({ to: command.to, word: command.word });
+    if (command.kind === 'turn')
+      next = { ...next, seen: decision.seen ?? next.seen, opened: decision.opened };
+  }
+  next = { ...next, commandQueue: state.commandQueue.slice(maxBatch) };
+  const told = rejections.map(callReply);
+  if (puts.length === 0 && results.length === 0 && electorate === metadata.electorate) {
+    return step(next, ...told, ...tried.flatMap((one) => trialReplies(draft, one)));
+  }
+  const primaryWrite: PrimaryWrite = {
+    id: state.nextId,
+    phase: 'disk',
+    onOwnDisk: false,
+    since: now,
+    sent: now,
+    confirmed: noConfirmations,
+    stamp,
+    prior: state.stamp,
+    puts,
+    draft,
+    results,
+    trialReports: tried,
+    metadata: electorate === metadata.electorate ? metadata : { ...metadata, electorate },
+  };
+  return step(
+    { ...next, primaryWrite, nextId: state.nextId + 1 },
+    ...told,
+    diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts),
+  );
+};
+
+const trialReplies = (
+  control: Store['control'],
+  one: PrimaryWrite['trialReports'][number],
+): readonly StoreEffect[] => {
+  const verdict = [...control.verdicts.values()].find(
+    (row) => row.service === one.word.service && row.release === one.word.release,
+  );
+  return verdict === undefined ? [] : [send(one.to, { kind: 'tried', verdict, at: one.word.at })];
+};
+
+const otherStores = (
+  state: Store,
+  metadata: ClusterMetadata,
+): readonly ClusterMetadata['stores'][number][] =>
+  metadata.stores.filter((one) => one.node !== ownId(state));
+
+/** The backups that must have a write and have not said so. */
+const unconfirmedBackups = (state: Store, primaryWrite: PrimaryWrite): readonly NodeId[] =>
+  primaryWrite.metadata.inSyncSet.filter(
+    (one) => one !== ownId(state) && !primaryWrite.confirmed.has(one),
+  );
+
+const replicateTo = (
+  state: Store,
+  primaryWrite: PrimaryWrite,
+  to: readonly NodeId[],
+): readonly StoreEffect[] => {
+  const frame: FrameOf<'replicate'> = {
+    kind: 'replicate',
+    metadata: primaryWrite.metadata,
+    stamp: primaryWrite.stamp,
+    prior: primaryWrite.prior,
+    puts: [...primaryWrite.puts],
+  };
+  return otherStores(state, primaryWrite.metadata)
+    .filter((one) => to.includes(one.node))
+    .map((one) => send(one.address, frame));
+};
+const replicateToAll = (state: Store, primaryWrite: PrimaryWrite): readonly StoreEffect[] =>
+  replicateTo(
+    state,
+    primaryWrite,
+    primaryWrite.metadata.stores.map((one) => one.node),
+  );
+
+const keysWithoutNodeChange = ['purge/', 'call/', 'verdict/', 'release/', 'origin/'];
+
+/** Whether a write may change what nodes are to run, or is the first of its epoch. */
+const changesNodes = (state: Store, primaryWrite: PrimaryWrite): boolean =>
+  !state.serving ||
+  state.readOnly ||
+  primaryWrite.metadata.epoch !== state.metadata?.epoch ||
+  primaryWrite.puts.some(
+    (one) => !keysWithoutNodeChange.some((family) => one.key.startsWith(family)),
+  );
+
+/** The write lasts wherever it must: it counts, and everyone is told. */
+const commitWrite = (state: Store, primaryWrite: PrimaryWrite, now: Moment): Done => {
+  const first = !state.serving || state.readOnly;
+  const table = apply(state.table, primaryWrite.puts, primaryWrite.stamp);
+  const next: Store = {
+    ...state,
+    primaryWrite: undefined,
+    stamp: primaryWrite.stamp,
+    table,
+    control: primaryWrite.draft,
+    metadata: primaryWrite.metadata,
+    serving: true,
+    readOnly: false,
+    diskFull: undefined,
+    lastNodeChange: changesNodes(state, primaryWrite)
+      ? primaryWrite.stamp.seq
+      : state.lastNodeChange,
+  };
+  const commands: Command[] = [];
+  const stored =
+    primaryWrite.draft.stored?.offer.generation !== state.control.stored?.offer.generation;
+  // A rollout that was just opened gets its first turn at once: the throttle is for events of targets.
+  if (stored || first) commands.push({ kind: 'plan' }, { kind: 'turn' });
+  const lists = primaryWrite.puts.some(
+    (one) =>
+      one.key.startsWith('node/') ||
+      one.key.startsWith('target/') ||
+      one.key.startsWith('rollout/'),
+  );
+  const due =
+    first || lists
+      ? toMoment(
+          Math.min(next.engineDueAt ?? Infinity, Math.max(now, next.engineRanAt + engineThrottle)),
+        )
+      : next.engineDueAt;
+  const idle =
+    next.awaitingPieces.size === 0 &&
+    next.compiling.size === 0 &&
+    !next.commandQueue.some((one) => one.kind === 'apply');
+  const planned = {
+    ...next,
+    receivedPieces: idle ? noReceivedPieces : next.receivedPieces,
+    engineDueAt: due,
+    plannedAt: stored || first ? now : next.plannedAt,
+    commandQueue: [...commands, ...next.commandQueue],
+  };
+  const told = [
+    ...primaryWrite.results.map(callReply),
+    ...primaryWrite.trialReports.flatMap((one) => trialReplies(primaryWrite.draft, one)),
+  ];
+  const fed = feedAll(planned, now);
+  return step(planned, ...told, ...fed);
+};
+
+/** The own disk has the write: the backups are next, those in sync must have it too. */
+export const onSynced = (state: Store, id: number, now: Moment): Done => {
+  const primaryWrite = state.primaryWrite;
+  if (primaryWrite?.id !== id) return step(state);
+  if (primaryWrite.phase === 'orphan') return step(applyLocally(state, primaryWrite));
+  if (primaryWrite.phase !== 'disk') return step(state);
+  if (
+    !holdsLease(state.candidate, now) ||
+    heldEpoch(state.candidate) !== primaryWrite.metadata.epoch
+  ) {
+    return abandon({ ...state, primaryWrite: { ...primaryWrite, phase: 'copy' } });
+  }
+  const next: PrimaryWrite = {
+    ...primaryWrite,
+    phase: 'copy',
+    onOwnDisk: true,
+    confirmed: noConfirmations,
+    since: now,
+    sent: now,
+  };
+  const whole = unconfirmedBackups(state, next).length === 0;
+  if (whole) return join(replicateToAll(state, next), commitWrite(state, next, now));
+  return step({ ...state, primaryWrite: next }, ...replicateToAll(state, next));
+};
+
+/** The own disk did not take the write: it never takes effect, unless this disk has had it since before. */
+export const onUnsynced = (
+  state: Store,
+  id: number,
+  text: string,
+  full: boolean,
+  now: Moment,
+): Done => {
+  const primaryWrite = state.primaryWrite;
+  if (primaryWrite?.id !== id) return step(state);
+  if (primaryWrite.phase === 'orphan') return step({ ...state, primaryWrite: undefined });
+  const rejected = primaryWrite.onOwnDisk
+    ? unknownOutcome(primaryWrite.results)
+    : primaryWrite.results.map((one) =>
+        callReply({
+          ...one,
+          status: 503,
+          body: JSON.stringify({
+            kind: 'rejected',
+            id: one.id,
+            text: `the disk took nothing: ${text}`,
+            retryAfterMs: 2000,
+          }),
+        }),
+      );
+  const next: Store = {
+    ...(primaryWrite.onOwnDisk ? applyLocally(state, primaryWrite) : state),
+    primaryWrite: undefined,
+    diskFull: full ? now : state.diskFull,
+  };
+  const words = log('error', 'the disk refused a write', ['why', text]);
+  const heir = [...state.peers.values()].some(
+    (one) => primaryWrite.metadata.inSyncSet.includes(one.node) && !one.full && now - one.at < 1000,
+  );
+  // With a peer in sync whose disk has room the duty goes to it.
+  if (!full || heir) return join([words, ...rejected], handOverLeadership(next, 10_000, now));
+  // Otherwise reads and pushes go on, and writes are rejected until there is room.
+  const written = state.serving && primaryWrite.metadata.epoch === state.metadata?.epoch;
+  return step({ ...next, serving: true, readOnly: state.readOnly || !written }, words, ...rejected);
+};
+
+/** A backup answered a copy: once all in sync have it the write counts. */
+export const onReplicated = (state: Store, word: FrameOf<'replicated'>, now: Moment): Done => {
+  const primaryWrite = state.primaryWrite;
+  if (
+    primaryWrite?.phase !== 'copy' ||
+    word.epoch !== primaryWrite.stamp.epoch ||
+    word.seq !== primaryWrite.stamp.seq ||
+    !primaryWrite.metadata.inSyncSet.includes(word.node)
+  )
+    return step(state);
+  if (!word.ok)
+    return join(
+      [log('warn', 'a backup did not take a write', ['store', word.node], ['why', word.text])],
+      excludeBackups(state, [word.node], now),
+    );
+  if (
+    !holdsLease(state.candidate, now) ||
+    heldEpoch(state.candidate) !== primaryWrite.metadata.epoch
+  )
+    return step(state);
+  const next: PrimaryWrite = {
+    ...primaryWrite,
+    confirmed: new Set([...primaryWrite.confirmed, word.node]),
+  };
+  const whole = unconfirmedBackups(state, next).length === 0;
+  return whole ? commitWrite(state, next, now) : step({ ...state, primaryWrite: next });
+};
+
+/** Asks the voters for an epoch in which these stores are not in sync; the others stay. */
+export const excludeBackups = (state: Store, lost: readonly NodeId[], now: Moment): Done => {
+  const metadata = state.metadata;
+  if (metadata === undefined || !holdsLease(state.candidate, now)) return step(state);
+  const rest = state.candidate.inSyncSet.filter((one) => !lost.includes(one));
+  const asked = requestVotes(state.candidate, electionContext(state, metadata, now), rest, now);
+  return join(
+    [log('warn', 'going on without a backup', ['stores', lost.join(', ')])],
+    step({ ...state, candidate: asked.state }, ...asked.effects),
+  );
+};
+
+/** Lets time pass over a write. */
+export const tickWrite = (state: Store, now: Moment): Done => {
+  const primaryWrite = state.primaryWrite;
+  if (
+    primaryWrite === undefined &&
+    state.readOnly &&
+    state.metadata !== undefined &&
+    state.candidate.phase.phase === 'holdingLease'
+  ) {
+    if (now - (state.diskFull ?? start) < fullDiskRetry) return step(state);
+    return writeMetadata(
+      { ...state, diskFull: now },
+      {
+        ...state.metadata,
+        epoch: heldEpoch(state.candidate),
+        inSyncSet: [...state.candidate.inSyncSet],
+      },
+      now,
+    );
+  }
+  if (primaryWrite === undefined) return step(state);
+  if (primaryWrite.phase === 'orphan') return step(state);
+  if (primaryWrite.phase === 'disk') {
+    if (now - primaryWrite.since <= diskTimeout || state.candidate.phase.phase !== 'holdingLease')
+      return step(state);
+    return join(
+      [log('error', 'the disk makes no progress; giving the duty up')],
+      handOverLeadership(state, 5000, now),
+    );
+  }
+  if (state.candidate.phase.phase !== 'holdingLease') return step(state);
+  const late = unconfirmedBackups(state, primaryWrite);
+  if (now - primaryWrite.since > replicateTimeout) return excludeBackups(state, late, now);
+  return now - primaryWrite.sent > resendInterval
+    ? step(
+        { ...state, primaryWrite: { ...primaryWrite, sent: now } },
+        ...replicateTo(state, primaryWrite, late),
+      )
+    : step(state);
+};
+
+/** This store won: the metadata of its holding is written before anything else. */
+export const onElected = (state: Store, now: Moment): Done => {
+  const metadata = state.metadata;
+  if (metadata === undefined) return step(state);
+  const own: ClusterMetadata = {
+    ...metadata,
+    epoch: heldEpoch(state.candidate),
+    inSyncSet: [...state.candidate.inSyncSet],
+  };
+  const primaryWrite = state.primaryWrite;
+  if (primaryWrite?.phase === 'orphan') return handOverLeadership(state, 500, now);
+  if (primaryWrite !== undefined && state.serving) {
+    // A write was under way when the in-sync set changed: it goes on under the new metadata.
+    const next: PrimaryWrite = {
+      ...primaryWrite,
+      id: state.nextId,
+      metadata: { ...own, electorate: primaryWrite.metadata.electorate },
+      phase: 'disk',
+      since: now,
+    };
+    return step(
+      { ...state, primaryWrite: next, nextId: state.nextId + 1 },
+      diskWrite(next.id, next.metadata, next.stamp, next.puts),
+    );
+  }
+  return writeMetadata({ ...state, primaryWrite: undefined }, own, now);
+};
--- a/packages/replicated-store/src/release/release.ts
+++ b/packages/replicated-store/src/release/release.ts
@@ -19,7 +19,7 @@
   takeTally,
   watch,
 } from '@switchwheel/configuration';
-import { queue } from '../command/calls.js';
+import { enqueue } from '../command/queue.js';
 import type { StoreEffect } from '../state/event.js';
 import type { Store } from '../state/state.js';
 
@@ -28,7 +28,7 @@
 /** How many origins of each release of a service stand. */
 export const standingOf = (state: Store, service: ServiceName): ReadonlyMap<Release, number> => {
   const standing = new Map<Release, number>();
-  for (const one of state.berth.origins.values()) {
+  for (const one of state.session.origins.values()) {
     if (one.service === service && one.state === 'up')
       standing.set(one.release, (standing.get(one.release) ?? 0) + 1);
   }
@@ -63,12 +63,12 @@
 
 /** Whether a change of a service's record is in its turn or being written already. */
 const waits = (state: Store, service: ServiceName): boolean =>
-  state.waitlist.some(
+  state.commandQueue.some(
     (one) =>
       (one.kind === 'release' && one.next.service === service) ||
       (one.kind === 'order' && one.service === service),
   ) ||
-  (state.job?.puts.some((one) => one.key === `release/${service}`) ?? false);
+  (state.primaryWrite?.puts.some((one) => one.key === `release/${service}`) ?? false);
 
 const pass = (state: Store, order: ReleaseOrder, now: Moment): Done => {
   const own = state.watches.get(order.service);
@@ -79,7 +79,7 @@
     own,
     standingOf(state, order.service),
     now,
-    state.limits.releases ?? releaseSettings,
+    state.settings.releases ?? releaseSettings,
   );
   if (next === order) return step(state);
   const told =
@@ -96,14 +96,16 @@
             ['why', next.text],
           ),
         ];
-  return join(told, queue(state, { kind: 'release', next }, now));
+  return join(told, enqueue(state, { kind: 'release', next }));
 };
 
 /** Notes on which release each service stands that has no record yet. */
-const settleNew = (state: Store, now: Moment): Done => {
+const settleNew = (state: Store): Done => {
   let next: Done = step(state);
   const services = new Set(
-    [...state.berth.origins.values()].filter((one) => one.state === 'up').map((one) => one.service),
+    [...state.session.origins.values()]
+      .filter((one) => one.state === 'up')
+      .map((one) => one.service),
   );
   for (const service of services) {
     if (state.control.releases.has(service) || waits(next.state, service)) continue;
@@ -111,15 +113,15 @@
     if (settled !== undefined)
       next = join(
         next.effects,
-        queue(next.state, { kind: 'release', next: settledOn(service, settled) }, now),
+        enqueue(next.state, { kind: 'release', next: settledOn(service, settled) }),
       );
   }
   return next;
 };
 
 /** Lets time pass over the orders of releases. */
-export const passReleases = (state: Store, now: Moment): Done => {
-  let next = settleNew(watched(state, now), now);
+export const tickReleases = (state: Store, now: Moment): Done => {
+  let next = settleNew(watched(state, now));
   for (const order of state.control.releases.values())
     next = join(next.effects, pass(next.state, order, now));
   return next;
--- a/packages/replicated-store/src/mend/found.test.ts
+++ b/packages/replicated-store/src/resync/bootstrap.test.ts
@@ -13,10 +13,10 @@
   toMoment,
   toNodeId,
 } from '@switchwheel/types';
-import type { Charter, Colleague, FrameOf, Member } from '@switchwheel/transport';
+import type { ClusterMetadata, Peer, FrameOf, Member } from '@switchwheel/transport';
 import { storeStep } from '../machine.js';
 import type { Found, StoreEffect } from '../state/event.js';
-import { type Store, newStore, pair } from '../state/state.js';
+import { type Store, newStore, defaultReplication } from '../state/state.js';
 
 const fleet = toFleetId('f1');
 const member = (node: string, port: number): Member => ({
@@ -27,17 +27,17 @@
   incarnation: toIncarnation(1),
 });
 const stores = [member('s1', 1), member('s2', 2), member('s3', 3)];
-const registry = (number: number): Colleague => ({
+const registry = (number: number): Peer => ({
   node: toNodeId(`r${number}`),
   address: toAddress(`10.0.0.2:${number}`),
   incarnation: toIncarnation(1),
 });
-const electorate: Charter['electorate'] = {
+const electorate: ClusterMetadata['electorate'] = {
   serial: noSeq,
   members: [1, 2, 3].map(registry).map(({ node, address }) => ({ node, address })),
 };
-const proposal = (by: number, other = fleet): FrameOf<'found'> => ({
-  kind: 'found',
+const proposal = (by: number, other = fleet): FrameOf<'bootstrap'> => ({
+  kind: 'bootstrap',
   id: toCallId(`${other}.r${by}`),
   fleet: other,
   stores: stores.map(({ node, address }) => ({ node, address })),
@@ -52,12 +52,18 @@
   #pending: number[] = [];
 
   constructor(foundable = true, found: Found = { found: 'nothing' }) {
-    const first = newStore(stores[0] ?? member('s1', 1), [], { seed: 1 }, pair, foundable);
+    const first = newStore(
+      stores[0] ?? member('s1', 1),
+      [],
+      { seed: 1 },
+      defaultReplication,
+      foundable,
+    );
     const read = storeStep(first, { kind: 'read', now: this.now, found });
     this.state = read.state;
   }
 
-  hear(from: Colleague, frame: FrameOf<'found'>): void {
+  hear(from: Peer, frame: FrameOf<'bootstrap'>): void {
     this.#take(storeStep(this.state, { kind: 'frame', now: this.now, from, frame }));
   }
 
@@ -68,7 +74,7 @@
 
   answers(): readonly boolean[] {
     return this.effects.flatMap((one) =>
-      one.kind === 'send' && one.frame.kind === 'founded' ? [one.frame.ok] : [],
+      one.kind === 'send' && one.frame.kind === 'bootstrapped' ? [one.frame.ok] : [],
     );
   }
 
@@ -79,7 +85,7 @@
   }
 }
 
-void test('whoever proposes the fleet, however often and in whatever order, a store comes to one charter', () => {
+void test('whoever proposes the fleet, however often and in whatever order, a store comes to one metadata', () => {
   fc.assert(
     fc.property(
       fc.array(fc.oneof(fc.integer({ min: 1, max: 3 }), fc.constant('sync' as const)), {
@@ -94,16 +100,16 @@
         }
         bench.hear(registry(1), proposal(1));
         bench.sync();
-        const { charter } = bench.state;
-        assert.ok(charter !== undefined);
+        const { metadata: metadata } = bench.state;
+        assert.ok(metadata !== undefined);
         assert.deepEqual(
-          [charter.fleet, charter.epoch, charter.insync, bench.state.phase],
+          [metadata.fleet, metadata.epoch, metadata.inSyncSet, bench.state.phase],
           [fleet, toEpoch(0), stores.map((one) => one.node), 'member'],
         );
         bench.hear(registry(2), proposal(2));
         assert.equal(bench.answers().at(-1), true, 'asked again it agrees again');
         bench.hear(registry(3), proposal(3, toFleetId('f2')));
-        const after = bench.state.charter;
+        const after = bench.state.metadata;
         assert.equal(
           after?.fleet,
           fleet,
@@ -120,26 +126,26 @@
   bench.hear(registry(1), proposal(1));
   bench.sync();
   assert.deepEqual(
-    [bench.answers(), bench.state.charter, bench.state.phase],
-    [[false], undefined, 'blank'],
+    [bench.answers(), bench.state.metadata, bench.state.phase],
+    [[false], undefined, 'empty'],
   );
 });
 
-void test('a store of a fleet that has begun its work keeps its charter', () => {
-  const charter: Charter = {
+void test('a store of a fleet that has begun its work keeps its metadata', () => {
+  const metadata: ClusterMetadata = {
     fleet,
     epoch: toEpoch(4),
-    insync: [toNodeId('s1')],
+    inSyncSet: [toNodeId('s1')],
     stores: proposal(1).stores,
     electorate,
   };
   const bench = new Bench(true, {
     found: 'whole',
-    charter,
+    metadata,
     stamp: { epoch: toEpoch(4), seq: noSeq },
     entries: [],
   });
   bench.hear(registry(1), proposal(1, toFleetId('f2')));
   bench.hear(registry(1), proposal(1));
-  assert.deepEqual([bench.answers(), bench.state.charter], [[false, true], charter]);
+  assert.deepEqual([bench.answers(), bench.state.metadata], [[false, true], metadata]);
 });
--- /dev/null
+++ b/packages/replicated-store/src/resync/resync.ts
@@ -0,0 +1,589 @@
+import {
+  type Moment,
+  type NodeId,
+  type Step,
+  join,
+  nextSeq,
+  noEpoch,
+  noSeq,
+  start,
+  step,
+  toMoment,
+} from '@switchwheel/types';
+import {
+  type ClusterMetadata,
+  type Peer,
+  type FrameOf,
+  type Put,
+  log,
+  send,
+} from '@switchwheel/transport';
+import { requestVotes, heldEpoch } from '@switchwheel/election';
+import { absorbAll } from '@switchwheel/configuration';
+import {
+  areaOf,
+  inSync,
+  reachableInSync,
+  isPrimary,
+  electionContext,
+  primaryTimeout,
+} from '../leadership/candidacy.js';
+import { excludeBackups } from '../primary-write/primary-write.js';
+import type { StoreEffect } from '../state/event.js';
+import { type BackupWrite, type PeerStatus, type Store, ownId } from '../state/state.js';
+import { apply, digests, inRange, sameStamp } from '../table/table.js';
+
+type Done = Step<Store, StoreEffect>;
+const statusInterval = 300;
+const resyncBatchBytes = 1024 * 1024;
+const resyncRangesPerReply = 8;
+/** How long a store may be silent before it counts as gone. */
+const peerTimeout = 1000;
+/** How long a spare may make no progress before the next one has its turn. */
+const resyncTurn = 4000;
+/** How long a store out of sync may be silent before it gives up its place in the metadata. */
+const removeAfter = 10_000;
+
+const startBackupWrite = (
+  state: Store,
+  backupWrite: Omit<BackupWrite, 'id'>,
+  wipe: boolean,
+): Done => {
+  const own: BackupWrite = { ...backupWrite, id: state.nextId };
+  const sets = own.puts.flatMap(({ key, data }) =>
+    data === null ? [] : [{ key, data, stamp: own.stamps.get(key) ?? own.stamp }],
+  );
+  const drops = own.puts.flatMap(({ key, data }) => (data === null ? [key] : []));
+  return step(
+    { ...state, backupWrite: own, nextId: state.nextId + 1 },
+    {
+      kind: 'sync',
+      write: {
+        id: own.id,
+        metadata: own.metadata,
+        stamp: own.stamp,
+        sets,
+        drops,
+        wipe: wipe || state.mustWipe,
+      },
+    },
+  );
+};
+
+const replicatedFrame = (
+  state: Store,
+  backupWrite: Pick<BackupWrite, 'to' | 'metadata' | 'stamp'>,
+  ok: boolean,
+  text: string,
+): StoreEffect =>
+  send(backupWrite.to, {
+    kind: 'replicated',
+    node: ownId(state),
+    epoch: backupWrite.stamp.epoch,
+    seq: backupWrite.stamp.seq,
+    ok,
+    text,
+  });
+
+/** Takes note of a primary: of its being there, and of whether it counts this store in. */
+const notePrimary = (state: Store, metadata: ClusterMetadata, now: Moment): Store => {
+  if (
+    state.metadata === undefined ||
+    metadata.fleet !== state.metadata.fleet ||
+    metadata.epoch < state.metadata.epoch
+  )
+    return state;
+  const out = !metadata.inSyncSet.includes(ownId(state)) && metadata.epoch > state.excludedAtEpoch;
+  return {
+    ...state,
+    primaryHeardAt: now,
+    excludedAtEpoch: out ? metadata.epoch : state.excludedAtEpoch,
+  };
+};
+
+/** The primary copies a write here. */
+export const onReplicate = (
+  before: Store,
+  from: Peer,
+  word: FrameOf<'replicate'>,
+  now: Moment,
+): Done => {
+  const metadata = before.metadata;
+  if (metadata === undefined || metadata.fleet !== word.metadata.fleet) return step(before);
+  const wanted = { to: from.address, metadata: word.metadata, stamp: word.stamp };
+  if (word.metadata.epoch < metadata.epoch || word.metadata.epoch < heldEpoch(before.candidate))
+    return step(before, replicatedFrame(before, wanted, false, 'an older epoch'));
+  const state = notePrimary(before, word.metadata, now);
+  if (sameStamp(state.stamp, word.stamp) && metadata.epoch === word.metadata.epoch)
+    return step(state, replicatedFrame(state, wanted, true, ''));
+  if (state.backupWrite !== undefined || state.primaryWrite !== undefined) return step(state);
+  const required = word.metadata.inSyncSet.includes(ownId(state));
+  // It may have the write itself already, from before the in-sync set changed.
+  const next = sameStamp(state.stamp, word.prior) || sameStamp(state.stamp, word.stamp);
+  if (!next)
+    return step(state, ...(required ? [replicatedFrame(state, wanted, false, 'a gap')] : []));
+  return startBackupWrite(
+    state,
+    {
+      since: now,
+      after: 'replicated',
+      ...wanted,
+      puts: word.puts,
+      stamps: new Map(),
+      call: undefined,
+    },
+    false,
+  );
+};
+
+/** A mend or a copy lasts on this disk. */
+export const onBackupWriteSynced = (state: Store, id: number, now: Moment): Done => {
+  const backupWrite = state.backupWrite;
+  if (backupWrite?.id !== id) return step(state);
+  const base: Store = {
+    ...state,
+    backupWrite: undefined,
+    mustWipe: false,
+    diskFull: undefined,
+    standDownUntil: start,
+    metadata: backupWrite.metadata,
+    trouble: '',
+    phase: state.phase === 'empty' ? 'member' : state.phase,
+  };
+  if (backupWrite.after === 'bootstrapped') {
+    const told =
+      backupWrite.call === undefined
+        ? []
+        : [
+            send(backupWrite.to, {
+              kind: 'bootstrapped' as const,
+              id: backupWrite.call,
+              node: ownId(state),
+              ok: true,
+              text: '',
+            }),
+          ];
+    return step(
+      { ...base, stamp: backupWrite.stamp },
+      log('info', 'this store belongs to a fleet now', ['fleet', backupWrite.metadata.fleet]),
+      ...told,
+    );
+  }
+  let table = state.table;
+  if (backupWrite.stamps.size === 0) table = apply(table, backupWrite.puts, backupWrite.stamp);
+  else
+    for (const one of backupWrite.puts)
+      table = apply(table, [one], backupWrite.stamps.get(one.key) ?? backupWrite.stamp);
+  const next: Store = {
+    ...base,
+    table,
+    control: absorbAll(state.control, backupWrite.puts),
+    stamp: backupWrite.stamp,
+  };
+  return backupWrite.after === 'replicated'
+    ? step(next, replicatedFrame(state, backupWrite, true, ''))
+    : continueResync(next, now);
+};
+
+export const onBackupWriteFailed = (
+  state: Store,
+  id: number,
+  text: string,
+  full: boolean,
+  now: Moment,
+): Done => {
+  const backupWrite = state.backupWrite;
+  if (backupWrite?.id !== id) return step(state);
+  const next: Store = {
+    ...state,
+    backupWrite: undefined,
+    resyncQueue: [],
+    diskFull: full ? now : state.diskFull,
+  };
+  if (backupWrite.after === 'replicated')
+    return step(next, replicatedFrame(state, backupWrite, false, text));
+  if (backupWrite.after === 'bootstrapped' && backupWrite.call !== undefined) {
+    return step(
+      next,
+      send(backupWrite.to, {
+        kind: 'bootstrapped',
+        id: backupWrite.call,
+        node: ownId(state),
+        ok: false,
+        text,
+      }),
+    );
+  }
+  return step(next, log('error', 'the disk refused a mend', ['why', text]));
+};
+
+/** Who is told where this store stands: everyone by the primary and while there is none, else those whom it concerns. */
+const statusTargets = (
+  state: Store,
+  now: Moment,
+): readonly ClusterMetadata['stores'][number]['address'][] => {
+  const leader = isPrimary(state, now)
+    ? undefined
+    : [...state.peers.values()].find((one) => one.primary && now - one.at < primaryTimeout);
+  if (leader !== undefined) {
+    const peers =
+      state.metadata?.stores.filter(
+        (one) =>
+          one.node !== ownId(state) &&
+          inSync(state) &&
+          state.metadata?.inSyncSet.includes(one.node),
+      ) ?? [];
+    return [...new Set([leader.address, ...peers.map((one) => one.address)])];
+  }
+  const known =
+    state.metadata?.stores.filter((one) => one.node !== ownId(state)).map((one) => one.address) ??
+    [];
+  const near = state.session.members
+    .filter((one) => one.role === 'store' && one.node !== ownId(state))
+    .map((one) => one.address);
+  return [...new Set([...known, ...near])];
+};
+
+/** Tells the other stores where this one stands; a store out of sync is mended by the answer. */
+export const sendStatus = (state: Store, now: Moment): Done => {
+  if (
+    now - state.statusSentAt < statusInterval ||
+    state.phase === 'reading' ||
+    state.phase === 'stopping'
+  )
+    return step(state);
+  const primary = isPrimary(state, now);
+  const away =
+    !primary &&
+    !inSync(state) &&
+    state.backupWrite === undefined &&
+    state.primaryWrite === undefined;
+  const word: FrameOf<'replica-status'> = {
+    kind: 'replica-status',
+    node: ownId(state),
+    stamp: state.stamp,
+    primary,
+    full: state.diskFull !== undefined || state.primaryWrite?.phase === 'orphan',
+    at: now,
+    digests: away ? digests(state.table) : [],
+    ...(state.metadata === undefined ? {} : { metadata: state.metadata }),
+  };
+  return step(
+    { ...state, statusSentAt: now },
+    ...statusTargets(state, now).map((to) => send(to, word)),
+  );
+};
+
+/** The stores of the metadata with one that is taken in: who is out of sync and long silent gives its place. */
+const withStore = (
+  state: Store,
+  from: Peer,
+  metadata: ClusterMetadata,
+  now: Moment,
+): ClusterMetadata['stores'] => [
+  ...metadata.stores.filter(
+    (one) =>
+      one.node !== from.node &&
+      (metadata.inSyncSet.includes(one.node) ||
+        now - (state.peers.get(one.node)?.at ?? state.startedAt) < removeAfter),
+  ),
+  { node: from.node, address: from.address },
+];
+
+/** Which of some spares is mended first: one with room, in an area that has no copy, with a place in the metadata. */
+const bestSpare = (
+  state: Store,
+  metadata: ClusterMetadata,
+  spares: readonly PeerStatus[],
+): NodeId | undefined => {
+  const areas = new Set(metadata.inSyncSet.map((one) => areaOf(state, one)));
+  const cost = (one: PeerStatus): number =>
+    (one.full ? 4 : 0) +
+    (areas.has(areaOf(state, one.node)) ? 2 : 0) +
+    (metadata.stores.some((row) => row.node === one.node) ? 0 : 1);
+  return [...spares].sort((one, two) => cost(one) - cost(two) || (one.node < two.node ? -1 : 1))[0]
+    ?.node;
+};
+
+/** Chooses the one spare that is mended now. */
+const pickSpare = (state: Store, metadata: ClusterMetadata, now: Moment): Store => {
+  const spares = [...state.peers.values()].filter(
+    (one) =>
+      !metadata.inSyncSet.includes(one.node) &&
+      !one.primary &&
+      now - one.at < peerTimeout &&
+      (one.metadata === undefined || one.metadata.fleet === metadata.fleet),
+  );
+  const current = state.resyncing;
+  const here = current !== undefined && spares.some((one) => one.node === current.node);
+  if (here && now - current.since < resyncTurn) return state;
+  const tried = here ? new Set([...state.resyncTried, current.node]) : state.resyncTried;
+  const left = spares.filter((one) => !tried.has(one.node));
+  const node = bestSpare(state, metadata, left.length > 0 ? left : spares);
+  return {
+    ...state,
+    resyncTried: left.length > 0 ? tried : new Set(),
+    resyncing: node === undefined ? undefined : { node, since: now },
+  };
+};
+
+/** A peer tells where it stands. */
+export const onPeerStatus = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'replica-status'>,
+  now: Moment,
+): Done => {
+  const row = {
+    node: word.node,
+    address: from.address,
+    metadata: word.metadata,
+    stamp: word.stamp,
+    primary: word.primary,
+    full: word.full,
+    at: now,
+  };
+  const led =
+    word.primary && word.metadata !== undefined ? notePrimary(state, word.metadata, now) : state;
+  const left = !word.primary && state.peers.get(word.node)?.primary === true;
+  const noted: Store = {
+    ...led,
+    primaryHeardAt: left ? toMoment(now - primaryTimeout) : led.primaryHeardAt,
+    peers: new Map([...state.peers, [word.node, row]]),
+  };
+  const metadata = state.metadata;
+  if (metadata === undefined || !isPrimary(state, now) || state.primaryWrite !== undefined)
+    return step(noted);
+  if (word.metadata !== undefined && word.metadata.fleet !== metadata.fleet) return step(noted);
+  // A store that counts as in sync and says that it holds nothing has lost its disk: it is left out at once, and then mended.
+  if (metadata.inSyncSet.includes(word.node) && word.metadata === undefined)
+    return excludeBackups(noted, [word.node], now);
+  const near = reachableInSync(noted, now);
+  if (
+    metadata.inSyncSet.includes(word.node) ||
+    near.length >= state.settings.copies ||
+    word.digests.length === 0
+  )
+    return step(noted);
+  return resyncSpare(
+    pickSpare(noted, metadata, now),
+    from,
+    word,
+    metadata,
+    [...near, word.node],
+    now,
+  );
+};
+
+/** Mends the spare whose turn it is, or takes it in once it is equal. */
+const resyncSpare = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'replica-status'>,
+  metadata: ClusterMetadata,
+  inSyncSet: readonly NodeId[],
+  now: Moment,
+): Done => {
+  if (state.resyncing?.node !== word.node) return step(state);
+  const mine = digests(state.table);
+  const unlike = mine.flatMap((one, range) => (one === word.digests[range] ? [] : [range]));
+  const shown: ClusterMetadata = { ...metadata, stores: withStore(state, from, metadata, now) };
+  if (unlike.length > 0) {
+    return step(
+      state,
+      ...unlike.slice(0, resyncRangesPerReply).map((range) =>
+        send(from.address, {
+          kind: 'range-listing' as const,
+          epoch: metadata.epoch,
+          stamp: state.stamp,
+          range,
+          keys: inRange(state.table, range),
+        }),
+      ),
+    );
+  }
+  if (!sameStamp(word.stamp, state.stamp) || word.metadata?.epoch !== metadata.epoch) {
+    return step(
+      state,
+      send(from.address, {
+        kind: 'resync-entries',
+        epoch: metadata.epoch,
+        metadata: shown,
+        settled: state.stamp,
+        entries: [],
+      }),
+    );
+  }
+  // Equal to the last entry and stamp, and nothing is being written: it is in sync from the next epoch on.
+  const next: Store = { ...state, metadata: shown, resyncing: undefined, resyncTried: new Set() };
+  const asked = requestVotes(state.candidate, electionContext(next, shown, now), inSyncSet, now);
+  return join(
+    [log('info', 'a spare is mended', ['store', word.node])],
+    step({ ...next, candidate: asked.state }, ...asked.effects),
+  );
+};
+
+/** Whether a store may be mended by the holder of this epoch. */
+const acceptsResync = (state: Store, epoch: number): boolean =>
+  !inSync(state) &&
+  state.primaryWrite === undefined &&
+  epoch >= Math.max(state.metadata?.epoch ?? 0, state.excludedAtEpoch);
+
+/** The primary lists a range that is unlike: what is wrong here is dropped, what is lacking is fetched. */
+export const onRangeListing = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'range-listing'>,
+  now: Moment,
+): Done => {
+  if (!acceptsResync(state, word.epoch)) return step(state);
+  const listed = new Map(word.keys.map((one) => [one.key, one.stamp]));
+  const lacking = word.keys.filter((one) => {
+    const mine = state.table.get(one.key);
+    return mine === undefined || !sameStamp(mine.stamp, one.stamp);
+  });
+  const extra = inRange(state.table, word.range).filter((one) => !listed.has(one.key));
+  const fetch: readonly StoreEffect[] =
+    lacking.length === 0
+      ? []
+      : [
+          send(from.address, {
+            kind: 'fetch-entries',
+            node: ownId(state),
+            epoch: word.epoch,
+            keys: lacking.map((one) => one.key),
+          }),
+        ];
+  if (extra.length === 0 || state.metadata === undefined || state.backupWrite !== undefined)
+    return step(state, ...fetch);
+  const puts: readonly Put[] = extra.map((one) => ({ key: one.key, data: null }));
+  return join(
+    fetch,
+    startBackupWrite(
+      state,
+      {
+        since: now,
+        after: 'resynced',
+        to: from.address,
+        metadata: state.metadata,
+        stamp: state.stamp,
+        puts,
+        stamps: new Map(),
+        call: undefined,
+      },
+      false,
+    ),
+  );
+};
+
+export const onFetchEntries = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'fetch-entries'>,
+  now: Moment,
+): Done => {
+  const metadata = state.metadata;
+  if (metadata === undefined || !isPrimary(state, now) || word.epoch !== metadata.epoch)
+    return step(state);
+  const entries: FrameOf<'resync-entries'>['entries'] = [];
+  let size = 0;
+  for (const key of word.keys) {
+    const entry = state.table.get(key);
+    if (entry === undefined) continue;
+    entries.push({ key, ...entry });
+    size += entry.data.length;
+    if (size > resyncBatchBytes) break;
+  }
+  const mending =
+    state.resyncing?.node === word.node ? { node: word.node, since: now } : state.resyncing;
+  return step(
+    { ...state, resyncing: mending },
+    send(from.address, { kind: 'resync-entries', epoch: metadata.epoch, metadata, entries }),
+  );
+};
+
+const maxQueuedResyncs = 64;
+
+/** Entries from the primary: they replace what is here, one write after another. */
+export const onResyncEntries = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'resync-entries'>,
+  now: Moment,
+): Done => {
+  if (state.backupWrite !== undefined)
+    return step(
+      state.resyncQueue.length < maxQueuedResyncs
+        ? { ...state, resyncQueue: [...state.resyncQueue, { from, word }] }
+        : state,
+    );
+  if (!acceptsResync(state, word.epoch) || word.metadata.inSyncSet.includes(ownId(state)))
+    return step(state);
+  if (state.metadata !== undefined && state.metadata.fleet !== word.metadata.fleet)
+    return step(state);
+  const stamps = new Map(word.entries.map((one) => [one.key, one.stamp]));
+  const puts = word.entries.map((one) => ({ key: one.key, data: one.data }));
+  // Until it is settled, this store keeps a stamp that no copy can follow.
+  const stamp = word.settled ?? state.stamp;
+  return startBackupWrite(
+    state,
+    {
+      since: now,
+      after: 'resynced',
+      to: from.address,
+      metadata: word.metadata,
+      stamp,
+      puts,
+      stamps,
+      call: undefined,
+    },
+    false,
+  );
+};
+
+/** After a mend was written the next one is, or the primary is asked at once what is still unlike. */
+const continueResync = (state: Store, now: Moment): Done => {
+  const [next, ...rest] = state.resyncQueue;
+  if (next !== undefined)
+    return onResyncEntries({ ...state, resyncQueue: rest }, next.from, next.word, now);
+  return sendStatus({ ...state, statusSentAt: start }, now);
+};
+
+/** An operator founds a fleet on this store and its peer. */
+export const onBootstrap = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'bootstrap'>,
+  now: Moment,
+): Done => {
+  const answer = (ok: boolean, text: string): StoreEffect =>
+    send(from.address, { kind: 'bootstrapped', id: word.id, node: ownId(state), ok, text });
+  const known = state.metadata;
+  if (known?.fleet === word.fleet) return step(state, answer(true, ''));
+  if (known !== undefined && known.epoch > 0)
+    return step(state, answer(false, `belongs to the fleet ${known.fleet}`));
+  if (!state.mayBootstrap) return step(state, answer(false, 'no fleet is founded on this store'));
+  if (state.phase === 'reading' || state.backupWrite !== undefined)
+    return step(state, answer(false, 'busy; found again'));
+  const metadata: ClusterMetadata = {
+    fleet: word.fleet,
+    epoch: noEpoch,
+    inSyncSet: word.stores.map((one) => one.node),
+    stores: word.stores,
+    electorate: word.electorate,
+  };
+  return startBackupWrite(
+    state,
+    {
+      since: now,
+      after: 'bootstrapped',
+      to: from.address,
+      metadata,
+      stamp: { epoch: metadata.epoch, seq: nextSeq(noSeq) },
+      puts: [],
+      stamps: new Map(),
+      call: word.id,
+    },
+    true,
+  );
+};
--- a/packages/replicated-store/src/state/event.ts
+++ b/packages/replicated-store/src/state/event.ts
@@ -1,5 +1,5 @@
 import type { Hash, Moment } from '@switchwheel/types';
-import type { Charter, Stamp, WireEffect, WireEvent } from '@switchwheel/transport';
+import type { ClusterMetadata, Stamp, WireEffect, WireEvent } from '@switchwheel/transport';
 import type { Fault } from '@switchwheel/configuration';
 import type { KeyedEntry } from '../table/table.js';
 
@@ -9,7 +9,7 @@
   | { readonly found: 'damaged'; readonly text: string }
   | {
       readonly found: 'whole';
-      readonly charter: Charter;
+      readonly metadata: ClusterMetadata;
       readonly stamp: Stamp;
       readonly entries: readonly KeyedEntry[];
     };
@@ -36,7 +36,7 @@
 /** One write to the disk: all of it lasts, or none. */
 export interface DiskWrite {
   readonly id: number;
-  readonly charter: Charter;
+  readonly metadata: ClusterMetadata;
   readonly stamp: Stamp;
   readonly sets: readonly KeyedEntry[];
   readonly drops: readonly string[];
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -18,8 +18,8 @@
 } from '@switchwheel/types';
 import type {
   Aim,
-  Charter,
-  Colleague,
+  ClusterMetadata,
+  Peer,
   Electorate,
   FrameOf,
   Member,
@@ -27,8 +27,8 @@
   Report,
   Stamp,
 } from '@switchwheel/transport';
-import { type Stand, newStand } from '@switchwheel/election';
-import { type Berth, newBerth } from '@switchwheel/membership';
+import { type Candidate, newCandidate } from '@switchwheel/election';
+import { type NodeSession, newNodeSession } from '@switchwheel/membership';
 import {
   type Control,
   type Fault,
@@ -101,63 +101,63 @@
 }
 
 /** How many copies of the state a fleet keeps, and how many machines with a disk it may lose at once. */
-export interface Limits {
+export interface ReplicationSettings {
   readonly copies: number;
   readonly tolerate: number;
-  /** Whether registries that come become witnesses, and take the seats of those that are gone, by themselves. */
+  /** Whether registries that come become voters, and take the seats of those that are gone, by themselves. */
   readonly follow: boolean;
   /** Whether the origins that stand are kept on disk. */
   readonly origins?: boolean;
   /** What a release on trial is held to. */
   readonly releases?: ReleaseSettings;
 }
-export const pair: Limits = { copies: 2, tolerate: 1, follow: false };
+export const defaultReplication: ReplicationSettings = { copies: 2, tolerate: 1, follow: false };
 
 /** A write under way: first on this disk, then on those of the backups in sync. */
-export interface Job {
+export interface PrimaryWrite {
   readonly id: number;
   /** An orphan was given up while the disk still had it in hand: what lasts of it is known later. */
   readonly phase: 'disk' | 'copy' | 'orphan';
   /** Whether this disk has it already, from before the in-sync set changed: then it is never told as refused. */
-  readonly lasts: boolean;
+  readonly onOwnDisk: boolean;
   readonly since: Moment;
   readonly sent: Moment;
-  readonly charter: Charter;
-  /** The backups that have it under this charter. */
+  readonly metadata: ClusterMetadata;
+  /** The backups that have it under this metadata. */
   readonly confirmed: ReadonlySet<NodeId>;
   readonly stamp: Stamp;
   readonly prior: Stamp;
   readonly puts: readonly Put[];
   readonly draft: Control;
   readonly results: readonly CallResult[];
-  readonly tried: readonly { readonly to: Address; readonly word: TrialWord }[];
+  readonly trialReports: readonly { readonly to: Address; readonly word: TrialWord }[];
 }
 
 /** A copy or a mend that this store is putting on its own disk for the primary. */
-export interface Chore {
+export interface BackupWrite {
   readonly id: number;
   readonly since: Moment;
-  readonly after: 'copied' | 'mended' | 'founded';
+  readonly after: 'replicated' | 'resynced' | 'bootstrapped';
   readonly to: Address;
-  readonly charter: Charter;
+  readonly metadata: ClusterMetadata;
   readonly stamp: Stamp;
   readonly puts: readonly Put[];
   readonly stamps: ReadonlyMap<string, Stamp>;
   readonly call: CallId | undefined;
 }
 
-/** What a colleague store said of itself last. */
-export interface ColleagueWord {
+/** What a peer store said of itself last. */
+export interface PeerStatus {
   readonly node: NodeId;
   readonly address: Address;
-  readonly charter: Charter | undefined;
+  readonly metadata: ClusterMetadata | undefined;
   readonly stamp: Stamp;
   readonly primary: boolean;
   readonly full: boolean;
   readonly at: Moment;
 }
 
-export interface Tuned {
+export interface Subscriber {
   readonly address: Address;
   /** Since when it has been in touch without a break. */
   readonly since: Moment;
@@ -166,41 +166,44 @@
   readonly purged: Seq;
 }
 
-export interface Touch {
+export interface Contact {
   readonly registry: NodeId;
   readonly at: Moment;
 }
 
 /** The whole state of a store. */
 export interface Store {
-  readonly berth: Berth;
-  readonly limits: Limits;
-  readonly phase: 'reading' | 'blank' | 'member' | 'stopping';
+  readonly session: NodeSession;
+  readonly settings: ReplicationSettings;
+  readonly phase: 'reading' | 'empty' | 'member' | 'stopping';
   /** When this process had read its disk. */
-  readonly born: Moment;
+  readonly startedAt: Moment;
   readonly trouble: string;
   /** Whether a fleet may be founded on this store: one that came back with an empty disk belongs to one already. */
-  readonly foundable: boolean;
+  readonly mayBootstrap: boolean;
   /** Whether the disk holds something that can't be trusted: the first write sweeps it away. */
-  readonly soiled: boolean;
-  readonly charter: Charter | undefined;
+  readonly mustWipe: boolean;
+  readonly metadata: ClusterMetadata | undefined;
   readonly stamp: Stamp;
   readonly table: Table;
   readonly control: Control;
-  readonly stand: Stand;
-  /** Set once the charter of this holding is on every disk it must be on. */
+  readonly candidate: Candidate;
+  /** Set once the metadata of this holding is on every disk it must be on. */
   readonly serving: boolean;
   /** Set while this holding could not be written down, as the disk is full: it reads and pushes, and writes nothing. */
-  readonly muted: boolean;
-  readonly job: Job | undefined;
-  readonly chore: Chore | undefined;
+  readonly readOnly: boolean;
+  readonly primaryWrite: PrimaryWrite | undefined;
+  readonly backupWrite: BackupWrite | undefined;
   /** Mends that came while one was being written. */
-  readonly mends: readonly { readonly from: Colleague; readonly word: FrameOf<'mend'> }[];
-  readonly waitlist: readonly Command[];
+  readonly resyncQueue: readonly {
+    readonly from: Peer;
+    readonly word: FrameOf<'resync-entries'>;
+  }[];
+  readonly commandQueue: readonly Command[];
   /** Calls whose description is being compiled: several may bring the same one. */
   readonly compiling: ReadonlyMap<Hash, readonly Extract<Command, { kind: 'apply' }>[]>;
-  readonly spare: ReadonlyMap<Hash, string>;
-  readonly lacking: ReadonlyMap<
+  readonly receivedPieces: ReadonlyMap<Hash, string>;
+  readonly awaitingPieces: ReadonlyMap<
     CallId,
     {
       readonly command: Extract<Command, { kind: 'apply' }>;
@@ -209,33 +212,33 @@
       readonly awaited: number;
     }
   >;
-  readonly colleagues: ReadonlyMap<NodeId, ColleagueWord>;
+  readonly peers: ReadonlyMap<NodeId, PeerStatus>;
   /** The spare that is being mended, and since when it made no progress. */
-  readonly mending: { readonly node: NodeId; readonly since: Moment } | undefined;
+  readonly resyncing: { readonly node: NodeId; readonly since: Moment } | undefined;
   /** Spares whose mending came to nothing: the others have their turn first. */
-  readonly tried: ReadonlySet<NodeId>;
-  readonly tuned: ReadonlyMap<NodeId, Tuned>;
-  readonly touch: ReadonlyMap<NodeId, Touch>;
+  readonly resyncTried: ReadonlySet<NodeId>;
+  readonly subscribers: ReadonlyMap<NodeId, Subscriber>;
+  readonly contacts: ReadonlyMap<NodeId, Contact>;
   /** The highest epoch that is known to have left this store out. */
-  readonly ousted: Epoch;
+  readonly excludedAtEpoch: Epoch;
   /** When a primary was last heard. */
-  readonly led: Moment;
-  readonly greeted: Moment;
+  readonly primaryHeardAt: Moment;
+  readonly statusSentAt: Moment;
   /** When the origins were last looked at. */
-  readonly noted: Moment;
-  readonly planned: Moment;
-  readonly turned: Moment;
+  readonly originsCheckedAt: Moment;
+  readonly plannedAt: Moment;
+  readonly engineRanAt: Moment;
   /** When the electorate last followed the registries. */
-  readonly seated: Moment;
-  readonly due: Moment | undefined;
+  readonly electorateChangedAt: Moment;
+  readonly engineDueAt: Moment | undefined;
   /** The last write that changed what nodes are to run: registries that have it are not told of it again. */
-  readonly listed: Seq;
+  readonly lastNodeChange: Seq;
   /** The orders of releases as this holding watches them. */
   readonly watches: ReadonlyMap<ServiceName, Watch>;
   readonly seen: Seen;
   readonly opened: Moment | undefined;
   readonly diskFull: Moment | undefined;
-  readonly shunned: Moment;
+  readonly standDownUntil: Moment;
   readonly nextId: number;
   readonly dice: Dice;
 }
@@ -246,51 +249,51 @@
   member: Member,
   seeds: readonly Address[],
   dice: Dice,
-  limits = pair,
+  limits = defaultReplication,
   foundable = true,
 ): Store => ({
-  foundable,
-  berth: newBerth(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }),
-  limits,
+  mayBootstrap: foundable,
+  session: newNodeSession(member, seeds, { seed: dice.seed ^ 0x5bd1e995 }),
+  settings: limits,
   phase: 'reading',
-  born: start,
+  startedAt: start,
   trouble: '',
-  soiled: false,
-  charter: undefined,
+  mustWipe: false,
+  metadata: undefined,
   stamp: noStamp,
   table: new Map(),
   control: noControl,
-  stand: newStand(member.node, primary, []),
+  candidate: newCandidate(member.node, primary, []),
   serving: false,
-  muted: false,
-  job: undefined,
-  chore: undefined,
-  mends: [],
-  waitlist: [],
+  readOnly: false,
+  primaryWrite: undefined,
+  backupWrite: undefined,
+  resyncQueue: [],
+  commandQueue: [],
   compiling: new Map(),
-  spare: new Map(),
-  lacking: new Map(),
-  colleagues: new Map(),
-  mending: undefined,
-  tried: new Set(),
-  tuned: new Map(),
-  touch: new Map(),
-  ousted: noEpoch,
-  led: start,
-  greeted: start,
-  planned: start,
-  turned: start,
-  seated: start,
-  noted: start,
-  due: undefined,
-  listed: noSeq,
+  receivedPieces: new Map(),
+  awaitingPieces: new Map(),
+  peers: new Map(),
+  resyncing: undefined,
+  resyncTried: new Set(),
+  subscribers: new Map(),
+  contacts: new Map(),
+  excludedAtEpoch: noEpoch,
+  primaryHeardAt: start,
+  statusSentAt: start,
+  plannedAt: start,
+  engineRanAt: start,
+  electorateChangedAt: start,
+  originsCheckedAt: start,
+  engineDueAt: undefined,
+  lastNodeChange: noSeq,
   watches: new Map(),
   seen: new Map(),
   opened: undefined,
   diskFull: undefined,
-  shunned: start,
+  standDownUntil: start,
   nextId: 1,
   dice,
 });
 
-export const me = (state: Store): NodeId => state.berth.member.node;
+export const ownId = (state: Store): NodeId => state.session.member.node;
--- a/packages/routing/src/line/line.test.ts
+++ b/packages/routing/src/line/line.test.ts
@@ -114,7 +114,7 @@
       ...fresh,
       table: built.value,
       asOf: this.now,
-      berth: { ...fresh.berth, heard: this.now, origins: known, members: [member] },
+      berth: { ...fresh.berth, registryHeardAt: this.now, origins: known, members: [member] },
     };
     const legs = {
       send: (order: LegOrder, ears: LegEars) => {
@@ -151,7 +151,11 @@
 
   pass(ms: number): void {
     this.now = toMoment(this.now + ms);
-    this.cabin = { ...this.cabin, asOf: this.now, berth: { ...this.cabin.berth, heard: this.now } };
+    this.cabin = {
+      ...this.cabin,
+      asOf: this.now,
+      berth: { ...this.cabin.berth, registryHeardAt: this.now },
+    };
     this.line.tick(this.now);
   }
 
@@ -222,7 +226,7 @@
   bench.ask('/clips/1');
   bench.answer(0);
   bench.now = toMoment(bench.now + 1600);
-  bench.cabin = { ...bench.cabin, berth: { ...bench.cabin.berth, heard: bench.now } };
+  bench.cabin = { ...bench.cabin, berth: { ...bench.cabin.berth, registryHeardAt: bench.now } };
   bench.ask('/clips/1');
   assert.equal(bench.sent.length, 2, 'its registry has no fresh word');
   bench.answer(1);
@@ -269,7 +273,7 @@
   const bench = new Bench([]);
   bench.ask('/edit/1', 'POST');
   const told = bench.told[0];
-  assert.ok(told?.kind === 'fault' && told.fault === 'bounced' && told.retryMs > 0);
+  assert.ok(told?.kind === 'fault' && told.fault === 'rejected' && told.retryMs > 0);
 });
 
 const onTrial = (phase: ReleaseState['phase'], share: number): ReleaseState => ({
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -14,7 +14,7 @@
 } from '@switchwheel/types';
 import type { Fields, FrameOf } from '@switchwheel/transport';
 import { type Track, chooseRelease, match, pickService } from '@switchwheel/configuration';
-import { moored } from '@switchwheel/membership';
+import { isConnected } from '@switchwheel/membership';
 import {
   type Cabin,
   type Cache,
@@ -202,7 +202,7 @@
       };
     }
     if (this.#runs.size >= this.#manner.most)
-      return end(fault('bounced', 'too many requests are under way', 300));
+      return end(fault('rejected', 'too many requests are under way', 300));
     return this.#start({ call, track, service, slip, tell, until }, now);
   }
 
@@ -445,7 +445,7 @@
   #kept(slip: Slip, cabin: Cabin, now: Moment): Entry | undefined {
     // An edge that is cut off from all registries is out of touch, and serves what it has.
     const sure = cabin.asOf !== undefined && between(cabin.asOf, now) < this.#manner.bounds.keptMs;
-    if (!sure && moored(cabin.berth, now)) return undefined;
+    if (!sure && isConnected(cabin.berth, now)) return undefined;
     return this.#desk.cache.find(slip.key, slip.fields, now);
   }
 
--- a/packages/routing/src/trip/trip.test.ts
+++ b/packages/routing/src/trip/trip.test.ts
@@ -141,7 +141,7 @@
         for (const told of seen.told) {
           const promise =
             told.kind === 'fault'
-              ? told.fault === 'bounced'
+              ? told.fault === 'rejected'
               : [408, 421, 429, 503].includes(told.answer.status);
           if (promise && !repeatable)
             assert.ok(
--- a/packages/routing/src/trip/trip.ts
+++ b/packages/routing/src/trip/trip.ts
@@ -126,7 +126,7 @@
 const lastWord = (trip: Trip, text: string, retryMs: number): Told => {
   if (trip.held !== undefined) return trip.held;
   if (trip.ran && !trip.repeatable) return fault('lost', text, 0);
-  return trip.ran ? fault('lost', text, retryMs) : fault('bounced', text, retryMs);
+  return trip.ran ? fault('lost', text, retryMs) : fault('rejected', text, retryMs);
 };
 
 /** Goes on after a leg that brought nothing: to another origin, on with those still out, or to the end. */
@@ -211,7 +211,7 @@
         trip.held ??
           (trip.ran || trip.legs.size > 0
             ? fault('slow', 'no origin answered in time', 0)
-            : fault('bounced', 'no origin in time', 200)),
+            : fault('rejected', 'no origin in time', 200)),
       );
     case 'left':
       return end(trip, undefined);
--- a/packages/runtime/src/http/door.ts
+++ b/packages/runtime/src/http/door.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import type Koa from 'koa';
 import type { Address } from '@switchwheel/types';
-import { parts } from '@switchwheel/transport';
+import { splitAddress } from '@switchwheel/transport';
 
 /** How outside callers are held to time and size. */
 export interface DoorRules {
@@ -52,7 +52,7 @@
   });
   return new Promise((done, fail) => {
     server.once('error', fail);
-    server.listen({ ...parts(at), backlog: 1024 }, () => {
+    server.listen({ ...splitAddress(at), backlog: 1024 }, () => {
       server.off('error', fail);
       const bound = (): AddressInfo | string | null => server.address();
       done({
--- a/packages/runtime/src/run/loop.ts
+++ b/packages/runtime/src/run/loop.ts
@@ -1,5 +1,5 @@
 import { type Moment, type Step, type Store, createStore } from '@switchwheel/types';
-import type { WireEffect, WireEvent, Yard } from '@switchwheel/transport';
+import type { WireEffect, WireEvent, ChannelPool } from '@switchwheel/transport';
 import type { Log } from '../log/log.js';
 import { now } from './clock.js';
 
@@ -20,7 +20,7 @@
 export const runLoop = <S, E, F>(
   reduce: (state: S, event: E | WireEvent) => Step<S, F | WireEffect>,
   first: S,
-  yard: Yard,
+  yard: ChannelPool,
   log: Log,
   run: (effect: F, tell: Loop<S, E | WireEvent>['tell']) => void,
   isWire: (effect: F | WireEffect) => effect is WireEffect,
--- a/packages/simulator/src/cast/proxy.ts
+++ b/packages/simulator/src/cast/proxy.ts
@@ -7,7 +7,7 @@
   toAreaName,
 } from '@switchwheel/types';
 import type { Fields, Member, WireEvent } from '@switchwheel/transport';
-import { heldEpoch, holds } from '@switchwheel/election';
+import { heldEpoch, holdsLease } from '@switchwheel/election';
 import { build, finish } from '@switchwheel/configuration';
 import {
   Cache,
@@ -154,7 +154,7 @@
       const stand = state?.cabin.stands.get(service);
       return (
         stand !== undefined &&
-        !holds(stand, clock) &&
+        !holdsLease(stand, clock) &&
         (state?.keepers.get(name)?.legs.size ?? 0) > 0
       );
     });
@@ -413,7 +413,11 @@
         const state = this.#store?.state();
         const keeper = state?.keepers.get(effect.keeper);
         const stand = keeper === undefined ? undefined : state?.cabin.stands.get(keeper.service);
-        if (stand === undefined || !holds(stand, this.clock) || heldEpoch(stand) !== keeper?.epoch)
+        if (
+          stand === undefined ||
+          !holdsLease(stand, this.clock) ||
+          heldEpoch(stand) !== keeper?.epoch
+        )
           this.stage.breaches.push(
             `${this.node} sent a leg as ${effect.keeper} past its lease at ${Math.round(this.stage.agenda.now)}`,
           );
--- a/packages/simulator/src/cast/store.ts
+++ b/packages/simulator/src/cast/store.ts
@@ -15,11 +15,11 @@
   type Store as StoreState,
   type StoreEffect,
   type StoreEvent,
-  type Limits,
+  type ReplicationSettings,
   newStore,
   storeStep,
 } from '@switchwheel/replicated-store';
-import { holds } from '@switchwheel/election';
+import { holdsLease } from '@switchwheel/election';
 import { build, finish } from '@switchwheel/configuration';
 import { Actor, type Stage } from '../world/actor.js';
 import { VirtualDisk } from '../world/disk.js';
@@ -28,7 +28,7 @@
 export class SimStore extends Actor {
   readonly disk: VirtualDisk<DiskWrite>;
   readonly #seeds: () => readonly Address[];
-  readonly #limits: Limits | undefined;
+  readonly #limits: ReplicationSettings | undefined;
   #store: Store<StoreState, StoreEvent> | undefined;
 
   constructor(
@@ -37,7 +37,7 @@
     address: Address,
     area: string,
     seeds: () => readonly Address[],
-    limits?: Limits,
+    limits?: ReplicationSettings,
   ) {
     super(stage, node, address, area);
     this.#seeds = seeds;
@@ -74,7 +74,7 @@
 
   override wake(): void {
     const { state, clock } = this;
-    if (this.frozen && state?.serving === true && !holds(state.stand, clock))
+    if (this.frozen && state?.serving === true && !holdsLease(state.candidate, clock))
       this.stage.tried.note('a primary woke past its lease');
     super.wake();
   }
@@ -90,7 +90,7 @@
 
   /** How far the write under way here has come, if there is one. */
   get writing(): 'disk' | 'copy' | undefined {
-    const phase = this.state?.job?.phase;
+    const phase = this.state?.primaryWrite?.phase;
     return phase === 'disk' || phase === 'copy' ? phase : undefined;
   }
 
@@ -107,7 +107,7 @@
     }
     return {
       found: 'whole',
-      charter: last.charter,
+      metadata: last.metadata,
       stamp: last.stamp,
       entries: [...entries.values()],
     };
--- a/packages/simulator/src/cast/wire.ts
+++ b/packages/simulator/src/cast/wire.ts
@@ -1,4 +1,10 @@
-import { type Frame, beatSpan, decode, encode, silentSpan } from '@switchwheel/transport';
+import {
+  type Frame,
+  keepaliveInterval,
+  decode,
+  encode,
+  silenceTimeout,
+} from '@switchwheel/transport';
 import { type DataChannel, type DataEars, dialSpan } from '@switchwheel/proxy-core';
 import type { Actor, Stage } from '../world/actor.js';
 
@@ -61,7 +67,7 @@
   }
 
   channel(end: End = this.#near): DataChannel {
-    return { send: (frame) => this.#send(end, frame), hang: () => this.#close(end) };
+    return { send: (frame) => this.#send(end, frame), terminate: () => this.#close(end) };
   }
 
   /** The other side's process is known to be gone. */
@@ -99,13 +105,13 @@
   }
 
   #beat(end: End): void {
-    end.actor.later(beatSpan, () => {
+    end.actor.later(keepaliveInterval, () => {
       const other = this.#other(end);
       if (end.over || other === undefined) return;
       const now = this.#stage.agenda.now;
       if (this.#lives(other) && !other.over && !other.actor.frozen && this.#open(other, end))
         end.heard = now;
-      if (now - end.heard > silentSpan) this.#close(end);
+      if (now - end.heard > silenceTimeout) this.#close(end);
       else this.#beat(end);
     });
   }
--- a/packages/simulator/src/fault/faults.ts
+++ b/packages/simulator/src/fault/faults.ts
@@ -59,7 +59,7 @@
     if (world.agenda.now < this.#diskFree || world.agenda.now < this.#coreFree) return undefined;
     const primary = world.primary();
     if (
-      primary?.state?.charter?.insync.length !== 2 ||
+      primary?.state?.metadata?.inSyncSet.length !== 2 ||
       !world.stores.every((one) => one.alive && !one.frozen)
     )
       return undefined;
@@ -455,7 +455,7 @@
             change(
               false,
               () => {
-                world.tried.note('a witness was replaced');
+                world.tried.note('a voter was replaced');
                 ground.say(`${gone.node} is gone for good`);
                 world.dropRegistry(gone);
               },
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -20,13 +20,13 @@
 const cache = 'proxy-core/dist/cache/cache.js';
 const cabin = 'proxy-core/dist/cabin/machine.js';
 const proxy = 'proxy-core/dist/proxy/machine.js';
-const stand = 'election/dist/stand/stand.js';
-const witness = 'election/dist/witness/witness.js';
-const job = 'replicated-store/dist/job/job.js';
+const stand = 'election/dist/candidate/candidate.js';
+const voter = 'election/dist/voter/voter.js';
+const job = 'replicated-store/dist/primary-write/primary-write.js';
 const decide = 'replicated-store/dist/command/decide.js';
-const poll = 'replicated-store/dist/duty/poll.js';
+const poll = 'replicated-store/dist/leadership/candidacy.js';
 const origins = 'membership/dist/origins/origins.js';
-const announce = 'membership/dist/registry/announce.js';
+const announce = 'membership/dist/registry/departures.js';
 
 export const guards: readonly Guard[] = [
   {
@@ -75,20 +75,20 @@
     name: 'a lease that ran out stays over',
     rule: 'one holder',
     file: stand,
-    from: "if (own.phase === 'holding' && now >= own.until)",
+    from: "if (own.phase === 'holdingLease' && now >= own.until)",
     to: 'if (false)',
   },
   {
-    name: 'a witness that restarted abstains',
+    name: 'a voter that restarted abstains',
     rule: 'one holder',
-    file: witness,
+    file: voter,
     from: 'if (now < later(state.born, leaseSpan))',
     to: 'if (false)',
   },
   {
     name: 'a lease that stands is respected',
     rule: 'one holder',
-    file: witness,
+    file: voter,
     from: 'if (mine.lessee !== ballot.node && now < mine.until)',
     to: 'if (false)',
   },
@@ -102,15 +102,15 @@
   {
     name: 'only stores in sync are elected',
     rule: 'lost write',
-    file: witness,
-    from: 'if (ballot.duty === primary && !mine.insync.includes(ballot.node))',
+    file: voter,
+    from: 'if (ballot.duty === primary && !mine.inSyncSet.includes(ballot.node))',
     to: 'if (false)',
   },
   {
     name: 'only stores in sync stand',
     rule: 'lost write',
     file: poll,
-    from: 'state.charter.insync.includes(me(state)) && state.ousted <= state.charter.epoch',
+    from: 'state.metadata.inSyncSet.includes(me(state)) && state.ousted <= state.metadata.epoch',
     to: 'true',
   },
   {
@@ -131,21 +131,21 @@
     name: 'the own disk has it before the answer',
     rule: 'lost write',
     file: job,
-    from: 'return step({ ...next, job, nextId: state.nextId + 1 }, ...told, diskWrite(job.id, job.charter, stamp, puts));',
-    to: 'return join([...told, diskWrite(job.id, job.charter, stamp, puts)], finish({ ...next, job, nextId: state.nextId + 1 }, job, now));',
+    from: 'return step({ ...next, job, nextId: state.nextId + 1 }, ...told, diskWrite(job.id, job.metadata, stamp, puts));',
+    to: 'return join([...told, diskWrite(job.id, job.metadata, stamp, puts)], finish({ ...next, job, nextId: state.nextId + 1 }, job, now));',
   },
   {
     name: 'what lasts is never told as refused',
     rule: 'R2',
     file: job,
-    from: 'const bounced = job.lasts ? unsure(job.results) : ',
-    to: 'const bounced = ',
+    from: 'const rejected = job.lasts ? unsure(job.results) : ',
+    to: 'const rejected = ',
   },
   {
     name: 'a primary answers only while it holds',
     rule: 'lost write',
     file: job,
-    from: 'if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.charter.epoch)\n        return step(state);\n    const next',
+    from: 'if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.metadata.epoch)\n        return step(state);\n    const next',
     to: 'const next',
   },
   {
@@ -166,7 +166,7 @@
     name: 'a call is answered once',
     rule: 'whole',
     file: decide,
-    from: 'return before === undefined ? undefined : { ...nothing, bounces: [{ ...command.asker, status: before.status, body: before.body }] };',
+    from: 'return before === undefined ? undefined : { ...nothing, rejections: [{ ...command.asker, status: before.status, body: before.body }] };',
     to: 'return undefined;',
   },
   {
@@ -187,8 +187,8 @@
     name: 'no refusal of what may have run, at a keeper',
     rule: 'R2',
     file: keeper,
-    from: "effects.push(!begun ? away(leg.ask, 'bounced', text, 500) : ",
-    to: "effects.push(load !== undefined ? away(leg.ask, 'bounced', text, 500) : ",
+    from: "effects.push(!begun ? away(leg.ask, 'rejected', text, 500) : ",
+    to: "effects.push(load !== undefined ? away(leg.ask, 'rejected', text, 500) : ",
   },
   {
     name: 'no refusal of what may have run, in a waitlist',
@@ -201,15 +201,15 @@
     name: 'no refusal of what may have run, at an edge',
     rule: 'R2',
     file: forward,
-    from: "breakdown: breakdown === 'bounced' && wagon.again ? 'lost' : breakdown",
-    to: 'breakdown',
+    from: "errorKind: errorKind === 'rejected' && wagon.again ? 'lost' : errorKind",
+    to: 'errorKind',
   },
   {
     name: 'a caller that left is told that it may have run',
     rule: 'R2',
     file: forward,
-    from: "fail(wagon, wagon.stage.stage === 'waiting' ? 'bounced' : 'unknown', event.text",
-    to: "fail(wagon, 'bounced', event.text",
+    from: "fail(wagon, wagon.stage.stage === 'waiting' ? 'rejected' : 'unknown', event.text",
+    to: "fail(wagon, 'rejected', event.text",
   },
   {
     name: 'a result has the told length',
--- a/packages/simulator/src/rules/bites.test.ts
+++ b/packages/simulator/src/rules/bites.test.ts
@@ -44,7 +44,7 @@
 });
 bites('R2', (run) => {
   const done = run.callers.asked.find((one) => one.unsafe && one.result?.kind === 'result');
-  if (done?.result !== undefined) done.result = { ...done.result, kind: 'bounced' };
+  if (done?.result !== undefined) done.result = { ...done.result, kind: 'rejected' };
 });
 bites('R3', (run) => {
   const done = run.callers.asked.find((one) => one.result?.kind === 'result');
@@ -123,12 +123,12 @@
   const [one, two] = run.world.shields;
   const held = run.world.shields
     .flatMap((shield) => [...(shield.state?.cabin.stands.values() ?? [])])
-    .find((stand) => stand.phase.phase === 'holding');
+    .find((stand) => stand.phase.phase === 'holdingLease');
   assert.ok(one !== undefined && two !== undefined && held !== undefined);
   const service = clips;
   for (const shield of [one, two]) {
     const phase = {
-      phase: 'holding' as const,
+      phase: 'holdingLease' as const,
       epoch: held.highest,
       votes: new Map(),
       until: toMoment(shield.clock + 10_000),
--- a/packages/simulator/src/rules/reach.ts
+++ b/packages/simulator/src/rules/reach.ts
@@ -10,21 +10,21 @@
   one === two ||
   (up(one) && up(two) && world.net.open(one.node, two.node) && world.net.open(two.node, one.node));
 
-/** The registries on the side where a primary is or can come to be: with a store in sync that a majority of witnesses can reach. */
+/** The registries on the side where a primary is or can come to be: with a store in sync that a majority of voters can reach. */
 export const goodRegistries = (world: World): readonly SimRegistry[] => {
   // What a dead store's disk says counts: what it alone confirmed, nobody else can serve.
-  const charter = world.stores
-    .map((one) => one.state?.charter ?? one.disk.synced.at(-1)?.charter)
+  const metadata = world.stores
+    .map((one) => one.state?.metadata ?? one.disk.synced.at(-1)?.metadata)
     .filter((one) => one !== undefined)
     .sort((one, two) => two.epoch - one.epoch)[0];
-  if (charter === undefined) return [];
+  if (metadata === undefined) return [];
   const seats = world.registries.filter((one) =>
-    charter.electorate.members.some((seat) => seat.node === one.node),
+    metadata.electorate.members.some((seat) => seat.node === one.node),
   );
-  const half = charter.electorate.members.length / 2;
+  const half = metadata.electorate.members.length / 2;
   const stores = world.stores.filter(
     (store) =>
-      charter.insync.includes(store.node) &&
+      metadata.inSyncSet.includes(store.node) &&
       up(store) &&
       seats.filter((one) => linked(world, store, one)).length > half,
   );
--- a/packages/simulator/src/rules/rules.ts
+++ b/packages/simulator/src/rules/rules.ts
@@ -1,5 +1,5 @@
 import { type Duty, tally, toServiceName } from '@switchwheel/types';
-import { holds } from '@switchwheel/election';
+import { holdsLease } from '@switchwheel/election';
 import { mayExtra } from '@switchwheel/proxy-core';
 import type { Asked, SimCallers } from '../cast/callers.js';
 import { SimProxy } from '../cast/proxy.js';
@@ -90,14 +90,14 @@
         this.#hold(
           stand.duty,
           actor,
-          holds(stand, actor.clock) && actor.state?.active.has(service) === true,
+          holdsLease(stand, actor.clock) && actor.state?.active.has(service) === true,
         );
     }
     if (actor instanceof SimStore && actor.state !== undefined) {
       this.#hold(
-        actor.state.stand.duty,
+        actor.state.candidate.duty,
         actor,
-        actor.state.serving && holds(actor.state.stand, actor.clock),
+        actor.state.serving && holdsLease(actor.state.candidate, actor.clock),
       );
       const offer = actor.state.control.stored?.offer;
       if (actor.state.serving && offer !== undefined) {
@@ -129,11 +129,13 @@
     if (!actor.alive) return false;
     if (actor instanceof SimStore)
       return (
-        actor.state !== undefined && actor.state.serving && holds(actor.state.stand, actor.clock)
+        actor.state !== undefined &&
+        actor.state.serving &&
+        holdsLease(actor.state.candidate, actor.clock)
       );
     if (!(actor instanceof SimProxy)) return false;
     return [...(actor.state?.cabin.stands.values() ?? [])].some(
-      (one) => one.duty === duty && holds(one, actor.clock),
+      (one) => one.duty === duty && holdsLease(one, actor.clock),
     );
   }
 
@@ -279,10 +281,11 @@
         this.#break('R1', `${asked.id} ${asked.path} ran ${many} times`);
       if (many > 1) tried.note('R3: two legs ran for one request');
       const kind = asked.result?.kind;
-      if (kind === 'bounced' || kind === 'unready') tried.note('R2: a request was told as refused');
+      if (kind === 'rejected' || kind === 'unready')
+        tried.note('R2: a request was told as refused');
       if (kind === 'unknown' || kind === 'lost' || kind === 'slow')
         tried.note('R2: a request was told as unknown');
-      if ((kind === 'bounced' || kind === 'unready') && many > 0)
+      if ((kind === 'rejected' || kind === 'unready') && many > 0)
         this.#break(
           'R2',
           `${asked.id} ${asked.path} was told ${kind} (${asked.result?.text ?? ''}) and ran ${many} times`,
--- a/packages/simulator/src/rules/tried.ts
+++ b/packages/simulator/src/rules/tried.ts
@@ -41,7 +41,7 @@
   'a store lost its disk after confirming',
   'a disk was full',
   'a disk was stalled',
-  'a witness was replaced',
+  'a voter was replaced',
   'an area was lost',
   'callers asked again at once',
 ] as const;
--- a/packages/simulator/src/run/copies.test.ts
+++ b/packages/simulator/src/run/copies.test.ts
@@ -28,7 +28,8 @@
   return run;
 };
 
-const inSync = (run: Scene): readonly string[] => run.world.primary()?.state?.charter?.insync ?? [];
+const inSync = (run: Scene): readonly string[] =>
+  run.world.primary()?.state?.metadata?.inSyncSet ?? [];
 
 /** A write that was confirmed, with nothing having happened since. */
 const confirmed = (run: Scene, mark: number): Write => {
@@ -163,7 +164,7 @@
       run.world.until(20_000, () => {
         run.world.run(500);
         return (
-          run.world.primary()?.state?.charter?.stores.some((one) => one.node === store.node) ===
+          run.world.primary()?.state?.metadata?.stores.some((one) => one.node === store.node) ===
           false
         );
       }) || inSync(run).length === 3,
@@ -284,7 +285,7 @@
   }
 });
 
-void test('lost write: a backup that was left out does not stand while one that was not may still speak, though no witness remembers', () => {
+void test('lost write: a backup that was left out does not stand while one that was not may still speak, though no voter remembers', () => {
   for (const seed of seeds(3)) {
     const run = fleet(seed);
     const primary = run.world.primary();
@@ -364,7 +365,7 @@
 
 const seats = (run: Scene): readonly string[] =>
   [
-    ...(run.world.primary()?.state?.charter?.electorate.members.map((one) => one.node) ?? []),
+    ...(run.world.primary()?.state?.metadata?.electorate.members.map((one) => one.node) ?? []),
   ].sort();
 
 void test('the electorate follows the registries: all are replaced one after the other without an operator, and the new ones elect', () => {
@@ -397,7 +398,7 @@
   }
 });
 
-void test('the electorate stays as it is: without the setting, for a witness that is away for less than 15 s, and for one whose seat nobody can take', () => {
+void test('the electorate stays as it is: without the setting, for a voter that is away for less than 15 s, and for one whose seat nobody can take', () => {
   for (const follow of [false, true]) {
     const run = fleet(500, { follow });
     const before = seats(run);
--- a/packages/simulator/src/run/failures.test.ts
+++ b/packages/simulator/src/run/failures.test.ts
@@ -82,7 +82,7 @@
   }
 });
 
-void test('two operators on one base, at different registries: one is accepted, the other bounced with the generation in force', () => {
+void test('two operators on one base, at different registries: one is accepted, the other rejected with the generation in force', () => {
   for (const seed of seeds(6)) {
     const run = scene(seed, 5);
     const base = run.world.primary()?.state?.control.stored?.offer.generation;
@@ -157,7 +157,10 @@
         store.disk.torn = false;
         store.disk.calm();
         assert.ok(
-          run.world.until(15_000, () => run.world.primary()?.state?.charter?.insync.length === 2),
+          run.world.until(
+            15_000,
+            () => run.world.primary()?.state?.metadata?.inSyncSet.length === 2,
+          ),
           `${trouble} at ${store.node}: in sync again`,
         );
       }
@@ -182,7 +185,7 @@
       entries > 5 && (backup.state?.table.size ?? 0) >= entries,
       `${backup.state?.table.size ?? 0} of ${entries} entries`,
     );
-    assert.equal(run.world.primary()?.state?.charter?.insync.length, 2);
+    assert.equal(run.world.primary()?.state?.metadata?.inSyncSet.length, 2);
     // It can take over now.
     run.world.primary()?.kill();
     assert.ok(run.world.until(4000, () => run.world.primary() === backup));
@@ -190,7 +193,7 @@
   }
 });
 
-void test('both disks full at once: writes are bounced and never take effect, reads and pushes go on, and with room again so do writes', () => {
+void test('both disks full at once: writes are rejected and never take effect, reads and pushes go on, and with room again so do writes', () => {
   for (const seed of seeds(4)) {
     const run = scene(seed, 20);
     run.callers.begin();
@@ -418,7 +421,7 @@
   }
 });
 
-void test('every registry is replaced one after the other, the seeds among them: the fleet goes on, and a primary is elected by the new witnesses alone', () => {
+void test('every registry is replaced one after the other, the seeds among them: the fleet goes on, and a primary is elected by the new voters alone', () => {
   for (const seed of seeds(2)) {
     const run = scene(seed, 30);
     run.callers.begin();
@@ -452,7 +455,7 @@
       run.world.run(1200);
     }
     const seats =
-      run.world.primary()?.state?.charter?.electorate.members.map((one) => one.node) ?? [];
+      run.world.primary()?.state?.metadata?.electorate.members.map((one) => one.node) ?? [];
     assert.deepEqual([...seats].sort(), run.world.registries.map((one) => one.node).sort());
     run.world.primary()?.kill();
     run.world.run(2500);
@@ -487,7 +490,7 @@
     assert.deepEqual([...during.keys()], ['result']);
     for (const actor of lost) actor.start();
     run.world.run(6000);
-    assert.equal(run.world.primary()?.state?.charter?.insync.length, 2);
+    assert.equal(run.world.primary()?.state?.metadata?.inSyncSet.length, 2);
     assert.deepEqual(close(run), []);
   }
 });
@@ -545,7 +548,7 @@
     (times[Math.floor(times.length * 0.99)] ?? Infinity) < 400,
     `the promise is 400 ms: ${times.slice(-3).map(Math.round).join(', ')}`,
   );
-  assert.ok((tally(run.callers, from).get('bounced') ?? 0) > 1000, 'the flood was bounced');
+  assert.ok((tally(run.callers, from).get('rejected') ?? 0) > 1000, 'the flood was rejected');
   assert.deepEqual(close(run), []);
 });
 
@@ -620,7 +623,7 @@
   }
 });
 
-void test('lost write: a store that was left out never serves what it has, neither while witnesses remember nor when all of them forgot', () => {
+void test('lost write: a store that was left out never serves what it has, neither while voters remember nor when all of them forgot', () => {
   for (const forget of [false, true]) {
     for (const seed of seeds(2)) {
       const run = scene(seed, 10);
--- a/packages/simulator/src/run/given-up.test.ts
+++ b/packages/simulator/src/run/given-up.test.ts
@@ -38,7 +38,8 @@
   );
   const mute = list.filter(
     (one) =>
-      (one.result?.kind === 'bounced' || one.result?.kind === 'unready') && one.result.retryMs <= 0,
+      (one.result?.kind === 'rejected' || one.result?.kind === 'unready') &&
+      one.result.retryMs <= 0,
   );
   assert.deepEqual(
     mute.slice(0, 3).map((one) => one.result),
@@ -89,7 +90,7 @@
       run.callers.one({ service: 'clips', kind: 'plain', flood: true });
     });
   run.world.run(7000);
-  const list = run.callers.asked.filter((one) => one.flood && one.result?.kind === 'bounced');
+  const list = run.callers.asked.filter((one) => one.flood && one.result?.kind === 'rejected');
   const late = list.filter((one) => spent(one) > half);
   toldAtOnce(
     list.filter((one) => spent(one) <= half),
@@ -111,7 +112,7 @@
       run.callers.one({ service: 'clips', kind: 'act', flood: true });
     });
   run.world.run(7000);
-  const list = run.callers.asked.filter((one) => one.flood && one.result?.kind === 'bounced');
+  const list = run.callers.asked.filter((one) => one.flood && one.result?.kind === 'rejected');
   const late = list.filter((one) => spent(one) > half);
   toldAtOnce(
     list.filter((one) => spent(one) <= half),
@@ -197,7 +198,7 @@
   for (let at = 0; at < 200; at += 1)
     run.callers.one({ edge, service: 'clips', kind: 'read', object: 7, flood: true });
   run.world.run(4000);
-  const list = run.callers.asked.filter((one) => one.flood && one.result?.kind === 'bounced');
+  const list = run.callers.asked.filter((one) => one.flood && one.result?.kind === 'rejected');
   toldAtOnce(list, 30, 100);
   assert.deepEqual(close(run), []);
 });
--- a/packages/simulator/src/run/releases.test.ts
+++ b/packages/simulator/src/run/releases.test.ts
@@ -11,7 +11,7 @@
   toRelease,
   toSpan,
 } from '@switchwheel/types';
-import type { Colleague, FrameOf, ReleaseState } from '@switchwheel/transport';
+import type { Peer, FrameOf, ReleaseState } from '@switchwheel/transport';
 import type { ReleaseOrder } from '@switchwheel/configuration';
 import { type Scene, acts, clips, close, scene, seeds } from './stage.js';
 
@@ -153,7 +153,7 @@
     assert.equal(give(run, 'o1', acts, r2, 12_000).status, 200);
     const opened = orderOf(run, acts);
     assert.ok(opened !== undefined);
-    const from: Colleague = {
+    const from: Peer = {
       node: toNodeId('e9'),
       address: toAddress('10.9.9.9:1'),
       incarnation: toIncarnation(1),
--- a/packages/simulator/src/scale/fleet.ts
+++ b/packages/simulator/src/scale/fleet.ts
@@ -107,7 +107,7 @@
 
   get primary(): SimStore | undefined {
     return this.stores.find(
-      (one) => one.state?.serving === true && one.state.stand.phase.phase === 'holding',
+      (one) => one.state?.serving === true && one.state.candidate.phase.phase === 'holdingLease',
     );
   }
 
@@ -150,7 +150,7 @@
               id: toCallId('found'),
               fleet: toFleetId('hollow'),
               stores: this.stores.map((one) => one.node),
-              witnesses: this.registries.map((one) => one.node),
+              voters: this.registries.map((one) => one.node),
             },
             done,
           ),
@@ -253,10 +253,11 @@
     );
     return this.nodes.every((one) => {
       const berth = one.state?.berth;
-      const registry = berth?.moor === undefined ? undefined : near.get(berth.moor.address);
+      const registry =
+        berth?.registryLink === undefined ? undefined : near.get(berth.registryLink.address);
       return (
         registry !== undefined &&
-        berth?.moor?.heard !== undefined &&
+        berth?.registryLink?.heard !== undefined &&
         registry.state?.sessions.get(one.node)?.registry === registry.node
       );
     });
--- a/packages/simulator/src/scale/scale.test.ts
+++ b/packages/simulator/src/scale/scale.test.ts
@@ -27,13 +27,13 @@
   const six = measure(base);
   assert.deepEqual(counts(measure(base)), counts(six));
   const twelve = measure({ ...base, nodes: 12 });
-  // Each of the nodes and of the two stores hails at most four times a second, and hears as often.
+  // Each of the nodes and of the two stores heartbeats at most four times a second, and hears as often.
   assert.ok(
-    perSecond(six, 'hail') > 8 * 3 && perSecond(six, 'hail') <= 8 * 4.5,
-    `${perSecond(six, 'hail')} hails`,
+    perSecond(six, 'heartbeat') > 8 * 3 && perSecond(six, 'heartbeat') <= 8 * 4.5,
+    `${perSecond(six, 'heartbeat')} heartbeats`,
   );
-  assert.ok(perSecond(twelve, 'hail') > 14 * 3 && perSecond(twelve, 'hail') <= 14 * 4.5);
-  assert.ok(Math.abs(perSecond(six, 'heard') - perSecond(six, 'hail')) <= 2);
+  assert.ok(perSecond(twelve, 'heartbeat') > 14 * 3 && perSecond(twelve, 'heartbeat') <= 14 * 4.5);
+  assert.ok(Math.abs(perSecond(six, 'heard') - perSecond(six, 'heartbeat')) <= 2);
   // Gossip is between the registries alone, whatever the nodes are.
   assert.ok(perSecond(six, 'gossip') <= 6 * 3.5, `${perSecond(six, 'gossip')} of gossip`);
   assert.ok(perSecond(twelve, 'gossip') <= 6 * 3.5);
--- a/packages/simulator/src/world/actor.ts
+++ b/packages/simulator/src/world/actor.ts
@@ -9,7 +9,7 @@
   toMoment,
 } from '@switchwheel/types';
 import {
-  type Colleague,
+  type Peer,
   type Frame,
   type WireEffect,
   type WireEvent,
@@ -91,7 +91,7 @@
     return toMoment(this.#skew + this.stage.agenda.now * this.#rate);
   }
 
-  get colleague(): Colleague {
+  get peer(): Peer {
     return { node: this.node, address: this.address, incarnation: this.incarnation };
   }
 
@@ -177,7 +177,7 @@
     const other = this.stage.actors.get(to);
     if (other === undefined) return;
     this.stage.meter?.sent(this, other, frame);
-    const from = this.colleague;
+    const from = this.peer;
     const life = other.life;
     // Now and then what is sent goes through the real coding, so that frames and their checks stay in step.
     const told = this.stage.chance.hit(0.02)
--- a/packages/simulator/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -21,7 +21,7 @@
 import { type Shape, describe } from './describe.js';
 import { toCallId, toFleetId, toGeneration } from '@switchwheel/types';
 import type { Aim } from '@switchwheel/transport';
-import type { Limits } from '@switchwheel/replicated-store';
+import type { ReplicationSettings } from '@switchwheel/replicated-store';
 
 /** How large a simulated fleet is, and what stands behind it. */
 export interface Layout {
@@ -30,7 +30,7 @@
   readonly shields: number;
   /** How many machines have a disk; two if it isn't said. */
   readonly stores?: number;
-  readonly limits?: Limits;
+  readonly limits?: ReplicationSettings;
   readonly services: readonly {
     readonly name: ServiceName;
     readonly origins: number;
@@ -260,7 +260,7 @@
           id: toCallId('found'),
           fleet: toFleetId('sim'),
           stores: this.stores.map((one) => one.node),
-          witnesses: this.registries.map((one) => one.node),
+          voters: this.registries.map((one) => one.node),
         },
         (told) => {
           founded = told.status === 200;
@@ -288,8 +288,8 @@
     return this.stores.find(
       (one) =>
         one.state?.serving === true &&
-        one.state.stand.phase.phase === 'holding' &&
-        one.clock < one.state.stand.phase.until,
+        one.state.candidate.phase.phase === 'holdingLease' &&
+        one.clock < one.state.candidate.phase.until,
     );
   }
 
--- a/packages/store/src/rows.ts
+++ b/packages/store/src/rows.ts
@@ -1,10 +1,10 @@
 import * as v from 'valibot';
-import { charter as charterSchema, stamp as stampSchema } from '@switchwheel/transport';
+import { clusterMetadata as charterSchema, stamp as stampSchema } from '@switchwheel/transport';
 import type { Disk, Row } from '@switchwheel/runtime';
 import type { DiskWrite, Found, KeyedEntry } from '@switchwheel/replicated-store';
 
 const headKey = '!head';
-const head = v.object({ format: v.literal(1), charter: charterSchema, stamp: stampSchema });
+const head = v.object({ format: v.literal(1), metadata: charterSchema, stamp: stampSchema });
 
 const entryRow = (one: KeyedEntry): Row => ({
   key: `=${one.key}`,
@@ -44,7 +44,7 @@
       return { found: 'damaged', text: `the entry ${row.key} can not be read` };
     entries.push(entry);
   }
-  return { found: 'whole', charter: told.charter, stamp: told.stamp, entries };
+  return { found: 'whole', metadata: told.metadata, stamp: told.stamp, entries };
 };
 
 /** The rows of one write; the head goes with it, so both last or neither. */
@@ -55,7 +55,7 @@
     ...write.sets.map(entryRow),
     {
       key: headKey,
-      text: JSON.stringify({ format: 1, charter: write.charter, stamp: write.stamp }),
+      text: JSON.stringify({ format: 1, metadata: write.metadata, stamp: write.stamp }),
     },
   ],
 });
--- a/packages/store/src/run.ts
+++ b/packages/store/src/run.ts
@@ -1,14 +1,14 @@
 import { type Address, type AreaName, type NodeId, toGeneration } from '@switchwheel/types';
-import { type WireEffect, Yard } from '@switchwheel/transport';
+import { type WireEffect, ChannelPool } from '@switchwheel/transport';
 import {
-  type Limits,
+  type ReplicationSettings,
   type Store,
   type StoreEffect,
   type StoreEvent,
   inSync,
   isPrimary,
   newStore,
-  pair,
+  defaultReplication,
   storeStep,
 } from '@switchwheel/replicated-store';
 import { build } from '@switchwheel/configuration';
@@ -39,7 +39,7 @@
   readonly data: string;
   readonly admin?: Address;
   /** How many copies are kept, and how many may be lost at once. */
-  readonly limits?: Limits;
+  readonly limits?: ReplicationSettings;
   /** How often time is let pass, in milliseconds. */
   readonly tickMs?: number;
   /** Whether a fleet may be founded on this store. */
@@ -59,7 +59,7 @@
     ...(boot.admin === undefined ? {} : { admin: boot.admin }),
     incarnation: newIncarnation(),
   };
-  const yard = new Yard({
+  const yard = new ChannelPool({
     node: member.node,
     address: member.address,
     incarnation: member.incarnation,
@@ -100,7 +100,13 @@
   const isOwnWire = (effect: StoreEffect): effect is WireEffect => isWireEffect(effect);
   const loop = runLoop<Store, StoreEvent, OwnEffect>(
     storeStep,
-    newStore(member, boot.seeds, newDice(), boot.limits ?? pair, boot.foundable ?? true),
+    newStore(
+      member,
+      boot.seeds,
+      newDice(),
+      boot.limits ?? defaultReplication,
+      boot.foundable ?? true,
+    ),
     yard,
     log,
     run,
@@ -117,8 +123,8 @@
       plain('primary', isPrimary(one, now()) ? 1 : 0),
       plain('in_sync', inSync(one) ? 1 : 0),
       plain('entries', one.table.size),
-      plain('epoch', one.charter?.epoch ?? 0),
-      plain('writes_waiting', one.waitlist.length),
+      plain('epoch', one.metadata?.epoch ?? 0),
+      plain('writes_waiting', one.commandQueue.length),
       plain('disk_full', one.diskFull === undefined ? 0 : 1),
       plain('loop_lag_worst_ms', worstLag),
       plain('foreign_channels_total', yard.foreign),
--- a/packages/switchwheel/src/command/run.ts
+++ b/packages/switchwheel/src/command/run.ts
@@ -25,7 +25,7 @@
   readonly all: boolean;
   readonly strict: boolean;
   readonly stores: readonly string[];
-  readonly witnesses: readonly string[];
+  readonly voters: readonly string[];
   readonly waitMs: number;
   /** The span of an order to move to a release, as written: `16s`, `500ms`. */
   readonly span: string;
@@ -409,16 +409,16 @@
           body: JSON.stringify({
             fleet: `${rest[0]}.${randomUUID().slice(0, 8)}`,
             stores: options.stores,
-            witnesses: options.witnesses,
+            voters: options.voters,
           }),
         },
         (body) =>
-          `founded on ${listAt(body, 'stores').map(text).join(' and ')}; witnesses ${listAt(body, 'witnesses').map(text).join(', ')}`,
+          `founded on ${listAt(body, 'stores').map(text).join(' and ')}; voters ${listAt(body, 'voters').map(text).join(', ')}`,
       );
-    case 'witness': {
+    case 'voter': {
       const [change, node] = rest;
       if ((change !== 'add' && change !== 'remove') || node === undefined)
-        return wrong('witness add NODE, or witness remove NODE');
+        return wrong('voter add NODE, or voter remove NODE');
       return ask(
         options,
         {
--- a/packages/switchwheel/src/command/show.ts
+++ b/packages/switchwheel/src/command/show.ts
@@ -28,6 +28,6 @@
 const faultLines = (body: unknown): readonly string[] =>
   listAt(body, 'faults').map((one) => `  ${text(at(one, 'path'))}: ${text(at(one, 'text'))}`);
 
-/** A refusal or a breakdown as lines for people. */
+/** A refusal or a errorKind as lines for people. */
 export const refusal = (body: unknown): string =>
   [`${text(at(body, 'kind'))}: ${text(at(body, 'text'))}`, ...faultLines(body)].join('\n');
--- a/packages/switchwheel/src/main.ts
+++ b/packages/switchwheel/src/main.ts
@@ -20,7 +20,7 @@
     releases             releases of services, orders to move to them, and what is judged
     purge [PATH ...]     purge objects by path, or by --tag, or --all
     call ID              what became of a call whose answer got lost
-    witness add|remove N change the witnesses by one
+    voter add|remove N change the voters by one
 
   Flags
     --registry, -r   IP:port of a registry's door; repeat it or part by commas (SWITCHWHEEL_REGISTRY)
@@ -34,7 +34,7 @@
     --all            purge everything
     --strict         import fails if any directive has no counterpart
     --store NODE     found only on these stores; repeat it for more (all in touch)
-    --witness NODE   found only with these registries as witnesses (all in touch)
+    --voter NODE   found only with these registries as voters (all in touch)
     --span SPAN      how long a release may take to move: 16s, 500ms, 2m (60s)
     --timeout MS     how long to wait for an answer (10000)
 
@@ -57,7 +57,7 @@
       all: { type: 'boolean', default: false },
       strict: { type: 'boolean', default: false },
       store: { type: 'string', isMultiple: true },
-      witness: { type: 'string', isMultiple: true },
+      voter: { type: 'string', isMultiple: true },
       timeout: { type: 'number', default: 10_000 },
       span: { type: 'string', default: '60s' },
     },
@@ -77,7 +77,7 @@
   'all',
   'strict',
   'store',
-  'witness',
+  'voter',
   'timeout',
   'span',
 ]);
@@ -119,7 +119,7 @@
     all: cli.flags.all,
     strict: cli.flags.strict,
     stores: cli.flags.store ?? [],
-    witnesses: cli.flags.witness ?? [],
+    voters: cli.flags.voter ?? [],
     waitMs: wait,
     span: cli.flags.span,
   });
--- a/packages/transport/src/channel/yard.ts
+++ b/packages/transport/src/channel/channel-pool.ts
@@ -3,17 +3,19 @@
 import type { Address } from '@switchwheel/types';
 import type { Frame } from '../frame/frame.js';
 import { Channel, type Lane } from './channel.js';
-import type { Colleague } from './wire.js';
+import type { Peer } from './wire.js';
 
-interface Happenings {
-  frame: (from: Colleague, frame: Frame, channel: Channel) => void;
+interface PoolEvents {
+  frame: (from: Peer, frame: Frame, channel: Channel) => void;
   gone: (address: Address) => void;
   fault: (text: string) => void;
-  data: (channel: Channel, who: Colleague) => void;
+  data: (channel: Channel, who: Peer) => void;
 }
 
 /** Splits an address into what sockets take. */
-export const parts = (address: Address): { readonly host: string; readonly port: number } => {
+export const splitAddress = (
+  address: Address,
+): { readonly host: string; readonly port: number } => {
   const cut = address.lastIndexOf(':');
   return {
     host: address.slice(0, cut).replace(/^\[|\]$/g, ''),
@@ -21,27 +23,27 @@
   };
 };
 
-const maxBacklog = 32 * 1024 * 1024;
-const maxWaiting = 256;
-const dialSpan = 1000;
+const maxBacklogBytes = 32 * 1024 * 1024;
+const maxQueuedFrames = 256;
+const dialTimeout = 1000;
 
-interface Line {
+interface Connection {
   readonly channel: Channel;
   up: boolean;
   readonly waiting: Frame[];
 }
 
 /** All control channels of a process: sends frames by address, dials where none stands, loses what can't go. */
-export class Yard extends EventEmitter<Happenings> {
-  readonly #me: Colleague;
-  readonly #out = new Map<Address, Line>();
+export class ChannelPool extends EventEmitter<PoolEvents> {
+  readonly #me: Peer;
+  readonly #out = new Map<Address, Connection>();
   readonly #in = new Map<Address, Channel>();
   readonly #all = new Set<Channel>();
   readonly #server: Server;
   /** Channels dropped for foreign or corrupt frames. */
   foreign = 0;
 
-  constructor(me: Colleague) {
+  constructor(me: Peer) {
     super();
     this.#me = me;
     this.#server = createServer((socket) => this.#greet(socket));
@@ -51,7 +53,7 @@
   listen(): Promise<void> {
     return new Promise((done, fail) => {
       this.#server.once('error', fail);
-      this.#server.listen({ ...parts(this.#me.address) }, () => {
+      this.#server.listen({ ...splitAddress(this.#me.address) }, () => {
         this.#server.off('error', fail);
         done();
       });
@@ -62,17 +64,17 @@
     const line = this.#out.get(to) ?? (this.#in.has(to) ? undefined : this.#dial(to));
     if (line === undefined) {
       const back = this.#in.get(to);
-      if (back !== undefined && back.backlog < maxBacklog) back.send(frame);
+      if (back !== undefined && back.backlog < maxBacklogBytes) back.send(frame);
       return;
     }
     if (line.up) {
-      if (line.channel.backlog < maxBacklog) line.channel.send(frame);
-    } else if (line.waiting.length < maxWaiting) line.waiting.push(frame);
+      if (line.channel.backlog < maxBacklogBytes) line.channel.send(frame);
+    } else if (line.waiting.length < maxQueuedFrames) line.waiting.push(frame);
   }
 
   /** Opens a channel of the data lane. */
   open(to: Address): Channel {
-    const channel = new Channel(createConnection(parts(to)), this.#me, 'data');
+    const channel = new Channel(createConnection(splitAddress(to)), this.#me, 'data');
     this.#all.add(channel);
     channel.on('closed', () => this.#all.delete(channel));
     return channel;
@@ -80,16 +82,16 @@
 
   close(): void {
     this.#server.close();
-    for (const channel of this.#all) channel.hang('stopping');
+    for (const channel of this.#all) channel.terminate('stopping');
   }
 
-  #dial(to: Address): Line {
-    const socket = createConnection(parts(to));
-    socket.setTimeout(dialSpan, () => {
-      if (!line.up) channel.hang('no hello in time');
+  #dial(to: Address): Connection {
+    const socket = createConnection(splitAddress(to));
+    socket.setTimeout(dialTimeout, () => {
+      if (!line.up) channel.terminate('no hello in time');
     });
     const channel = new Channel(socket, this.#me, 'control');
-    const line: Line = { channel, up: false, waiting: [] };
+    const line: Connection = { channel, up: false, waiting: [] };
     this.#out.set(to, line);
     this.#watch(channel);
     channel.on('up', () => {
@@ -106,11 +108,11 @@
   #greet(socket: Socket): void {
     const channel = new Channel(socket, this.#me, 'control');
     const late = setTimeout(() => {
-      if (channel.who === undefined) channel.hang('no hello in time');
-    }, dialSpan);
+      if (channel.who === undefined) channel.terminate('no hello in time');
+    }, dialTimeout);
     this.#watch(channel);
     channel.on('closed', () => clearTimeout(late));
-    channel.on('up', (who: Colleague, lane: Lane) => {
+    channel.on('up', (who: Peer, lane: Lane) => {
       if (lane === 'data') {
         channel.removeAllListeners('frame');
         this.emit('data', channel, who);
--- a/packages/transport/src/channel/channel.test.ts
+++ b/packages/transport/src/channel/channel.test.ts
@@ -6,7 +6,7 @@
 import * as fc from 'fast-check';
 import { toAddress, toHash, toIncarnation, toNodeId } from '@switchwheel/types';
 import { Channel, protocol } from './channel.js';
-import { Cutter, wrap } from './cutter.js';
+import { FrameDecoder, encodeFrame } from './frame-decoder.js';
 
 const me = (name: string): ConstructorParameters<typeof Channel>[1] => ({
   node: toNodeId(name),
@@ -70,13 +70,16 @@
 void test('corrupt frames, foreign frames and other protocols end the channel with the reason', async () => {
   const coder = new Encoder({ useRecords: false });
   const hello = { switchwheel: 'hello', protocol, lane: 'control', ...me('one') };
-  const bad = wrap(coder.encode({ kind: 'piece' }));
+  const bad = encodeFrame(coder.encode({ kind: 'piece' }));
   bad[9] = (bad[9] ?? 0) ^ 1;
   const cases: readonly (readonly [readonly Uint8Array[], RegExp])[] = [
     [[Buffer.from('GET / HTTP/1.1\r\n\r\n')], /foreign/],
-    [[wrap(coder.encode({ ...hello, protocol: 99 }))], /protocol 99, this program speaks 1/],
-    [[wrap(coder.encode(hello)), bad], /checksum/],
-    [[wrap(coder.encode(hello)), wrap(coder.encode({ kind: 'nonsense' }))], /foreign/],
+    [[encodeFrame(coder.encode({ ...hello, protocol: 99 }))], /protocol 99, this program speaks 1/],
+    [[encodeFrame(coder.encode(hello)), bad], /checksum/],
+    [
+      [encodeFrame(coder.encode(hello)), encodeFrame(coder.encode({ kind: 'nonsense' }))],
+      /foreign/,
+    ],
   ];
   for (const [parts, reason] of cases) {
     const { near, far, end } = await pair();
@@ -101,8 +104,8 @@
       fc.array(fc.uint8Array({ maxLength: 300 }), { maxLength: 8 }),
       fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 }),
       (bodies, cuts) => {
-        const whole = Buffer.concat(bodies.map(wrap));
-        const cutter = new Cutter();
+        const whole = Buffer.concat(bodies.map(encodeFrame));
+        const cutter = new FrameDecoder();
         const out: Uint8Array[] = [];
         let at = 0;
         for (let turn = 0; at < whole.length; turn += 1) {
--- a/packages/transport/src/channel/channel.ts
+++ b/packages/transport/src/channel/channel.ts
@@ -4,15 +4,15 @@
 import { Encoder } from 'cbor-x';
 import * as g from '@switchwheel/types';
 import { decode, encode, type Frame } from '../frame/frame.js';
-import { Cutter, wrap } from './cutter.js';
-import type { Colleague } from './wire.js';
+import { FrameDecoder, encodeFrame } from './frame-decoder.js';
+import type { Peer } from './wire.js';
 
 /** The generation of the frames; another one is refused plainly. */
 export const protocol = 1;
 /** How often each side shows that it is there, and how long it may be silent before the channel is over. */
-export const beatSpan = 500;
-export const silentSpan = 2000;
-const beat = wrap(new Uint8Array());
+export const keepaliveInterval = 500;
+export const silenceTimeout = 2000;
+const keepalive = encodeFrame(new Uint8Array());
 const hello = v.object({
   switchwheel: v.literal('hello'),
   protocol: v.number(),
@@ -25,31 +25,31 @@
 export type Lane = Hello['lane'];
 const coder = new Encoder({ useRecords: false, mapsAsObjects: true });
 
-interface Happenings {
-  up: (who: Colleague, lane: Lane) => void;
+interface ChannelEvents {
+  up: (who: Peer, lane: Lane) => void;
   frame: (frame: Frame) => void;
   closed: (why: string) => void;
   drain: () => void;
 }
 
 /** One channel between two processes: a hello each way, then frames. */
-export class Channel extends EventEmitter<Happenings> {
+export class Channel extends EventEmitter<ChannelEvents> {
   readonly #socket: Socket;
-  readonly #cutter = new Cutter();
-  #who: Colleague | undefined;
+  readonly #cutter = new FrameDecoder();
+  #who: Peer | undefined;
   #why = 'closed';
   #over = false;
   #heard = performance.now();
   #looked = performance.now();
 
-  constructor(socket: Socket, me: Colleague, lane: Lane) {
+  constructor(socket: Socket, me: Peer, lane: Lane) {
     super();
     this.#socket = socket;
     socket.setNoDelay(true);
     const greeting: Hello = { switchwheel: 'hello', protocol, lane, ...me };
-    socket.write(wrap(coder.encode(greeting)));
+    socket.write(encodeFrame(coder.encode(greeting)));
     socket.on('data', (bytes: Buffer) => this.#take(bytes));
-    const timer = setInterval(() => this.#look(), beatSpan);
+    const timer = setInterval(() => this.#look(), keepaliveInterval);
     timer.unref();
     socket.on('drain', () => this.emit('drain'));
     socket.on('error', (fault) => {
@@ -63,7 +63,7 @@
     });
   }
 
-  get who(): Colleague | undefined {
+  get who(): Peer | undefined {
     return this.#who;
   }
 
@@ -75,17 +75,17 @@
   /** Hands a frame over; false when the channel is over. */
   send(frame: Frame): boolean {
     if (this.#over || this.#socket.destroyed) return false;
-    this.#socket.write(wrap(encode(frame)));
+    this.#socket.write(encodeFrame(encode(frame)));
     return true;
   }
 
   /** Stops taking bytes in, until let go on. */
-  hold(still: boolean): void {
+  pauseReading(still: boolean): void {
     if (still) this.#socket.pause();
     else this.#socket.resume();
   }
 
-  hang(why: string): void {
+  terminate(why: string): void {
     this.#why = why;
     this.#socket.destroy();
   }
@@ -94,18 +94,18 @@
   #look(): void {
     const now = performance.now();
     // Whoever slept itself has not listened: that silence is its own.
-    if (now - this.#looked > 2 * beatSpan) this.#heard = now;
+    if (now - this.#looked > 2 * keepaliveInterval) this.#heard = now;
     this.#looked = now;
     if (this.#socket.connecting) return;
-    if (now - this.#heard > silentSpan) this.hang('silent');
-    else if (!this.#socket.destroyed) this.#socket.write(beat);
+    if (now - this.#heard > silenceTimeout) this.terminate('silent');
+    else if (!this.#socket.destroyed) this.#socket.write(keepalive);
   }
 
   #take(bytes: Buffer): void {
     this.#heard = performance.now();
     const cut = this.#cutter.feed(bytes);
     if (cut.isErr) {
-      this.hang(`foreign: ${cut.error.text}`);
+      this.terminate(`foreign: ${cut.error.text}`);
       return;
     }
     for (const body of cut.value) {
@@ -115,7 +115,7 @@
       else {
         const frame = decode(body);
         if (frame.isErr) {
-          this.hang(`foreign: ${frame.error.text}`);
+          this.terminate(`foreign: ${frame.error.text}`);
           return;
         }
         this.emit('frame', frame.value);
@@ -128,16 +128,16 @@
     try {
       raw = coder.decode(body);
     } catch {
-      this.hang('foreign: no hello');
+      this.terminate('foreign: no hello');
       return;
     }
     const read = v.safeParse(hello, raw);
     if (!read.success) {
-      this.hang('foreign: no hello');
+      this.terminate('foreign: no hello');
       return;
     }
     if (read.output.protocol !== protocol) {
-      this.hang(`foreign: protocol ${read.output.protocol}, this program speaks ${protocol}`);
+      this.terminate(`foreign: protocol ${read.output.protocol}, this program speaks ${protocol}`);
       return;
     }
     const { node, address, incarnation } = read.output;
--- a/packages/transport/src/channel/cutter.ts
+++ b/packages/transport/src/channel/frame-decoder.ts
@@ -1,39 +1,39 @@
 import { crc32 } from 'node:zlib';
 import { type Result, ok, err } from 'true-myth/result';
-import { type Breakdown, breakdown } from '@switchwheel/types';
+import { type Failure, failure } from '@switchwheel/types';
 
 /** The most one frame may weigh. */
-export const maxFrame = 8 * 1024 * 1024;
-const head = 8;
+export const maxFrameBytes = 8 * 1024 * 1024;
+const headerBytes = 8;
 
 /** Puts length and checksum before a frame's bytes. */
-export const wrap = (body: Uint8Array): Buffer => {
-  const out = Buffer.allocUnsafe(head + body.length);
+export const encodeFrame = (body: Uint8Array): Buffer => {
+  const out = Buffer.allocUnsafe(headerBytes + body.length);
   out.writeUInt32BE(body.length, 0);
   out.writeUInt32BE(crc32(body), 4);
-  out.set(body, head);
+  out.set(body, headerBytes);
   return out;
 };
 
 /** Cuts a stream of bytes back into frames. */
-export class Cutter {
+export class FrameDecoder {
   readonly #parts: Buffer[] = [];
   #size = 0;
 
   /** Takes bytes in; gives the whole frames that are now there. */
-  feed(bytes: Buffer): Result<readonly Uint8Array[], Breakdown> {
+  feed(bytes: Buffer): Result<readonly Uint8Array[], Failure> {
     this.#parts.push(bytes);
     this.#size += bytes.length;
     const out: Uint8Array[] = [];
-    while (this.#size >= head) {
-      const top = this.#gather(head);
+    while (this.#size >= headerBytes) {
+      const top = this.#gather(headerBytes);
       const length = top.readUInt32BE(0);
-      if (length > maxFrame) return err(breakdown('foreign', `a frame of ${length} bytes`));
-      if (this.#size < head + length) break;
-      const whole = this.#gather(head + length);
-      const body = whole.subarray(head, head + length);
-      if (crc32(body) !== whole.readUInt32BE(4)) return err(breakdown('foreign', 'checksum'));
-      this.#drop(head + length);
+      if (length > maxFrameBytes) return err(failure('foreign', `a frame of ${length} bytes`));
+      if (this.#size < headerBytes + length) break;
+      const whole = this.#gather(headerBytes + length);
+      const body = whole.subarray(headerBytes, headerBytes + length);
+      if (crc32(body) !== whole.readUInt32BE(4)) return err(failure('foreign', 'checksum'));
+      this.#drop(headerBytes + length);
       out.push(body);
     }
     return ok(out);
--- a/packages/transport/src/channel/wire.ts
+++ b/packages/transport/src/channel/wire.ts
@@ -2,7 +2,7 @@
 import type { Frame } from '../frame/frame.js';
 
 /** Who is at the other end of a channel. */
-export interface Colleague {
+export interface Peer {
   readonly node: NodeId;
   readonly address: Address;
   readonly incarnation: Incarnation;
@@ -14,7 +14,7 @@
   | {
       readonly kind: 'frame';
       readonly now: Moment;
-      readonly from: Colleague;
+      readonly from: Peer;
       readonly frame: Frame;
     }
   | { readonly kind: 'gone'; readonly now: Moment; readonly address: Address };
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -25,22 +25,22 @@
 export type Stamp = v.InferOutput<typeof stamp>;
 
 /** A store's own record of who may be elected. */
-export const charter = v.object({
+export const clusterMetadata = v.object({
   fleet: g.fleetId,
   epoch: g.epoch,
-  insync: v.array(g.nodeId),
+  inSyncSet: v.array(g.nodeId),
   stores: v.array(v.object({ node: g.nodeId, address: g.address })),
   electorate,
 });
-export type Charter = v.InferOutput<typeof charter>;
+export type ClusterMetadata = v.InferOutput<typeof clusterMetadata>;
 
-export const memory = v.object({
+export const grantRecord = v.object({
   duty: g.duty,
   epoch: g.epoch,
   node: g.nodeId,
-  insync: v.array(g.nodeId),
+  inSyncSet: v.array(g.nodeId),
 });
-export type Memory = v.InferOutput<typeof memory>;
+export type GrantRecord = v.InferOutput<typeof grantRecord>;
 
 const hint = v.object({
   kind: kind('hint'),
@@ -54,7 +54,7 @@
 
 export const controlFrames = [
   v.object({
-    kind: kind('hail'),
+    kind: kind('heartbeat'),
     member,
     seq: g.seq,
     at: g.moment,
@@ -66,7 +66,7 @@
     releases: v.optional(v.string()),
   }),
   v.object({
-    kind: kind('heard'),
+    kind: kind('heartbeat-reply'),
     at: g.moment,
     registry: g.nodeId,
     incarnation: g.incarnation,
@@ -79,22 +79,22 @@
     top: g.seq,
     verdicts: v.array(verdict),
     releases: v.array(releaseState),
-    /** Duties whose lease this registry, as a witness, knows to be over. */
+    /** Duties whose lease this registry, as a voter, knows to be over. */
     vacant: v.array(g.duty),
     electorate: v.optional(electorate),
     fleet: v.optional(g.fleetId),
   }),
   v.object({ kind: kind('handover'), duty: g.duty, epoch: g.epoch }),
-  /** An origin leaves or is gone: a registry tells its colleagues, and each answers that it took the word. */
-  v.object({ kind: kind('news'), origin }),
+  /** An origin leaves or is gone: a registry tells its peers, and each answers that it took the word. */
+  v.object({ kind: kind('departure'), origin }),
   v.object({
-    kind: kind('noted'),
+    kind: kind('departure-ack'),
     node: g.nodeId,
     instance: g.instanceId,
     state: origin.entries.state,
   }),
   v.object({
-    kind: kind('roster'),
+    kind: kind('member-list'),
     members: v.array(member),
     origins: v.array(origin),
     holders: v.array(holder),
@@ -106,13 +106,13 @@
     sessions: v.array(session),
     origins: v.array(origin),
     holders: v.array(holder),
-    memories: v.array(memory),
-    blank: v.boolean(),
+    memories: v.array(grantRecord),
+    recovering: v.boolean(),
     at: g.moment,
     hint: v.optional(hint),
   }),
   v.object({
-    kind: kind('ballot'),
+    kind: kind('vote-request'),
     fleet: g.fleetId,
     electorate,
     duty: g.duty,
@@ -121,43 +121,49 @@
     at: g.moment,
     lease: g.span,
     /** A sounding: asks what the vote would be and changes nothing. */
-    sound: v.boolean(),
+    preVote: v.boolean(),
     renew: v.boolean(),
-    insync: v.array(g.nodeId),
+    inSyncSet: v.array(g.nodeId),
     held: v.optional(holder),
-    lay: v.boolean(),
+    stepDown: v.boolean(),
   }),
   v.object({
     kind: kind('vote'),
     duty: g.duty,
     epoch: g.epoch,
-    witness: g.nodeId,
+    voter: g.nodeId,
     at: g.moment,
-    sound: v.boolean(),
+    preVote: v.boolean(),
     granted: v.boolean(),
-    blank: v.boolean(),
+    recovering: v.boolean(),
     highest: g.epoch,
     electorate: v.optional(electorate),
     /** How long the lease that stands in the way still lasts. */
     left: v.optional(g.span),
   }),
   v.object({
-    kind: kind('found'),
+    kind: kind('bootstrap'),
     id: g.callId,
     fleet: g.fleetId,
     stores: v.array(v.object({ node: g.nodeId, address: g.address })),
     electorate,
   }),
   v.object({
-    kind: kind('founded'),
+    kind: kind('bootstrapped'),
     id: g.callId,
     node: g.nodeId,
     ok: v.boolean(),
     text: v.string(),
   }),
-  v.object({ kind: kind('copy'), charter, stamp, prior: stamp, puts: v.array(put) }),
   v.object({
-    kind: kind('copied'),
+    kind: kind('replicate'),
+    metadata: clusterMetadata,
+    stamp,
+    prior: stamp,
+    puts: v.array(put),
+  }),
+  v.object({
+    kind: kind('replicated'),
     node: g.nodeId,
     epoch: g.epoch,
     seq: g.seq,
@@ -165,9 +171,9 @@
     text: v.string(),
   }),
   v.object({
-    kind: kind('greet'),
+    kind: kind('replica-status'),
     node: g.nodeId,
-    charter: v.optional(charter),
+    metadata: v.optional(clusterMetadata),
     stamp,
     primary: v.boolean(),
     full: v.boolean(),
@@ -175,22 +181,27 @@
     at: g.moment,
   }),
   v.object({
-    kind: kind('listing'),
+    kind: kind('range-listing'),
     epoch: g.epoch,
     stamp,
     range: v.number(),
     keys: v.array(v.object({ key: v.string(), stamp })),
   }),
-  v.object({ kind: kind('fetch'), node: g.nodeId, epoch: g.epoch, keys: v.array(v.string()) }),
   v.object({
-    kind: kind('mend'),
+    kind: kind('fetch-entries'),
+    node: g.nodeId,
+    epoch: g.epoch,
+    keys: v.array(v.string()),
+  }),
+  v.object({
+    kind: kind('resync-entries'),
     epoch: g.epoch,
-    charter,
+    metadata: clusterMetadata,
     settled: v.optional(stamp),
     entries: v.array(v.object({ key: v.string(), stamp, data: v.string() })),
   }),
   v.object({
-    kind: kind('tune'),
+    kind: kind('subscribe'),
     registry: member,
     at: g.moment,
     epoch: g.epoch,
@@ -233,7 +244,7 @@
   }),
   /** What a store has on its disk while no primary is heard of. */
   hint,
-  v.object({ kind: kind('want'), node: g.nodeId, hashes: v.array(g.hash) }),
+  v.object({ kind: kind('piece-request'), node: g.nodeId, hashes: v.array(g.hash) }),
   v.object({ kind: kind('piece'), hash: g.hash, data: v.string() }),
   v.object({
     kind: kind('call'),
--- a/packages/transport/src/frame/data.ts
+++ b/packages/transport/src/frame/data.ts
@@ -54,9 +54,9 @@
   v.object({ kind: kind('chunk'), id: g.askId, bytes }),
   v.object({ kind: kind('done'), id: g.askId, digest: v.string(), length: v.number() }),
   v.object({
-    kind: kind('bounce'),
+    kind: kind('reject'),
     id: g.askId,
-    breakdown: v.picklist(g.kinds),
+    errorKind: v.picklist(g.kinds),
     text: v.string(),
     retryAfter: v.number(),
     moved: v.boolean(),
--- a/packages/transport/src/frame/frame.ts
+++ b/packages/transport/src/frame/frame.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
 import { Encoder } from 'cbor-x';
 import { type Result, ok, err } from 'true-myth/result';
-import { type Breakdown, breakdown } from '@switchwheel/types';
+import { type Failure, failure } from '@switchwheel/types';
 import { controlFrames } from './control.js';
 import { dataFrames } from './data.js';
 
@@ -14,22 +14,22 @@
 
 let last: { readonly value: Frame; readonly bytes: Uint8Array } | undefined;
 
-/** Writes a frame down; one that goes to several colleagues in a row only once. */
+/** Writes a frame down; one that goes to several peers in a row only once. */
 export const encode = (value: Frame): Uint8Array => {
   if (last?.value !== value) last = { value, bytes: coder.encode(value) };
   return last.bytes;
 };
 
 /** Reads a frame; what is not one is told and nothing of it is used. */
-export const decode = (bytes: Uint8Array): Result<Frame, Breakdown> => {
+export const decode = (bytes: Uint8Array): Result<Frame, Failure> => {
   let raw: unknown;
   try {
     raw = coder.decode(bytes);
   } catch {
-    return err(breakdown('foreign', 'not cbor'));
+    return err(failure('foreign', 'not cbor'));
   }
   const read = v.safeParse(frame, raw);
   if (read.success) return ok(read.output);
   const first = read.issues[0];
-  return err(breakdown('foreign', `${v.getDotPath(first) ?? 'frame'}: ${first.message}`));
+  return err(failure('foreign', `${v.getDotPath(first) ?? 'frame'}: ${first.message}`));
 };
--- a/packages/transport/src/frame/member.ts
+++ b/packages/transport/src/frame/member.ts
@@ -1,18 +1,18 @@
 import * as v from 'valibot';
 import * as g from '@switchwheel/types';
 
-/** One part of a node's fitness, with its own parts below it. */
-export interface Fitness {
+/** One part of a node's health, with its own parts below it. */
+export interface Health {
   readonly name: string;
-  readonly fit: boolean;
+  readonly healthy: boolean;
   readonly text: string;
-  readonly parts: readonly Fitness[];
+  readonly parts: readonly Health[];
 }
-export const fitness: v.GenericSchema<Fitness> = v.object({
+export const health: v.GenericSchema<Health> = v.object({
   name: v.string(),
-  fit: v.boolean(),
+  healthy: v.boolean(),
   text: v.string(),
-  parts: v.array(v.lazy(() => fitness)),
+  parts: v.array(v.lazy(() => health)),
 });
 
 export const role = v.picklist(['edge', 'shield', 'registry', 'store']);
@@ -23,7 +23,7 @@
   hash: v.optional(g.hash),
   phase: v.picklist(['none', 'applying', 'applied', 'failed']),
   failed: v.optional(v.object({ generation: g.generation, hash: g.hash, text: v.string() })),
-  fitness,
+  health: health,
   ready: v.boolean(),
 });
 export type Report = v.InferOutput<typeof report>;
@@ -79,7 +79,7 @@
 });
 export type Holder = v.InferOutput<typeof holder>;
 
-/** The witnesses that may grant duties; changed by one member at a time. */
+/** The voters that may grant duties; changed by one member at a time. */
 export const electorate = v.object({
   serial: g.seq,
   members: v.array(v.object({ node: g.nodeId, address: g.address })),
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -3,6 +3,6 @@
 export * from './frame/data.js';
 export * from './frame/frame.js';
 export * from './channel/wire.js';
-export * from './channel/cutter.js';
+export * from './channel/frame-decoder.js';
 export * from './channel/channel.js';
-export * from './channel/yard.js';
+export * from './channel/channel-pool.js';
--- a/packages/types/src/breakdown/kind.ts
+++ b/packages/types/src/failure/failure.ts
@@ -1,6 +1,6 @@
 /** The closed list of what can go wrong, each with the answer it turns into. */
 export const kinds = [
-  'bounced',
+  'rejected',
   'unknown',
   'malformed',
   'oversized',
@@ -18,7 +18,7 @@
 export type Kind = (typeof kinds)[number];
 
 /** How a kind is told to a caller or an operator. */
-export interface Telling {
+export interface ErrorResponse {
   readonly status: number;
   /** Whether the request is known not to have run. */
   readonly unrun: boolean;
@@ -26,8 +26,8 @@
   readonly retryAfter?: number;
 }
 
-const tellings: ReadonlyMap<Kind, Telling> = new Map<Kind, Telling>([
-  ['bounced', { status: 503, unrun: true, retryAfter: 1 }],
+const responses: ReadonlyMap<Kind, ErrorResponse> = new Map<Kind, ErrorResponse>([
+  ['rejected', { status: 503, unrun: true, retryAfter: 1 }],
   ['unknown', { status: 502, unrun: false }],
   ['slow', { status: 504, unrun: false }],
   ['lost', { status: 502, unrun: false }],
@@ -43,12 +43,12 @@
   ['broken', { status: 500, unrun: false }],
 ]);
 
-const worst: Telling = { status: 500, unrun: false };
-export const tell = (kind: Kind): Telling => tellings.get(kind) ?? worst;
+const worst: ErrorResponse = { status: 500, unrun: false };
+export const responseFor = (kind: Kind): ErrorResponse => responses.get(kind) ?? worst;
 
 /** One thing that went wrong. */
-export interface Breakdown {
+export interface Failure {
   readonly kind: Kind;
   readonly text: string;
 }
-export const breakdown = (kind: Kind, text: string): Breakdown => ({ kind, text });
+export const failure = (kind: Kind, text: string): Failure => ({ kind, text });
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -9,4 +9,4 @@
 export * from './table/columns.js';
 export * from './store/step.js';
 export * from './store/store.js';
-export * from './breakdown/kind.js';
+export * from './failure/failure.js';
