The electorate bears the next losses within the span that the settings give

Cause: a new registry got a seat after 3 s, a dead one kept its own for 15 s, with 3 s between changes. Three core machines, one replaced and another lost 4 s after the new one's start: two of four voters. A member that was asked to stop went 20 ms later, with its copy and its vote.

Ruled out: joint consensus (every vote and lease would need two majorities, and it is not needed: single changes take milliseconds, as each waits only for the lease to be renewed by a majority under the serial before); changes without that wait (unsafe).

Now: a registry in touch gets a seat once it remembers and is past its abstention (the subscribe frame says so); one that is leaving, or silent for 0.4 of syncMs, loses its seat where the electorate bears more without it; failure domains count where the settings name them. Serials lie in the range of their epoch, so that a change that a former primary wrote down but did not commit is never taken for another one. A store that leaves hands its duty over, tells that it leaves (a peer treats it as one whose disk is full), and goes when its copy is elsewhere or its grace is over.

Test: second-loss.test.ts. The limits of the test of replaced registries go from 8 s and 21 s to 4 s each.

--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -3,6 +3,7 @@
   type Step,
   earlier,
   join,
+  later,
   noSeq,
   put,
   sift,
@@ -11,7 +12,7 @@
   toMoment,
 } from '@switchwheel/types';
 import { type Peer, type Frame, type FrameOf, log, send } from '@switchwheel/transport';
-import { recoverGrants, adoptElectorate, vote } from '@switchwheel/election';
+import { recoverGrants, adoptElectorate, leaseSpan, vote } from '@switchwheel/election';
 import { learnHolder } from '../session/node-session.js';
 import { forget, learnAll } from '../origins/origins.js';
 import { onDeparture, onDepartureAck, tickDepartures } from './departures.js';
@@ -179,6 +180,13 @@
   return news ? pushToNodes(next, old.top, now) : step(next);
 };
 
+/** How far the primary may rely on this registry's vote. */
+const voterReadiness = (state: Registry, now: Moment): FrameOf<'subscribe'>['voter'] => {
+  if (state.stopping) return 'leaving';
+  const abstains = now < later(state.voter.born, leaseSpan);
+  return state.voter.recovering || abstains ? 'recovering' : 'ready';
+};
+
 /** Tells the primary which nodes have their session here and what they report. */
 const subscribe = (state: Registry, now: Moment): Done => {
   const store = primaryHolder(state);
@@ -197,6 +205,7 @@
     send(store.address, {
       kind: 'subscribe',
       registry: state.member,
+      voter: voterReadiness(state, now),
       at: now,
       epoch: state.feed.epoch,
       serial: state.feed.serial,
@@ -347,7 +356,7 @@
     case 'outside':
       return onOutside(state, event.ref, event.call, event.now);
     case 'stop':
-      return step({ ...state, stopping: true });
+      return subscribe({ ...state, stopping: true }, event.now);
   }
 };
 
--- a/packages/replicated-store/src/leadership/electorate.ts
+++ b/packages/replicated-store/src/leadership/electorate.ts
@@ -1,51 +1,203 @@
-import { type Moment, nextSeq } from '@switchwheel/types';
+/**
+ * Membership changes of the electorate.
+ *
+ * The electorate is the set of voters of which a majority grants and renews the primary's lease. It
+ * is part of the cluster metadata and changes by one member at a time, so that each majority of the
+ * old one shares a voter with each majority of the new one.
+ *
+ * Invariant: before the electorate with serial s is replaced, (1) the metadata that names it has been
+ * committed by the primary of the current epoch, and (2) a majority of it has renewed that primary's
+ * lease under s. Each voter of that majority keeps the epoch's grant and refuses ballots of an older
+ * electorate from then on.
+ *
+ * Hence a candidate that still polls an older electorate needs a majority that shares a voter with
+ * one that has both the newer serial and the newer grant, and is refused by it. Serials are unique:
+ * each one that a primary makes lies in the range of its epoch, so a change that a former primary
+ * wrote down but did not commit never has the serial of another one, and counts as older.
+ */
+import { type Epoch, type Moment, type NodeId, type Seq, toSeq } from '@switchwheel/types';
 import type { Electorate } from '@switchwheel/transport';
 import { majority } from '@switchwheel/election';
-import type { Store } from '../state/state.js';
-
-/** How long a registry is in touch without a break before it becomes a voter. */
-const steadyTime = 3000;
-/** How long a voter is out of touch before another may take its seat. */
-const deadAfter = 15_000;
-/** How long a change of the electorate has to spread before the next one. */
-const changeInterval = 3000;
+import type { Store, Subscriber } from '../state/state.js';
+
+type Member = Electorate['members'][number];
+
+/** How recently a registry must have spoken to count as in touch. */
 const contactLimit = 1000;
+const defaultSyncMs = 4000;
+/** The part of `syncMs` for which a voter is silent before its seat may go. */
+const silenceShare = 0.4;
 const minElectorate = 3;
+/** How many serials each epoch has to itself. */
+const serialsPerEpoch = 1_000_000;
 
-/** The electorate with one change that follows the registries in touch, if one is due. */
-export const nextElectorate = (state: Store, now: Moment): Electorate | undefined => {
-  const set = state.metadata?.electorate;
-  const own = state.candidate.phase;
-  if (
-    set === undefined ||
-    own.phase !== 'holdingLease' ||
-    now - Math.max(own.won, state.electorateChangedAt) < changeInterval
-  )
-    return undefined;
-  const near = (node: Electorate['members'][number]['node']): boolean =>
-    now - (state.subscribers.get(node)?.at ?? -Infinity) < contactLimit;
-  const lost = set.members.filter(
-    (one) => now - Math.max(state.subscribers.get(one.node)?.at ?? 0, own.won) >= deadAfter,
-  );
-  // An even electorate bears no more losses than one with a seat less; with more than one lost each seat less helps.
-  const spare =
-    set.members.length > minElectorate && (set.members.length % 2 === 0 || lost.length > 1)
-      ? lost[0]
+/** What an electorate can bear, the most important figure first. */
+interface Resilience {
+  /** How many voters a majority lacks (below zero) once the largest tolerated domains are lost. */
+  readonly shortOnDomainLoss: number;
+  /** Voters that may be lost at once, with those counted that are lost already. */
+  readonly machines: number;
+  readonly live: number;
+  /** Dead voters beyond the one that an odd electorate can keep at no cost. */
+  readonly surplusDead: number;
+}
+
+/** What the primary knows of the registries at one moment. */
+interface Registries {
+  readonly isLive: (node: NodeId) => boolean;
+  readonly isDead: (node: NodeId) => boolean;
+  readonly domainOf: (node: NodeId) => string;
+  readonly toleratedDomains: number;
+}
+
+/** The first serial that the primary of an epoch may give after this one. */
+const nextSerial = (serial: Seq, epoch: Epoch): Seq =>
+  toSeq(Math.max(serial + 1, epoch * serialsPerEpoch));
+
+/** The newest electorate this store knows: the one that it polls as a candidate and as the holder. */
+export const polledElectorate = (state: Store): Electorate | undefined => {
+  const stored = state.metadata?.electorate;
+  const heard = state.session.electorate;
+  return stored !== undefined && heard !== undefined && heard.serial > stored.serial
+    ? heard
+    : stored;
+};
+
+/** Notes since when the electorate that this store polls has been the one that it polls. */
+export const notePolledElectorate = (state: Store, now: Moment): Store => {
+  const set = polledElectorate(state);
+  if (set === undefined || set.serial === state.polledElectorate.serial) return state;
+  return { ...state, polledElectorate: { serial: set.serial, since: now } };
+};
+
+/** Whether a majority of the electorate has renewed the lease under its serial. */
+const isConfirmed = (state: Store, set: Electorate): boolean => {
+  const holding = state.candidate.phase;
+  const { serial, since } = state.polledElectorate;
+  if (holding.phase !== 'holdingLease' || serial !== set.serial) return false;
+  const renewed = set.members.filter((one) => (holding.votes.get(one.node)?.at ?? -1) > since);
+  return renewed.length >= majority(set.members.length);
+};
+
+const observeRegistries = (state: Store, won: Moment, now: Moment): Registries => {
+  const { failureDomains, syncMs = defaultSyncMs } = state.settings;
+  const silenceLimit = syncMs * silenceShare;
+  return {
+    isLive: (node) => {
+      const known = state.subscribers.get(node);
+      return known?.voter === 'ready' && now - known.at < contactLimit;
+    },
+    isDead: (node) => {
+      const known = state.subscribers.get(node);
+      return known?.voter === 'leaving' || now - Math.max(known?.at ?? won, won) >= silenceLimit;
+    },
+    domainOf: (node) => {
+      const area = state.subscribers.get(node)?.area;
+      return area === undefined ? node : (failureDomains?.ofArea.get(area) ?? area);
+    },
+    toleratedDomains: failureDomains?.tolerate ?? 0,
+  };
+};
+
+/** How many of these voters are left if the largest failure domains that may be lost are. */
+const leftAfterDomainLoss = (live: readonly Member[], registries: Registries): number => {
+  const sizes = new Map<string, number>();
+  for (const { node } of live) {
+    const domain = registries.domainOf(node);
+    sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+  }
+  const largest = [...sizes.values()].sort((one, two) => two - one);
+  const lost = largest.slice(0, registries.toleratedDomains);
+  return lost.reduce((left, size) => left - size, live.length);
+};
+
+const resilienceOf = (members: readonly Member[], registries: Registries): Resilience => {
+  const live = members.filter((one) => registries.isLive(one.node));
+  const dead = members.filter((one) => registries.isDead(one.node));
+  const needed = majority(members.length);
+  return {
+    shortOnDomainLoss: Math.min(0, leftAfterDomainLoss(live, registries) - needed),
+    machines: live.length - needed,
+    live: live.length,
+    surplusDead: Math.max(0, dead.length - 1),
+  };
+};
+
+/** Above zero if the first bears more than the second. */
+const compareResilience = (one: Resilience, two: Resilience): number =>
+  one.shortOnDomainLoss - two.shortOnDomainLoss ||
+  one.machines - two.machines ||
+  one.live - two.live ||
+  two.surplusDead - one.surplusDead;
+
+/** All electorates that differ from this one by a single member. */
+const neighbours = (
+  members: readonly Member[],
+  joinable: readonly Member[],
+  registries: Registries,
+): readonly (readonly Member[])[] => {
+  const mayRemove = (one: Member): boolean =>
+    registries.isDead(one.node) || registries.toleratedDomains > 0;
+  const removals =
+    members.length > minElectorate
+      ? members.filter(mayRemove).map((gone) => members.filter((one) => one !== gone))
+      : [];
+  const additions = joinable
+    .filter((fresh) => !members.some((one) => one.node === fresh.node))
+    .map((fresh) => [...members, fresh]);
+  return [...removals, ...additions];
+};
+
+interface Proposal {
+  /** The electorate that is one change away. */
+  readonly members: readonly Member[];
+  /** What it can bear, or what one more change would make it bear. */
+  readonly leadsTo: Resilience;
+}
+
+/** The neighbour that bears most; with `lookAhead` the one from which one more change does. */
+const bestNeighbour = (
+  members: readonly Member[],
+  joinable: readonly Member[],
+  registries: Registries,
+  lookAhead: boolean,
+): Proposal | undefined => {
+  let best: Proposal | undefined;
+  for (const candidate of neighbours(members, joinable, registries)) {
+    const own = resilienceOf(candidate, registries);
+    // A majority of the new electorate must be in touch, or the lease would end with the change.
+    if (own.machines < 0) continue;
+    const further = lookAhead
+      ? bestNeighbour(candidate, joinable, registries, false)?.leadsTo
       : undefined;
-  const fresh = [...state.subscribers].find(
-    ([node, one]) =>
-      near(node) && now - one.since >= steadyTime && !set.members.some((row) => row.node === node),
+    const leadsTo = further !== undefined && compareResilience(further, own) > 0 ? further : own;
+    if (best === undefined || compareResilience(leadsTo, best.leadsTo) > 0)
+      best = { members: candidate, leadsTo };
+  }
+  return best;
+};
+
+/** The electorate with the one change that is due next, if there is one. */
+export const nextElectorate = (state: Store, now: Moment): Electorate | undefined => {
+  const set = polledElectorate(state);
+  const holding = state.candidate.phase;
+  if (set === undefined || holding.phase !== 'holdingLease') return undefined;
+  // A newer one that a former primary left behind is written down here before it is changed.
+  if (set !== state.metadata?.electorate) return set;
+  if (!isConfirmed(state, set)) return undefined;
+  const registries = observeRegistries(state, holding.won, now);
+  const joinable = [...state.subscribers]
+    .filter(([node]) => registries.isLive(node))
+    .map(([node, { address }]: readonly [NodeId, Subscriber]) => ({ node, address }));
+  const current = resilienceOf(set.members, registries);
+  const lacksResilience =
+    current.shortOnDomainLoss < 0 || current.machines < state.settings.tolerate;
+  const best = bestNeighbour(
+    set.members,
+    joinable,
+    registries,
+    registries.toleratedDomains > 0 && lacksResilience,
   );
-  const members =
-    spare !== undefined
-      ? set.members.filter((one) => one !== spare)
-      : fresh !== undefined
-        ? [...set.members, { node: fresh[0], address: fresh[1].address }]
-        : undefined;
-  if (
-    members === undefined ||
-    members.filter((one) => near(one.node)).length < majority(members.length)
-  )
-    return undefined;
-  return { serial: nextSeq(set.serial), members };
+  if (best === undefined || compareResilience(best.leadsTo, current) <= 0) return undefined;
+  return { serial: nextSerial(set.serial, holding.epoch), members: [...best.members] };
 };
--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -4,11 +4,13 @@
   alike,
   drop,
   join,
+  later,
   noGeneration,
   noSeq,
   put,
   start,
   step,
+  toMoment,
 } from '@switchwheel/types';
 import {
   type Peer,
@@ -18,8 +20,14 @@
   log,
   send,
 } from '@switchwheel/transport';
-import { countVote, observeEpoch, heldEpoch, tickCandidate } from '@switchwheel/election';
-import { nextElectorate } from './leadership/electorate.js';
+import {
+  countVote,
+  holdsLease,
+  observeEpoch,
+  heldEpoch,
+  tickCandidate,
+} from '@switchwheel/election';
+import { nextElectorate, notePolledElectorate } from './leadership/electorate.js';
 import {
   type HeartbeatContent,
   onRegistryLost,
@@ -40,6 +48,7 @@
   primaryTimeout,
 } from './leadership/candidacy.js';
 import { enqueue } from './command/queue.js';
+import { copiesStandElsewhere, mayHandOver, successors } from './leadership/leaving.js';
 import { feedOne } from './feed/feed.js';
 import {
   endLeadership,
@@ -65,15 +74,17 @@
 import { tickOrigins, storedOrigins } from './origins/origins.js';
 import { onTally, tickReleases } from './release/release.js';
 import type { Found, StoreEffect, StoreEvent } from './state/event.js';
-import { type Store, ownId } from './state/state.js';
+import { type Store, type Subscriber, ownId } from './state/state.js';
 
 type Done = Step<Store, StoreEffect>;
 const planInterval = 60_000;
 const engineInterval = 5000;
 const offlineAfter = 2000;
 const hintInterval = 300;
-/** How long a registry may be silent and still count as in touch without a break. */
-const subscriptionGap = 1000;
+/** How long a store that is asked to stop may take if it isn't told. */
+const defaultLeaveGrace = 4000;
+/** For how long a store that leaves does not stand for the duty again. */
+const leaveStandDown = 60_000;
 /** How long a node may be out of touch before it is forgotten. */
 const forgetAfter = 3_600_000;
 
@@ -186,11 +197,10 @@
 
 const onSubscribe = (state: Store, word: FrameOf<'subscribe'>, now: Moment): Done => {
   if (!isPrimary(state, now)) return step(state);
-  const before = state.subscribers.get(word.registry.node);
-  const since = before !== undefined && now - before.at < subscriptionGap ? before.since : now;
-  const row = {
+  const row: Subscriber = {
     address: word.registry.address,
-    since,
+    area: word.registry.area,
+    voter: word.voter,
     at: now,
     serial: word.epoch === heldEpoch(state.candidate) ? word.serial : noSeq,
     purged: word.purged,
@@ -289,14 +299,24 @@
   return next;
 };
 
-/** Lets the electorate follow the registries, one seat at a time. */
-const followRegistries = (state: Store, now: Moment): Done => {
+/** Has the lease renewed with the next tick: a change of the electorate waits for it. */
+const renewSoon = (state: Store): Store => {
+  const { candidate } = state;
+  if (candidate.phase.phase !== 'holdingLease') return state;
+  const due = toMoment(Math.max(0, candidate.phase.asked - candidate.lease));
+  return { ...state, candidate: { ...candidate, phase: { ...candidate.phase, asked: due } } };
+};
+
+/** Lets the electorate follow the registries, one member at a time. */
+const followRegistries = (before: Store, now: Moment): Done => {
+  const noted = notePolledElectorate(before, now);
+  const state = noted === before ? before : renewSoon(noted);
   const open =
     state.primaryWrite !== undefined ||
     state.commandQueue.some((one) => one.kind === 'electorate' || one.kind === 'seats');
   const electorate = state.settings.follow && !open ? nextElectorate(state, now) : undefined;
   if (electorate === undefined) return step(state);
-  const queued = enqueue({ ...state, electorateChangedAt: now }, { kind: 'seats', electorate });
+  const queued = enqueue(state, { kind: 'seats', electorate });
   return join(
     [
       log('info', 'the electorate follows the registries', [
@@ -386,12 +406,14 @@
   next = join(next.effects, sendStatus(next.state, now));
   next = join(next.effects, tickWrite(next.state, now));
   next = join(next.effects, tickCalls(next.state, now));
+  next = join(next.effects, tickLeaving(next.state, now));
   return isPrimary(next.state, now) ? join(next.effects, tickPrimary(next.state, now)) : next;
 };
 
-const onStop = (state: Store, now: Moment): Done => {
+/** Ends this store: the duty is given up if it still has it, and the others are told. */
+const finishLeaving = (state: Store, now: Moment): Done => {
   const bye = sendHeartbeat(state.session, heartbeatContent(state, now, true), now);
-  const done = handOverLeadership({ ...state, session: bye.state }, 60_000, now);
+  const done = handOverLeadership({ ...state, session: bye.state }, leaveStandDown, now);
   const told = sendStatus({ ...done.state, phase: 'member', statusSentAt: start }, now);
   return join(
     [...bye.effects, ...done.effects, ...told.effects],
@@ -399,6 +421,29 @@
   );
 };
 
+/** Lets time pass over a leave: first the duty goes to a successor, then the copy, then this store. */
+const tickLeaving = (state: Store, now: Moment): Done => {
+  const { leaving } = state;
+  if (leaving === undefined) return step(state);
+  if (now >= leaving.deadline) return finishLeaving(state, now);
+  if (holdsLease(state.candidate, now)) {
+    if (!mayHandOver(state, leaving.since, now)) return step(state);
+    const handed = handOverLeadership(state, leaveStandDown, now);
+    return join(handed.effects, sendStatus(handed.state, now));
+  }
+  if (copiesStandElsewhere(state, leaving.since, now)) return finishLeaving(state, now);
+  // Another one that is in sync is elected before this one; without any, this one has to lead.
+  const successor = successors(state, now).length > 0;
+  return step(successor ? { ...state, standDownUntil: later(now, leaveStandDown) } : state);
+};
+
+const onStop = (state: Store, now: Moment, graceMs: number): Done => {
+  if (state.leaving !== undefined) return step(state);
+  const leaving = { since: now, deadline: later(now, graceMs) };
+  const told = sendStatus({ ...state, leaving, statusSentAt: start }, now);
+  return join(told.effects, tickLeaving(told.state, now));
+};
+
 const onFrame = (state: Store, from: Peer, frame: Frame, now: Moment): Done => {
   switch (frame.kind) {
     case 'heartbeat-reply':
@@ -472,7 +517,7 @@
     case 'compiled':
       return onCompiled(state, event.hash, event.faults);
     case 'stop':
-      return onStop(state, event.now);
+      return onStop(state, event.now, event.graceMs ?? defaultLeaveGrace);
   }
 };
 
--- a/packages/replicated-store/src/resync/resync.ts
+++ b/packages/replicated-store/src/resync/resync.ts
@@ -264,6 +264,7 @@
     stamp: state.stamp,
     primary,
     full: state.diskFull !== undefined || state.primaryWrite?.phase === 'orphan',
+    ...(state.leaving === undefined ? {} : { leaving: true }),
     at: now,
     digests: away ? digests(state.table) : [],
     ...(state.metadata === undefined ? {} : { metadata: state.metadata }),
@@ -340,7 +341,9 @@
     metadata: word.metadata,
     stamp: word.stamp,
     primary: word.primary,
-    full: word.full,
+    // A store that leaves is replaced in the in-sync set as one whose disk takes nothing.
+    full: word.full || word.leaving === true,
+    leaving: word.leaving === true,
     at: now,
   };
   const led =
--- a/packages/replicated-store/src/state/event.ts
+++ b/packages/replicated-store/src/state/event.ts
@@ -31,7 +31,8 @@
       readonly hash: Hash;
       readonly faults: readonly Fault[];
     }
-  | { readonly kind: 'stop'; readonly now: Moment };
+  /** The process is asked to stop, within the grace if it is given. */
+  | { readonly kind: 'stop'; readonly now: Moment; readonly graceMs?: number };
 
 /** One write to the disk: all of it lasts, or none. */
 export interface DiskWrite {
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -1,5 +1,6 @@
 import {
   type Address,
+  type AreaName,
   type CallId,
   type Dice,
   type Epoch,
@@ -100,12 +101,24 @@
   readonly body: string;
 }
 
+/** Parts of the fleet that fail as one. */
+export interface FailureDomains {
+  /** How many of them may be lost at once. */
+  readonly tolerate: number;
+  /** The domain of each area that is not one by itself. */
+  readonly ofArea: ReadonlyMap<AreaName, string>;
+}
+
 /** How many copies of the state a fleet keeps, and how many machines with a disk it may lose at once. */
 export interface ReplicationSettings {
   readonly copies: number;
   readonly tolerate: number;
   /** Whether registries that come become voters, and take the seats of those that are gone, by themselves. */
   readonly follow: boolean;
+  /** Areas, or groups of them, that may be lost as a whole, besides single machines. */
+  readonly failureDomains?: FailureDomains;
+  /** Within which span of a repair or a replacement the next losses are borne, in milliseconds. */
+  readonly syncMs?: number;
   /** Whether the origins that stand are kept on disk. */
   readonly origins?: boolean;
   /** What a release on trial is held to. */
@@ -154,13 +167,15 @@
   readonly stamp: Stamp;
   readonly primary: boolean;
   readonly full: boolean;
+  readonly leaving: boolean;
   readonly at: Moment;
 }
 
 export interface Subscriber {
   readonly address: Address;
-  /** Since when it has been in touch without a break. */
-  readonly since: Moment;
+  readonly area: AreaName;
+  /** How far its vote may be relied on, by its own word. */
+  readonly voter: FrameOf<'subscribe'>['voter'];
   readonly at: Moment;
   readonly serial: Seq;
   readonly purged: Seq;
@@ -228,8 +243,10 @@
   readonly originsCheckedAt: Moment;
   readonly plannedAt: Moment;
   readonly engineRanAt: Moment;
-  /** When the electorate last followed the registries. */
-  readonly electorateChangedAt: Moment;
+  /** The electorate that this store polls, and since when: votes asked for before count for an older one. */
+  readonly polledElectorate: { readonly serial: Seq; readonly since: Moment };
+  /** Since when this store is leaving, and until when it may take. */
+  readonly leaving: { readonly since: Moment; readonly deadline: Moment } | undefined;
   readonly engineDueAt: Moment | undefined;
   /** The last write that changed what nodes are to run: registries that have it are not told of it again. */
   readonly lastNodeChange: Seq;
@@ -283,7 +300,8 @@
   statusSentAt: start,
   plannedAt: start,
   engineRanAt: start,
-  electorateChangedAt: start,
+  polledElectorate: { serial: noSeq, since: start },
+  leaving: undefined,
   originsCheckedAt: start,
   engineDueAt: undefined,
   lastNodeChange: noSeq,
--- a/packages/simulator/src/cast/registry.ts
+++ b/packages/simulator/src/cast/registry.ts
@@ -70,6 +70,11 @@
     this.#store?.dispatch(make(this.clock));
   }
 
+  /** Asks the process to stop: its vote is taken over by others meanwhile. */
+  stop(): void {
+    this.act(() => this.#store?.dispatch({ kind: 'stop', now: this.clock }));
+  }
+
   /** A call from outside; no answer ever comes if the process dies first. */
   call(call: Outside, done: (told: Told) => void): void {
     this.act(() => {
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -177,6 +177,8 @@
     stamp,
     primary: v.boolean(),
     full: v.boolean(),
+    /** Set once this store was asked to stop: its place among the copies goes to another. */
+    leaving: v.optional(v.boolean()),
     digests: v.array(v.string()),
     at: g.moment,
   }),
@@ -203,6 +205,8 @@
   v.object({
     kind: kind('subscribe'),
     registry: member,
+    /** Whether its vote may be relied on: it remembers what it granted and is past its abstention. */
+    voter: v.picklist(['ready', 'recovering', 'leaving']),
     at: g.moment,
     epoch: g.epoch,
     serial: g.seq,
