A joined request belongs to its own fetch, keeps its own deadline, and is always told

Cause, by reading: waiters were looked up by the object's key. A second fetch of the same object (after a purge, or 750 ms after the first) put its list in the place of the first one's. Those who waited for the first were then never told: their connection stayed silent until the caller gave up or a stop closed it. The first fetch, when it came, answered those who waited for the second, with an entry from before the purge. Besides: one sent on after a failed fetch began its time anew, was counted twice for the budget, and was not noticed when its caller left; a stop that broke off what was under way began new requests for those who waited.

After: a fetch holds its own list; time, budget and leaving go with the request; after breakAll nothing is taken on.

--- a/packages/routing/src/line/line.test.ts
+++ b/packages/routing/src/line/line.test.ts
@@ -327,3 +327,76 @@
   );
   assert.equal(word.inFlightOld, 0);
 });
+
+/** Opens a fetch, lets a second request join it, and makes a third one start a fetch of its own. */
+const withTwoFetches = (bench: Bench): void => {
+  bench.ask('/clips/1');
+  bench.ask('/clips/1');
+  bench.line.purged();
+  bench.ask('/clips/1');
+  bench.ask('/clips/1');
+  assert.equal(bench.sent.length, 2);
+};
+
+void test('a request that joined a fetch is answered by that fetch after a newer one of the same object has begun', () => {
+  const bench = new Bench(two);
+  withTwoFetches(bench);
+  bench.answer(1, 'newer');
+  assert.equal(bench.told.length, 2, 'the newer fetch answers those who wait for it');
+  bench.answer(0, 'older');
+  assert.equal(bench.told.length, 4, 'nobody is left without an answer');
+});
+
+void test('a fetch that began before a purge answers nobody who came after it', () => {
+  const bench = new Bench(two);
+  withTwoFetches(bench);
+  bench.answer(0, 'older');
+  assert.equal(bench.told.length, 2, 'those who came after the purge still wait');
+  bench.answer(1, 'newer');
+  const bodies = bench.told.map((one) => (one.kind === 'kept' ? one.entry.body.toString() : ''));
+  assert.deepEqual(bodies, ['older', 'older', 'newer', 'newer']);
+});
+
+void test('a request that joined a fetch is told at its own deadline, also when a newer fetch has begun', () => {
+  const bench = new Bench(two);
+  withTwoFetches(bench);
+  bench.pass(2000);
+  assert.equal(bench.told.length, 4);
+});
+
+void test('a request whose fetch failed is sent on with what is left of its own time', () => {
+  const bench = new Bench(two);
+  bench.ask('/clips/1');
+  bench.ask('/clips/1');
+  bench.pass(700);
+  const many = bench.sent.length;
+  for (let at = 0; at < many; at += 1) bench.answer(at, 'gone', 404);
+  const resent = bench.sent.at(-1);
+  assert.ok(resent !== undefined && bench.sent.length > many);
+  assert.ok(resent.order.spanMs <= 1300, `${resent.order.spanMs} ms are told to the origin`);
+  bench.pass(1300);
+  assert.equal(bench.told.length, 2, 'it is told at the deadline that it came with');
+});
+
+void test('a caller that leaves is noticed after its request was sent on for a fetch that failed', () => {
+  const bench = new Bench(two);
+  bench.ask('/clips/1');
+  const leave = bench.ask('/clips/1');
+  bench.answer(0, 'gone', 404);
+  leave();
+  bench.answer(1, 'late');
+  assert.equal(bench.told.length, 1, 'nobody is told who has left');
+});
+
+void test('a stop that breaks off what is under way tells each caller and begins nothing new', () => {
+  const bench = new Bench(two);
+  bench.ask('/clips/1');
+  bench.ask('/clips/1');
+  bench.ask('/edit/1', 'POST');
+  const many = bench.sent.length;
+  bench.line.breakAll();
+  assert.equal(bench.told.length, 3);
+  assert.equal(bench.sent.length, many);
+  assert.ok(bench.sent.every((one) => one.cut));
+  assert.equal(bench.line.open, 0);
+});
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -56,14 +56,18 @@
   readonly most: number;
 }
 
+/** A request that waits for another one's fetch of the same object. */
 interface Waiter {
   readonly call: Call;
-  readonly track: Track;
   readonly tell: Tell;
   readonly until: Moment;
+  /** Set once it has been told, or its caller has left. */
   gone: boolean;
+  /** What to call when the caller leaves after the request was sent on by itself. */
+  leave: (() => void) | undefined;
 }
 
+/** A fetch that later requests for the same object may join. */
 interface Flight {
   readonly since: Moment;
   readonly epoch: number;
@@ -76,6 +80,8 @@
   readonly track: Track;
   readonly service: ServiceName;
   readonly slip: Slip | undefined;
+  /** Those who wait for this very fetch: a newer one of the same object has a list of its own. */
+  readonly flight: Flight | undefined;
   readonly tell: Tell;
   readonly taste: Taste;
   readonly cuts: Map<
@@ -108,9 +114,17 @@
 /** What is left to the caller when this edge gives up. */
 const marginMs = 15;
 const shortWait = 120;
+/** When a caller is told to come back by an edge that stops; another one answers it. */
+const stoppedRetryMs = 100;
 /** How old the word of the primary may be for a trial to go on. */
 const freshSpan = 1500;
 
+/** When this edge gives a request up: a little before its caller does, or the route's timeout. */
+const deadlineOf = (call: Call, track: Track, now: Moment): Moment => {
+  const spanMs = Math.min(track.timeoutMs, call.spanMs ?? track.timeoutMs);
+  return later(now, Math.max(1, spanMs - marginMs));
+};
+
 /**
  * The way of a request at an edge that sends straight to origins: kept, joined, or sent. What may run, wait or be told
  * is decided by `tripStep`; the class only holds bodies, origins and quotas, which change with each request.
@@ -130,6 +144,7 @@
   #dice: Dice;
   #epoch = 0;
   #last = 0;
+  #stopped = false;
 
   constructor(cab: Cab, cache: Cache, legs: LegPort, manner: Manner, dice: Dice) {
     this.#cab = cab;
@@ -165,63 +180,19 @@
 
   /** Takes a whole request on; gives what to call when the caller leaves. */
   serve(call: Call, tell: Tell): () => void {
-    const now = this.#cab.now();
-    const cabin = this.#cab.cabin();
-    const end = (word: Word): (() => void) => {
-      this.#say(tell, word);
-      return () => undefined;
-    };
-    if (cabin.table === undefined) return end(fault('unready', 'this node is not ready', 300));
-    const { path } = cutTarget(call.target);
-    const found = match(cabin.table, call.method, call.host, path);
-    if (found.found !== 'track') return end(fault('absent', 'no route', 0));
-    const track = found.track;
-    const service = pickService(track, this.#roll());
-    this.#quota.asked(service, now);
-    const until = later(
-      now,
-      Math.max(1, Math.min(track.timeoutMs, call.spanMs ?? track.timeoutMs) - marginMs),
-    );
-    const slip = this.#desk.slip(track, call.method, call.host, call.target, call.fields);
-    const kept = slip === undefined ? undefined : this.#kept(slip, cabin, now);
-    if (kept !== undefined) {
-      this.bump('kept');
-      return end({ kind: 'kept', entry: kept, at: now });
-    }
-    const flight = slip === undefined ? undefined : this.#flights.get(slip.flight);
-    if (
-      flight !== undefined &&
-      flight.epoch === this.#epoch &&
-      between(flight.since, now) < Math.min(joinSpan, this.#manner.bounds.keptMs / 2)
-    ) {
-      const waiter: Waiter = { call, track, tell, until, gone: false };
-      flight.waiters.push(waiter);
-      this.bump('joined');
-      return () => {
-        waiter.gone = true;
-      };
-    }
-    if (this.#runs.size >= this.#manner.most)
-      return end(fault('rejected', 'too many requests are under way', 300));
-    return this.#start({ call, track, service, slip, tell, until }, now);
+    return this.#serve(call, tell, undefined);
   }
 
   /** Lets time pass: what is late may get another origin, what is over is told. */
   tick(now: Moment): void {
     for (const run of [...this.#runs.values()]) {
+      this.#expireWaiters(run.flight, now);
       if (now >= run.trip.until) this.#event(run, { kind: 'expired', now });
       else if (run.lateAt !== undefined && now >= run.lateAt) {
         run.lateAt = undefined;
         this.#event(run, { kind: 'late', now });
       }
     }
-    for (const flight of this.#flights.values()) {
-      for (const waiter of flight.waiters) {
-        if (waiter.gone || now < waiter.until) continue;
-        waiter.gone = true;
-        this.#say(waiter.tell, fault('slow', 'no origin answered in time', 0));
-      }
-    }
   }
 
   /** What this edge counts for orders that stand, for the primary. */
@@ -238,14 +209,71 @@
     });
   }
 
-  /** Breaks off all that is under way. */
+  /** Breaks off all that is under way, and takes nothing on any more. */
   breakAll(): number {
+    this.#stopped = true;
     const many = this.#runs.size;
     const now = this.#cab.now();
     for (const run of [...this.#runs.values()]) this.#event(run, { kind: 'expired', now });
     return many;
   }
 
+  /** Takes a request on; `latest` is given for one that waited in vain, and is when its time is over. */
+  #serve(call: Call, tell: Tell, latest: Moment | undefined): () => void {
+    const now = this.#cab.now();
+    const cabin = this.#cab.cabin();
+    const end = (word: Word): (() => void) => {
+      this.#say(tell, word);
+      return () => undefined;
+    };
+    if (this.#stopped) return end(fault('rejected', 'this node is stopping', stoppedRetryMs));
+    if (cabin.table === undefined) return end(fault('unready', 'this node is not ready', 300));
+    const { path } = cutTarget(call.target);
+    const found = match(cabin.table, call.method, call.host, path);
+    if (found.found !== 'track') return end(fault('absent', 'no route', 0));
+    const track = found.track;
+    const service = pickService(track, this.#roll());
+    if (latest === undefined) this.#quota.asked(service, now);
+    const until = latest ?? deadlineOf(call, track, now);
+    const slip = this.#desk.slip(track, call.method, call.host, call.target, call.fields);
+    const kept = slip === undefined ? undefined : this.#kept(slip, cabin, now);
+    if (kept !== undefined) {
+      this.bump('kept');
+      return end({ kind: 'kept', entry: kept, at: now });
+    }
+    const flight = this.#flightFor(slip, now);
+    if (flight !== undefined) return this.#join(flight, { call, tell, until });
+    if (this.#runs.size >= this.#manner.most)
+      return end(fault('rejected', 'too many requests are under way', 300));
+    return this.#start({ call, track, service, slip, tell, until }, now);
+  }
+
+  /** The fetch that a request may wait for, if there is one that is young enough and no purge came since. */
+  #flightFor(slip: Slip | undefined, now: Moment): Flight | undefined {
+    const flight = slip === undefined ? undefined : this.#flights.get(slip.flight);
+    if (flight === undefined || flight.epoch !== this.#epoch) return undefined;
+    const oldest = Math.min(joinSpan, this.#manner.bounds.keptMs / 2);
+    return between(flight.since, now) < oldest ? flight : undefined;
+  }
+
+  #join(flight: Flight, one: Pick<Waiter, 'call' | 'tell' | 'until'>): () => void {
+    const waiter: Waiter = { ...one, gone: false, leave: undefined };
+    flight.waiters.push(waiter);
+    this.bump('joined');
+    return () => {
+      waiter.gone = true;
+      waiter.leave?.();
+    };
+  }
+
+  #expireWaiters(flight: Flight | undefined, now: Moment): void {
+    for (const waiter of flight?.waiters ?? []) {
+      if (waiter.gone || now < waiter.until) continue;
+      waiter.gone = true;
+      this.#say(waiter.tell, fault('slow', 'no origin answered in time', 0));
+    }
+  }
+
   #start(
     one: Pick<Run, 'call' | 'track' | 'service' | 'slip' | 'tell'> & { readonly until: Moment },
     now: Moment,
@@ -253,12 +281,15 @@
     const { track, call } = one;
     this.#last += 1;
     const most = track.origins ?? (track.repeatable ? 3 : 2);
+    const flight: Flight | undefined =
+      one.slip === undefined ? undefined : { since: now, epoch: this.#epoch, waiters: [] };
     const run: Run = {
       number: this.#last,
       call,
       track,
       service: one.service,
       slip: one.slip,
+      flight,
       tell: one.tell,
       taste: { area: this.#manner.area, far: 1.3, sharp: 3 },
       cuts: new Map(),
@@ -268,8 +299,7 @@
       left: false,
     };
     this.#runs.set(run.number, run);
-    if (one.slip !== undefined)
-      this.#flights.set(one.slip.flight, { since: now, epoch: this.#epoch, waiters: [] });
+    if (one.slip !== undefined && flight !== undefined) this.#flights.set(one.slip.flight, flight);
     this.#event(run, { kind: 'start', now });
     return () => {
       run.left = true;
@@ -450,15 +480,16 @@
   }
 
   #told(run: Run, told: Told, now: Moment): void {
-    const flight = run.slip === undefined ? undefined : this.#flights.get(run.slip.flight);
-    if (run.slip !== undefined && flight !== undefined) this.#flights.delete(run.slip.flight);
+    const { slip, flight } = run;
+    if (slip !== undefined && this.#flights.get(slip.flight) === flight)
+      this.#flights.delete(slip.flight);
     const word = this.#wordOf(run, told, now);
     if (!run.left) this.#say(run.tell, word);
     for (const waiter of flight?.waiters ?? []) {
       if (waiter.gone) continue;
       waiter.gone = true;
       if (word.kind === 'kept') this.#say(waiter.tell, word);
-      else this.serve(waiter.call, waiter.tell);
+      else waiter.leave = this.#serve(waiter.call, waiter.tell, waiter.until);
     }
   }
 
