A connection is closed only when all that was read on it is answered

Causes of a connection that ends without a whole answer, found by reading and shown on sockets: - A stop closed what node's http server takes for idle. (server.close() does the same.) - A stop told 'connection: close' on the first of several pipelined answers; the others, already with their origins, were lost. - Bytes that are no request, or a head that takes too long, behind a request under way: the 400 or 408 was written in the place of that request's answer, and the connection ended. - A configuration that shortens idle_s closed connections sooner than their last answer had told.

ClientConnections keeps the requests of each connection and decides when it may end.

--- a/packages/proxy/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Agent, type IncomingHttpHeaders, request } from 'node:http';
-import { createServer } from 'node:net';
+import { type Socket, connect, createServer } from 'node:net';
 import { test } from 'node:test';
 import {
   type Address,
@@ -14,7 +14,7 @@
   toRelease,
   toServiceName,
 } from '@switchwheel/types';
-import { build, cut, finish } from '@switchwheel/configuration';
+import { type Limits, build, cut, finish } from '@switchwheel/configuration';
 import { type Cabin, Cache, newCabin } from '@switchwheel/proxy-core';
 import {
   DirectLine,
@@ -59,8 +59,54 @@
   return toAddress(`127.0.0.1:${port}`);
 };
 
+/** A client at the level of bytes. */
+class RawClient {
+  readonly socket: Socket;
+  readonly #parts: Buffer[] = [];
+  bytes = 0;
+  readonly closed: Promise<void>;
+
+  constructor(socket: Socket) {
+    this.socket = socket;
+    socket.on('error', () => undefined);
+    socket.on('data', (part: Buffer) => {
+      this.#parts.push(part);
+      this.bytes += part.length;
+    });
+    this.closed = new Promise((done) => {
+      socket.once('close', () => done());
+    });
+  }
+
+  get text(): string {
+    return Buffer.concat(this.#parts).toString('latin1');
+  }
+
+  /** The status codes of the answers received, in their order. */
+  statuses(): readonly string[] {
+    return [...this.text.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map((found) => found[1] ?? '');
+  }
+
+  send(method: string, path: string, id: string, body = ''): void {
+    const length = body === '' ? '' : `content-length: ${body.length}\r\n`;
+    this.socket.write(
+      `${method} ${path} HTTP/1.1\r\nhost: x\r\nswitchwheel-id: ${id}\r\n${length}\r\n${body}`,
+    );
+  }
+
+  async until(holds: () => boolean): Promise<void> {
+    while (!holds()) await pause(2);
+  }
+}
+
+const pause = (ms: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, ms);
+  });
+
 interface Stand {
   readonly door: DirectDoor;
+  readonly limits: Limits;
   readonly legs: { readonly order: LegOrder; readonly ears: LegEars; cut: boolean }[];
   readonly ask: (
     method: string,
@@ -73,12 +119,14 @@
     readonly body: string;
   }>;
   readonly agent: Agent;
+  /** Opens a connection on which a test reads and writes bytes. */
+  readonly dial: () => Promise<RawClient>;
   readonly sent: (many: number) => Promise<void>;
   closing: boolean;
 }
 
-const open = async (): Promise<Stand> => {
-  const bundle = finish(cut(description));
+const open = async (changes: object = {}): Promise<Stand> => {
+  const bundle = finish(cut({ ...description, ...changes }));
   assert.ok(bundle.isOk);
   const { hash, order, pieces } = bundle.value;
   const built = finish(
@@ -172,13 +220,25 @@
       asked.on('error', fail);
       asked.end(body);
     });
+  const dial = (): Promise<RawClient> =>
+    new Promise((done) => {
+      const socket = connect(Number(number), host, () => done(new RawClient(socket)));
+    });
   const sent = (many: number): Promise<void> =>
     legs.length >= many
       ? Promise.resolve()
       : new Promise((done) => {
           waiting.push({ many, done });
         });
-  return Object.assign(stand, { door, legs, ask, agent, sent });
+  return Object.assign(stand, {
+    door,
+    limits: built.value.head.limits,
+    legs,
+    ask,
+    agent,
+    dial,
+    sent,
+  });
 };
 
 const answer = (stand: Stand, at: number, body: string, status = 200): void =>
@@ -262,3 +322,132 @@
   });
   end(stand);
 });
+
+void test('a stop cuts no answer that is still being written to a slow client', async () => {
+  const stand = await open();
+  const client = await stand.dial();
+  client.socket.pause();
+  client.send('POST', '/edit/1', 'a', 'body');
+  await stand.sent(1);
+  const size = 24 * 1024 * 1024;
+  answer(stand, 0, 'x'.repeat(size));
+  await pause(20);
+  stand.door.shut();
+  client.socket.resume();
+  await client.until(() => client.bytes > size || client.socket.destroyed);
+  assert.ok(client.bytes > size, `${client.bytes} bytes of more than ${size} came`);
+  end(stand);
+});
+
+void test('a stop leaves no connection open once its answers are out, and cuts none that is asked again', async () => {
+  const stand = await open();
+  const [resting, busy] = [await stand.dial(), await stand.dial()];
+  resting.send('POST', '/edit/1', 'a', 'body');
+  await stand.sent(1);
+  answer(stand, 0, 'first');
+  await resting.until(() => resting.text.endsWith('first'));
+  busy.send('POST', '/edit/2', 'b', 'body');
+  await stand.sent(2);
+  stand.door.shut();
+  await resting.closed;
+  answer(stand, 1, 'second');
+  await busy.closed;
+  assert.ok(busy.text.endsWith('second'));
+  end(stand);
+});
+
+void test('pipelined requests are answered in their order, each with its own answer', async () => {
+  const stand = await open();
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  client.send('POST', '/edit/2', 'b', 'body');
+  await stand.sent(2);
+  answer(stand, 1, 'second');
+  answer(stand, 0, 'first');
+  await client.until(() => client.text.endsWith('second'));
+  assert.match(client.text, /switchwheel-id: a[^]*first[^]*switchwheel-id: b[^]*second/);
+  end(stand);
+});
+
+void test('a stopping edge answers all pipelined requests that it read before it closes', async () => {
+  const stand = await open();
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  client.send('POST', '/edit/2', 'b', 'body');
+  await stand.sent(2);
+  stand.closing = true;
+  stand.door.shut();
+  answer(stand, 0, 'first');
+  await client.until(() => client.text.includes('first') || client.socket.destroyed);
+  await pause(20);
+  answer(stand, 1, 'second');
+  await client.closed;
+  assert.deepEqual(client.statuses(), ['200', '200']);
+  assert.ok(client.text.endsWith('second'));
+  assert.equal(client.text.match(/connection: close/g)?.length, 1, 'only the last one closes');
+  end(stand);
+});
+
+void test('a request that comes after the last answer was decided is not begun', async () => {
+  const stand = await open();
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  client.send('POST', '/edit/2', 'b', 'body');
+  await stand.sent(2);
+  stand.closing = true;
+  answer(stand, 1, 'second');
+  client.send('POST', '/edit/3', 'c', 'body');
+  await pause(20);
+  assert.equal(stand.legs.length, 2, 'the third one can have no answer any more');
+  answer(stand, 0, 'first');
+  await client.closed;
+  assert.deepEqual(client.statuses(), ['200', '200']);
+  end(stand);
+});
+
+void test('bytes that are no request, behind one under way, do not take the place of its answer', async () => {
+  const stand = await open();
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  await stand.sent(1);
+  client.socket.write('this is no request\r\n\r\n');
+  await pause(20);
+  assert.equal(client.text, '', 'the first request is not answered yet');
+  answer(stand, 0, 'first');
+  await client.closed;
+  assert.deepEqual(client.statuses(), ['200', '400']);
+  assert.match(client.text, /switchwheel-id: a[^]*firstHTTP/);
+  end(stand);
+});
+
+void test('a head that takes too long, behind a request under way, ends nothing of it', async () => {
+  const stand = await open({ limits: { bodyBytes: 100, headerMs: 100 } });
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  await stand.sent(1);
+  client.socket.write('POST /edit/2 HTTP/1.1\r\nhost');
+  await pause(1500);
+  assert.equal(client.text, '', 'the first request is not answered yet');
+  answer(stand, 0, 'first');
+  await client.closed;
+  assert.deepEqual(client.statuses(), ['200', '408']);
+  end(stand);
+});
+
+void test('a connection lives as long as its last answer said, also when a new configuration shortens that', async () => {
+  const stand = await open({ limits: { bodyBytes: 100, idleMs: 2000 } });
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  await stand.sent(1);
+  stand.door.hold({ ...stand.limits, idleMs: 300 });
+  answer(stand, 0, 'first');
+  await client.until(() => client.text.endsWith('first'));
+  assert.match(client.text, /timeout=2/);
+  await pause(1700);
+  client.send('POST', '/edit/2', 'b', 'body');
+  await Promise.race([stand.sent(2), client.closed]);
+  assert.equal(stand.legs.length, 2);
+  answer(stand, 1, 'second');
+  await client.until(() => client.text.endsWith('second'));
+  end(stand);
+});
--- a/packages/proxy/src/direct/door.ts
+++ b/packages/proxy/src/direct/door.ts
@@ -1,4 +1,5 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import rangeParser from 'range-parser';
 import { type Address, type Kind, responseFor as tellingOf } from '@switchwheel/types';
 import { type Fields, splitAddress } from '@switchwheel/transport';
@@ -6,6 +7,7 @@
 import { type Entry, fieldOf, handOn } from '@switchwheel/proxy-core';
 import type { Limits } from '@switchwheel/configuration';
 import { readBody } from '@switchwheel/runtime';
+import { ClientConnections } from './connections.js';
 
 const fieldsOf = (asked: IncomingMessage): Fields => {
   const out: Fields = [];
@@ -18,6 +20,17 @@
 const kindOf = (fault: Kind): number => tellingOf(fault).status;
 const empty = Buffer.alloc(0);
 
+/** What a client is told whose message could not be read, by the HTTP parser's code. */
+const refusalOf = (code: string | undefined): string => {
+  const status =
+    code === 'HPE_HEADER_OVERFLOW'
+      ? '431 Request Header Fields Too Large'
+      : code === 'ERR_HTTP_REQUEST_TIMEOUT'
+        ? '408 Request Timeout'
+        : '400 Bad Request';
+  return `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+};
+
 /** How the door is held. */
 export interface DoorState {
   /** Callers are told to come back on another connection. */
@@ -30,6 +43,7 @@
   readonly #words: Words;
   readonly #state: DoorState;
   readonly #server: Server;
+  readonly #connections = new ClientConnections();
   #bodyBytes = 1024 * 1024;
   /** Requests that were read and are not answered yet. */
   open = 0;
@@ -52,16 +66,10 @@
         void this.#take(asked, answer);
       },
     );
+    this.#server.on('connection', (socket) => this.#connections.add(socket));
     this.#server.on('clientError', (fault: Error & { code?: string }, socket) => {
-      const status =
-        fault.code === 'HPE_HEADER_OVERFLOW'
-          ? '431 Request Header Fields Too Large'
-          : fault.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-            ? '408 Request Timeout'
-            : '400 Bad Request';
-      if (socket.writable && fault.code !== 'ECONNRESET')
-        socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
-      else socket.destroy();
+      if (fault.code === 'ECONNRESET') socket.destroy();
+      else this.#connections.refuse(socket, refusalOf(fault.code));
     });
   }
 
@@ -82,17 +90,22 @@
     this.#server.headersTimeout = limits.headerMs;
   }
 
-  /** Takes no new connections. */
+  /**
+   * Takes no new connections, and closes the others as soon as what was read on them is answered. The HTTP server's own
+   * `close` would cut answers that are decided but not yet written out to a slow client.
+   */
   shut(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    NetServer.prototype.close.call(this.#server);
+    this.#connections.close();
   }
 
+  /** Cuts all connections. */
   hang(): void {
     this.#server.closeAllConnections();
   }
 
   async #take(asked: IncomingMessage, answer: ServerResponse): Promise<void> {
+    if (!this.#connections.begin(asked, answer, this.#server.keepAliveTimeout)) return;
     this.open += 1;
     answer.once('close', () => {
       this.open -= 1;
@@ -128,8 +141,7 @@
   ): Promise<Buffer | undefined> {
     const read = await readBody(asked, this.#bodyBytes);
     if (read.isOk) return read.value;
-    answer.setHeader('connection', 'close');
-    this.#fault(answer, id, read.error.kind, read.error.text, 0);
+    this.#fault(answer, id, read.error.kind, read.error.text, 0, true);
     return undefined;
   }
 
@@ -148,7 +160,14 @@
     }
   }
 
-  #fault(answer: ServerResponse, id: string, kind: Kind, text: string, retryMs: number): void {
+  #fault(
+    answer: ServerResponse,
+    id: string,
+    kind: Kind,
+    text: string,
+    retryMs: number,
+    last = false,
+  ): void {
     const body = Buffer.from(JSON.stringify({ kind, text }));
     const head: string[] = [
       'content-type',
@@ -162,7 +181,7 @@
     const status = kindOf(kind);
     if (status === 503 || retryMs > 0)
       head.push('retry-after', String(Math.max(0.001, Math.round(retryMs) / 1000)));
-    this.#write(answer, status, head, body);
+    this.#write(answer, status, head, body, last);
   }
 
   #kept(answer: ServerResponse, call: Call, entry: Entry): void {
@@ -230,11 +249,20 @@
           : String(body.length);
       head.push('content-length', length);
     }
-    this.#write(answer, status, head, body);
+    this.#write(answer, status, head, body, false);
   }
 
-  #write(answer: ServerResponse, status: number, head: string[], body: Buffer): void {
-    if (this.#state.closing()) head.push('connection', 'close');
+  #write(
+    answer: ServerResponse,
+    status: number,
+    head: string[],
+    body: Buffer,
+    last: boolean,
+  ): void {
+    if (last || (this.#state.closing() && this.#connections.mayEnd(answer.req))) {
+      head.push('connection', 'close');
+      this.#connections.ends(answer.req);
+    }
     answer.writeHead(status, head);
     answer.end(body.length > 0 ? body : undefined);
   }
