A release order that comes again after others is acknowledged, not begun again

Cause: the record of a service held only its last order. An order that was sent again because its answer was lost was answered by what stands by then: 409 while another order was under way, and a second beginning after another one was good, or after its own term once it was judged bad.

Now: the record keeps the orders before it (16 at most, 60 s each) by target and span. One of them that comes again is acknowledged under its own order number; a judged order is the same one for 60 s from its acceptance, not only until its term. Another span is another order. The record lies in the replicated table, so this holds through takeovers and full losses; a time that a new primary does not know of only lengthens the span.

Ruled out: telling repeats apart by call id (the platform's callers send none).

--- a/packages/configuration/src/release/order.ts
+++ b/packages/configuration/src/release/order.ts
@@ -1,9 +1,22 @@
 import * as v from 'valibot';
 import * as g from '@switchwheel/types';
 import { type ReleaseState, releasePhase } from '@switchwheel/transport';
+import { releaseSettings } from './settings.js';
 
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 
+/** An order that was accepted before the one that stands. */
+const earlierOrder = v.object({
+  target: g.release,
+  spanMs: v.number(),
+  order: g.seq,
+  /** How long ago it was accepted when the order that stands was opened. */
+  ageMs: v.number(),
+});
+type EarlierOrder = v.InferOutput<typeof earlierOrder>;
+/** How many earlier orders are kept of a service. */
+const keptEarlier = 16;
+
 /** What is stored of a service's releases: the settled one, and the last order to move to another. */
 export const releaseOrder = v.object({
   service: g.serviceName,
@@ -27,6 +40,8 @@
   spent: count,
   /** Why it was judged as it was. */
   text: v.string(),
+  /** Orders before this one that may be sent again by callers that did not hear the answer. */
+  earlier: v.optional(v.array(earlierOrder), []),
 });
 export type ReleaseOrder = v.InferOutput<typeof releaseOrder>;
 
@@ -52,6 +67,7 @@
   total: 0,
   spent: 0,
   text: '',
+  earlier: [],
 });
 
 /** Whether an order is neither judged good nor bad yet. */
@@ -78,24 +94,52 @@
 /** What an order to move comes to. */
 export type Ordered =
   | { readonly kind: 'opened'; readonly order: ReleaseOrder }
-  | { readonly kind: 'stands' }
+  | { readonly kind: 'stands'; readonly order: g.Seq }
   | { readonly kind: 'busy'; readonly target: g.Release | undefined };
 
 const firstShare = 0.02;
 
-/** Opens an order; the same one repeated changes nothing, another one waits while one is under way. */
+/** Whether the order that stands is the one that is asked for, and is not asked for anew. */
+const isCurrent = (
+  known: ReleaseOrder,
+  target: g.Release,
+  spentMs: number,
+  repeatMs: number,
+): boolean =>
+  known.target === target &&
+  (underWay(known) || known.phase === 'good' || spentMs < Math.max(known.spanMs, repeatMs));
+
+/** The earlier orders that may still be sent again, this one among them, as another one is opened. */
+const earlierOrders = (
+  known: ReleaseOrder,
+  spentMs: number,
+  repeatMs: number,
+): readonly EarlierOrder[] => {
+  const { target, spanMs, order: number } = known;
+  const last = target === undefined ? [] : [{ target, spanMs, order: number, ageMs: 0 }];
+  return [...known.earlier, ...last]
+    .map((one) => ({ ...one, ageMs: one.ageMs + spentMs }))
+    .filter((one) => one.ageMs < repeatMs)
+    .slice(-keptEarlier);
+};
+
+/**
+ * Opens an order. One that was accepted before is acknowledged and not begun again, also when
+ * another one was accepted since; a new one waits while one is under way.
+ */
 export const order = (
   known: ReleaseOrder,
   settled: g.Release | undefined,
   target: g.Release,
   spanMs: number,
   spentMs: number,
+  repeatMs: number = releaseSettings.repeatMs,
 ): Ordered => {
-  if (
-    known.target === target &&
-    (underWay(known) || known.phase === 'good' || spentMs < known.spanMs)
-  )
-    return { kind: 'stands' };
+  if (isCurrent(known, target, spentMs, repeatMs)) return { kind: 'stands', order: known.order };
+  const repeated = known.earlier.find(
+    (one) => one.target === target && one.spanMs === spanMs && one.ageMs + spentMs < repeatMs,
+  );
+  if (repeated !== undefined) return { kind: 'stands', order: repeated.order };
   if (underWay(known)) return { kind: 'busy', target: known.target };
   return {
     kind: 'opened',
@@ -108,6 +152,7 @@
       spanMs,
       order: g.nextSeq(known.order),
       serial: g.nextSeq(known.serial),
+      earlier: [...earlierOrders(known, spentMs, repeatMs)],
     },
   };
 };
--- a/packages/configuration/src/release/settings.ts
+++ b/packages/configuration/src/release/settings.ts
@@ -23,6 +23,8 @@
   readonly badShare: number;
   readonly slowLeast: number;
   readonly slowRatio: number;
+  /** For how long an accepted order that comes again is taken as the same one, sent again. */
+  readonly repeatMs: number;
 }
 
 export const releaseSettings: ReleaseSettings = {
@@ -42,4 +44,5 @@
   badShare: 0.15,
   slowLeast: 6,
   slowRatio: 2.5,
+  repeatMs: 60_000,
 };
--- a/packages/replicated-store/src/command/order.ts
+++ b/packages/replicated-store/src/command/order.ts
@@ -5,6 +5,7 @@
   type ReleaseOrder,
   keyOf,
   order,
+  releaseSettings,
   settledOn,
   write,
 } from '@switchwheel/configuration';
@@ -46,6 +47,7 @@
     target,
     spanMs,
     spentOf(state, known, now),
+    (state.settings.releases ?? releaseSettings).repeatMs,
   );
   const accepted = { kind: 'accepted', service, target };
   switch (ordered.kind) {
@@ -59,7 +61,7 @@
         puts: [],
       };
     case 'stands':
-      return { status: 200, body: { ...accepted, order: known.order }, puts: [] };
+      return { status: 200, body: { ...accepted, order: ordered.order }, puts: [] };
     case 'opened':
       return {
         status: 200,
