Every number of a configuration has one content for ever

Cause: any number not above the newest was answered 200, whatever its content; so two operators who raced under one number were both confirmed.

Now: the replicated table keeps the content hash of the newest 1,024 numbers (number/<n>). Other content under a taken number is refused with both hashes named, told only once the write that took the number lasts; the same content again is acknowledged again. A number below the newest that nobody took alters nothing, is acknowledged, and has its content from then on. A number older than all that are kept is acknowledged as before.

decide.ts gave its share to apply.ts (one step a function) and decision.ts.

--- a/packages/configuration/src/control/control.ts
+++ b/packages/configuration/src/control/control.ts
@@ -60,6 +60,8 @@
 /** One node in a roll-out. */
 export type Target = v.InferOutput<typeof target>;
 
+const numberRecord = v.object({ hash: g.hash });
+
 const outcome = v.object({ status: v.number(), body: v.string(), seq: g.seq });
 /** The answer an operator's call got, kept so that asking twice is safe. */
 export type Outcome = v.InferOutput<typeof outcome>;
@@ -77,6 +79,8 @@
   /** The origins that stood when they were last looked at. */
   readonly origins: ReadonlyMap<g.InstanceId, Origin>;
   readonly calls: ReadonlyMap<g.CallId, Outcome>;
+  /** The content that each of the newest numbers has for ever: two contents never share one. */
+  readonly numbers: ReadonlyMap<g.Generation, g.Hash>;
   readonly pieces: ReadonlyMap<g.Hash, string>;
 }
 
@@ -90,6 +94,7 @@
   releases: new Map(),
   origins: new Map(),
   calls: new Map(),
+  numbers: new Map(),
   pieces: new Map(),
 };
 
@@ -97,6 +102,8 @@
 export const keptPurges = 256;
 /** How many answers to operators are kept. */
 export const keptCalls = 512;
+/** Of how many numbers of configurations the content is kept. */
+export const keptNumbers = 1024;
 
 const pad = (raw: number): string => String(raw).padStart(16, '0');
 export const keyOf = {
@@ -109,6 +116,7 @@
   release: (service: g.ServiceName): string => `release/${service}`,
   origin: (instance: g.InstanceId): string => `origin/${instance}`,
   call: (id: g.CallId): string => `call/${id}`,
+  number: (number: g.Generation): string => `number/${pad(number)}`,
   piece: (hash: g.Hash): string => `piece/${hash}`,
 } as const;
 
@@ -170,6 +178,16 @@
       return g.isCallId(name)
         ? { ...control, calls: setOrDrop(control.calls, name, data, outcome) }
         : control;
+    case 'number': {
+      const number = g.toGeneration(Number(name));
+      return {
+        ...control,
+        numbers:
+          data === null
+            ? g.drop(control.numbers, number)
+            : g.put(control.numbers, number, parse(numberRecord, data).hash),
+      };
+    }
     case 'piece':
       if (!g.isHash(name)) return control;
       return {
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -1,10 +1,9 @@
-import { type Seq, alike, nextGeneration, nextSeq, noGeneration } from '@switchwheel/types';
-import type { Electorate, Purge, Put } from '@switchwheel/transport';
+import { type Seq, alike, nextSeq } from '@switchwheel/types';
+import type { Purge, Put } from '@switchwheel/transport';
 import {
   type Control,
   type NodeRow,
   erase,
-  keptCalls,
   keptPurges,
   keyOf,
   plan,
@@ -15,116 +14,11 @@
   head as headSchema,
 } from '@switchwheel/configuration';
 import * as v from 'valibot';
+import { decideApply } from './apply.js';
+import { type Decision, callResult, earlierResult, noChange, rememberResult } from './decision.js';
 import { decideOrder, decideRelease } from './order.js';
 import { originPuts } from '../origins/origins.js';
-import type { CallResult, Command, Store } from '../state/state.js';
-
-/** What a command comes to: changes of the table, and what to tell whom once they last. */
-export interface Decision {
-  readonly puts: readonly Put[];
-  readonly results: readonly CallResult[];
-  /** Told at once: nothing is written for them. */
-  readonly immediateReplies: readonly CallResult[];
-  readonly electorate?: Electorate;
-}
-const noChange: Decision = { puts: [], results: [], immediateReplies: [] };
-
-const callResult = (
-  command: Extract<Command, { asker: unknown }>,
-  status: number,
-  body: object,
-): CallResult => ({
-  ...command.asker,
-  status,
-  body: JSON.stringify({ ...body, id: command.asker.id }),
-});
-
-/** Keeps the answer with the write it belongs to, and lets the oldest go. */
-const rememberResult = (control: Control, result: CallResult, seq: Seq): readonly Put[] => {
-  const old =
-    control.calls.size < keptCalls
-      ? []
-      : [...control.calls]
-          .sort(([, one], [, two]) => one.seq - two.seq)
-          .slice(0, control.calls.size - keptCalls + 1);
-  return [
-    write(keyOf.call(result.id), { status: result.status, body: result.body, seq }),
-    ...old.map(([id]) => erase(keyOf.call(id))),
-  ];
-};
-
-const earlierResult = (
-  control: Control,
-  command: Extract<Command, { asker: unknown }>,
-): Decision | undefined => {
-  const before = control.calls.get(command.asker.id);
-  return before === undefined
-    ? undefined
-    : {
-        ...noChange,
-        immediateReplies: [{ ...command.asker, status: before.status, body: before.body }],
-      };
-};
-
-const decideApply = (
-  state: Store,
-  control: Control,
-  command: Extract<Command, { kind: 'apply' }>,
-  seq: Seq,
-): Decision => {
-  const again = earlierResult(control, command);
-  if (again !== undefined) return again;
-  const current = control.stored?.offer;
-  const now = current?.generation ?? noGeneration;
-  if (command.base !== undefined && command.base !== now) {
-    return {
-      ...noChange,
-      immediateReplies: [
-        callResult(command, 409, {
-          kind: 'stale',
-          text: `the base is generation ${command.base}, in force is ${now}`,
-          generation: now,
-        }),
-      ],
-    };
-  }
-  if (command.faults.length > 0)
-    return {
-      ...noChange,
-      immediateReplies: [
-        callResult(command, 422, {
-          kind: 'invalid',
-          text: 'the description is refused whole',
-          faults: command.faults,
-        }),
-      ],
-    };
-  // Where the operator numbers the descriptions the highest holds, whatever order they come in.
-  // It is told once this write lasts, and with it the higher one that may be in the same batch.
-  if (command.number !== undefined && command.number <= now)
-    return { ...noChange, results: [callResult(command, 200, { kind: 'held', generation: now })] };
-  const generation = command.number ?? nextGeneration(now);
-  const offer = { generation, hash: command.hash, pieces: [...command.order] };
-  const result = callResult(command, 200, { kind: 'accepted', generation, hash: command.hash });
-  const keep = new Set([...command.order, ...(current?.pieces ?? [])]);
-  const puts: Put[] = [];
-  for (const hash of command.order) {
-    const data = state.receivedPieces.get(hash);
-    if (!control.pieces.has(hash) && data !== undefined)
-      puts.push({ key: keyOf.piece(hash), data });
-  }
-  for (const hash of control.pieces.keys())
-    if (!keep.has(hash)) puts.push(erase(keyOf.piece(hash)));
-  for (const [key, target] of control.targets)
-    if (target.generation + 8 < generation) puts.push(erase(key));
-  for (const one of control.rollouts.keys())
-    if (one + 8 < generation) puts.push(erase(keyOf.rollout(one)));
-  puts.push(
-    write(keyOf.stored, { offer, call: command.asker.id }),
-    ...rememberResult(control, result, seq),
-  );
-  return { ...noChange, puts, results: [result] };
-};
+import type { Command, Store } from '../state/state.js';
 
 const decidePurge = (
   control: Control,
--- a/packages/replicated-store/src/primary-write/primary-write.ts
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -243,7 +243,7 @@
     primaryWrite.metadata.stores.map((one) => one.node),
   );
 
-const keysWithoutNodeChange = ['purge/', 'call/', 'verdict/', 'release/', 'origin/'];
+const keysWithoutNodeChange = ['purge/', 'call/', 'number/', 'verdict/', 'release/', 'origin/'];
 
 /** Whether a write may change what nodes are to run, or is the first of its epoch. */
 const changesNodes = (state: Store, primaryWrite: PrimaryWrite): boolean =>
