A vote bears its voter's life; contact is two-way, hints are proved

Causes, by reading: a voter that restarted renewed any lease at once, and believed the second renewal of an epoch, also one message delivered twice; what a peer remembered counted though it spoke before its own later vote. Contact with the majority was hearing alone, so a registry whose words reached nobody counted as in touch. Hints took the highest epoch that any one disk told of: a registry cut off with the former primary's store handed its old description to edges with an empty memory (their 404s, by the same path after a full loss from stores that were out of sync).

Ruled out: abstention as long as the voter recovers (a cluster whose voters all restarted would wait for itself); relaying hints by gossip (their age is lost on the way).

Now: a voter abstains from renewals too for leaseSpan; votes bear the life of the voter, and only a renewal that echoes it proves a win; memories count if the peer echoes a gossip of this life that was sent after the abstention. Gossip echoes what the sender has heard, so contact is two-way, and a late gossip is dropped. Hints are given only with a majority in touch and a fresh word of every member of the newest in-sync set; of what they hold, the lowest: it is on all their disks. A call that waits where contact is lost, or where only peers hear the primary, is answered within a second: 503 if it certainly did not run, else 504; new calls are refused at once.

Before: with the echo check out of the built voter its test fails, with the abstention out two of them, with the time of the memory out one.

--- a/packages/election/src/candidate/candidate.ts
+++ b/packages/election/src/candidate/candidate.ts
@@ -3,6 +3,7 @@
   type Duty,
   type Epoch,
   type FleetId,
+  type Incarnation,
   type Moment,
   type NodeId,
   type Step,
@@ -29,9 +30,16 @@
 export const leaseMargin = 50;
 const roundTimeout = 300;
 
+/** The newest vote of a voter in an epoch: when it was asked for, and which life of the voter gave it. */
+interface CountedVote {
+  readonly at: Moment;
+  readonly recovering: boolean;
+  readonly life: Incarnation;
+}
+
 interface VoteCount {
   readonly epoch: Epoch;
-  readonly votes: ReadonlyMap<NodeId, { readonly at: Moment; readonly recovering: boolean }>;
+  readonly votes: ReadonlyMap<NodeId, CountedVote>;
 }
 
 /** Where a node stands towards one duty. */
@@ -98,6 +106,10 @@
 export const observeEpoch = (stand: Candidate, epoch: Epoch): Candidate =>
   epoch > stand.highest ? { ...stand, highest: epoch } : stand;
 
+/** Which life of a voter gave the newest vote that this holder has of it. */
+const lifeOf = (stand: Candidate, voter: NodeId): Incarnation | undefined =>
+  stand.phase.phase === 'holdingLease' ? stand.phase.votes.get(voter)?.life : undefined;
+
 const voteRequests = (
   stand: Candidate,
   poll: ElectionContext,
@@ -107,8 +119,9 @@
   stepDown = false,
   preVote = false,
 ): readonly WireEffect[] =>
-  poll.electorate.members.map((one) =>
-    send(one.address, {
+  poll.electorate.members.map((one) => {
+    const voterLife = renew ? lifeOf(stand, one.node) : undefined;
+    return send(one.address, {
       kind: 'vote-request',
       fleet: poll.fleet,
       electorate: poll.electorate,
@@ -122,8 +135,9 @@
       inSyncSet: [...stand.inSyncSet],
       stepDown,
       ...(poll.held === undefined ? {} : { held: { ...poll.held, epoch } }),
-    }),
-  );
+      ...(voterLife === undefined ? {} : { voterLife }),
+    });
+  });
 
 /** Opens a round of ballots for a new epoch; a holder may do so to change the in-sync set. */
 export const requestVotes = (
@@ -205,7 +219,11 @@
       : known;
   const before = own.votes.get(word.voter);
   if (before !== undefined && before.at >= word.at) return known;
-  const votes = put(own.votes, word.voter, { at: word.at, recovering: word.recovering });
+  const votes = put(own.votes, word.voter, {
+    at: word.at,
+    recovering: word.recovering,
+    life: word.life,
+  });
   if (own.phase === 'preVote') return { ...known, phase: { ...own, votes } };
   if (own.phase === 'requestingVotes') {
     const until = leaseEnd(poll, { epoch: own.epoch, votes }, known.lease);
--- /dev/null
+++ b/packages/election/src/voter/voter.test.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  type Moment,
+  noSeq,
+  primary,
+  toAddress,
+  toEpoch,
+  toFleetId,
+  toIncarnation,
+  toMoment,
+  toNodeId,
+  toSpan,
+} from '@switchwheel/types';
+import type { FrameOf } from '@switchwheel/transport';
+import { type Voter, leaseSpan, newVoter, recoverGrants, vote } from './voter.js';
+
+const voterNames = ['voter-1', 'voter-2', 'voter-3'].map((one) => toNodeId(one));
+const [me, second, third] = voterNames;
+const oldHolder = toNodeId('store-1');
+const newHolder = toNodeId('store-2');
+const born = toMoment(50_000);
+const life = toIncarnation(7);
+
+const request = (change: Partial<FrameOf<'vote-request'>>): FrameOf<'vote-request'> => ({
+  kind: 'vote-request',
+  fleet: toFleetId('f1'),
+  electorate: {
+    serial: noSeq,
+    members: voterNames.map((node, at) => ({ node, address: toAddress(`10.0.0.${at + 1}:1`) })),
+  },
+  duty: primary,
+  epoch: toEpoch(5),
+  node: oldHolder,
+  at: toMoment(1),
+  lease: toSpan(leaseSpan),
+  preVote: false,
+  renew: false,
+  inSyncSet: [oldHolder, newHolder],
+  stepDown: false,
+  ...change,
+});
+
+const restarted = (): Voter => {
+  assert.ok(me !== undefined);
+  return newVoter(me, born, life);
+};
+const after = (span: number): Moment => toMoment(born + span);
+
+void test('a voter that restarted abstains from everything for a lease, renewals too', () => {
+  const early = after(leaseSpan - 1);
+  for (const change of [{}, { preVote: true }, { renew: true }, { renew: true, voterLife: life }]) {
+    const [next, told] = vote(restarted(), request(change), early);
+    assert.equal(told.granted, false, JSON.stringify(change));
+    assert.equal(next.grants.size, 0);
+    assert.equal(vote(restarted(), request(change), after(leaseSpan))[1].granted, true);
+  }
+});
+
+void test('its earlier vote for a new holder and a renewal of the old one never count at once', () => {
+  // Before its restart it voted for the new holder, who asked 1 ms before that and wins within 950 ms.
+  const wonUntil = after(-1 + leaseSpan - 50);
+  for (let at = 0; at < leaseSpan; at += 10) {
+    const [, told] = vote(restarted(), request({ renew: true }), after(at));
+    assert.ok(!told.granted || after(at) >= wonUntil, `granted after ${at} ms`);
+  }
+});
+
+void test('a renewal proves a win only if it echoes this life of the voter; one delivered twice does not', () => {
+  const renewal = request({ renew: true });
+  let voter = restarted();
+  for (let turn = 0; turn < 3; turn += 1) {
+    voter = vote(voter, renewal, after(leaseSpan + 10 * turn))[0];
+    assert.equal(voter.recovering, true, `delivery ${turn + 1}`);
+  }
+  const earlierLife = request({ renew: true, voterLife: toIncarnation(6) });
+  voter = vote(voter, earlierLife, after(leaseSpan + 50))[0];
+  assert.equal(voter.recovering, true, 'an echo of an earlier life');
+  const [next, told] = vote(voter, request({ renew: true, voterLife: life }), after(1100));
+  assert.equal(told.life, life);
+  assert.equal(next.recovering, false);
+});
+
+void test('memories count once the peer is known to have spoken after the abstention', () => {
+  assert.ok(second !== undefined && third !== undefined);
+  const [known] = vote(restarted(), request({ renew: true }), after(leaseSpan));
+  const memory = (from: typeof second, at: number, incarnation = life) => ({
+    from,
+    recovering: false,
+    records: [{ duty: primary, epoch: toEpoch(6), node: newHolder, inSyncSet: [newHolder] }],
+    heard: { incarnation, at: after(at) },
+  });
+  const now = after(leaseSpan + 300);
+  const both = (...heard: readonly [number, number]): Voter =>
+    recoverGrants(
+      recoverGrants(known, memory(second, heard[0]), now),
+      memory(third, heard[1]),
+      now,
+    );
+  assert.equal(both(900, 1000).recovering, true, 'one spoke too early');
+  assert.equal(both(1000, 1000).recovering, false);
+  assert.equal(both(900, 900).grants.get(primary)?.epoch, 6, 'the epoch is taken all the same');
+  const other = recoverGrants(known, memory(second, 1000, toIncarnation(6)), now);
+  assert.equal(other.heardFrom.size, 0, 'what was said to an earlier life');
+});
--- a/packages/election/src/voter/voter.ts
+++ b/packages/election/src/voter/voter.ts
@@ -2,6 +2,7 @@
   type Duty,
   type Epoch,
   type FleetId,
+  type Incarnation,
   type Moment,
   type NodeId,
   later,
@@ -28,26 +29,35 @@
 
 export interface Voter {
   readonly me: NodeId;
+  /** This life of the process: votes bear it, and only a renewal that echoes it proves a win. */
+  readonly life: Incarnation;
   readonly born: Moment;
   readonly fleet: FleetId | undefined;
   readonly electorate: Electorate | undefined;
   readonly grants: ReadonlyMap<Duty, Grant>;
   /** While set, this voter restarted and does not yet know what it once granted. */
   readonly recovering: boolean;
-  /** Colleagues that remember and were heard since this voter was born, with their birth. */
-  readonly heardFrom: ReadonlyMap<NodeId, boolean>;
+  /** The peers that told what they remember since this voter's abstention ended. */
+  readonly heardFrom: ReadonlySet<NodeId>;
 }
 
-export const newVoter = (me: NodeId, born: Moment): Voter => ({
+export const newVoter = (me: NodeId, born: Moment, life: Incarnation): Voter => ({
   me,
+  life,
   born,
   fleet: undefined,
   electorate: undefined,
   grants: new Map(),
   recovering: true,
-  heardFrom: new Map(),
+  heardFrom: new Set(),
 });
 
+/**
+ * When a voter's abstention ends: by then every vote that an earlier life of the process gave is
+ * too old to win anything, and every lease that it granted is over.
+ */
+export const abstainsUntil = (state: Voter): Moment => later(state.born, leaseSpan);
+
 export const majority = (size: number): number => Math.floor(size / 2) + 1;
 
 const newestElectorate = (mine: Electorate | undefined, theirs: Electorate): Electorate =>
@@ -71,12 +81,12 @@
     return mine?.epoch === ballot.epoch && mine.node === ballot.node
       ? undefined
       : 'not the grant that stands';
+  if (now < abstainsUntil(state)) return 'too young';
   if (ballot.renew) {
     if (mine === undefined) return undefined;
     if (mine.epoch > ballot.epoch) return 'a higher epoch';
     return mine.epoch === ballot.epoch && mine.node !== ballot.node ? 'another holder' : undefined;
   }
-  if (now < later(state.born, leaseSpan)) return 'too young';
   if (mine === undefined) return undefined;
   if (ballot.epoch <= mine.epoch) return 'not a higher epoch';
   if (mine.lessee !== ballot.node && now < mine.until) return 'the lease stands';
@@ -84,6 +94,23 @@
   return undefined;
 };
 
+/**
+ * Whether a renewal proves that its holder won with a vote of this life of the voter: then nothing
+ * that an earlier life granted can be newer. A renewal that was under way for long, or that is
+ * delivered twice, does not echo this life and proves nothing.
+ */
+const provesWinOf = (
+  state: Voter,
+  mine: Grant | undefined,
+  ballot: FrameOf<'vote-request'>,
+): boolean =>
+  ballot.renew &&
+  !ballot.stepDown &&
+  ballot.duty === primary &&
+  ballot.voterLife === state.life &&
+  mine?.epoch === ballot.epoch &&
+  mine.node === ballot.node;
+
 /** Takes a ballot: the one place where a voter's memory changes by a vote. */
 export const vote = (
   state: Voter,
@@ -98,12 +125,13 @@
     kind: 'vote' as const,
     duty: ballot.duty,
     voter: state.me,
+    life: state.life,
     at: ballot.at,
     preVote: ballot.preVote,
   };
   if (why !== undefined) {
     const told = set.serial > ballot.electorate.serial ? { electorate: set } : {};
-    const left = Math.max(0, (mine?.until ?? now) - now, later(state.born, leaseSpan) - now);
+    const left = Math.max(0, (mine?.until ?? now) - now, abstainsUntil(state) - now);
     return [
       state,
       {
@@ -130,19 +158,13 @@
     until: later(now, span),
     inSyncSet: ballot.inSyncSet,
   };
-  // A holder that says it won an epoch this voter itself granted since birth leaves nothing older to remember.
-  const sure =
-    ballot.renew &&
-    !ballot.stepDown &&
-    ballot.duty === primary &&
-    mine?.epoch === ballot.epoch &&
-    mine.node === ballot.node;
+  const provesWin = provesWinOf(state, mine, ballot);
   const next: Voter = {
     ...state,
     fleet: ballot.fleet,
     electorate: set,
     grants: put(state.grants, ballot.duty, grant),
-    recovering: state.recovering && !sure,
+    recovering: state.recovering && !provesWin,
   };
   return [
     next,
@@ -156,17 +178,23 @@
   ];
 };
 
+/** What a peer remembers, and the newest gossip of this voter's registry that it had by then. */
+export interface PeerMemory {
+  readonly from: NodeId;
+  readonly recovering: boolean;
+  readonly records: readonly GrantRecord[];
+  readonly heard: { readonly incarnation: Incarnation; readonly at: Moment } | undefined;
+}
+
+/** Whether a peer spoke after this voter's abstention ended: only then does it remember all that matters. */
+const spokeInTime = (state: Voter, memory: PeerMemory): boolean =>
+  memory.heard?.incarnation === state.life && memory.heard.at >= abstainsUntil(state);
+
 /** Takes what a peer remembers; enough of them make a recovering voter whole. */
-export const recoverGrants = (
-  state: Voter,
-  from: NodeId,
-  recovering: boolean,
-  memories: readonly GrantRecord[],
-  now: Moment,
-): Voter => {
-  if (!state.recovering || recovering) return state;
+export const recoverGrants = (state: Voter, memory: PeerMemory, now: Moment): Voter => {
+  if (!state.recovering || memory.recovering) return state;
   let grants = state.grants;
-  for (const word of memories) {
+  for (const word of memory.records) {
     const mine = grants.get(word.duty);
     if (mine !== undefined && mine.epoch >= word.epoch) continue;
     const lease =
@@ -180,15 +208,17 @@
       ...lease,
     });
   }
-  const told = put(state.heardFrom, from, true);
+  const heardFrom = spokeInTime(state, memory)
+    ? new Set([...state.heardFrom, memory.from])
+    : state.heardFrom;
   const set = state.electorate;
   const others =
     set === undefined
       ? 0
-      : set.members.filter((one) => one.node !== state.me && told.has(one.node)).length;
+      : set.members.filter((one) => one.node !== state.me && heardFrom.has(one.node)).length;
   const enough =
     set !== undefined && others >= set.members.length - majority(set.members.length) + 1;
-  return { ...state, grants, heardFrom: told, recovering: !enough };
+  return { ...state, grants, heardFrom, recovering: !enough };
 };
 
 /** Takes a newer electorate that the primary published. */
--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -12,11 +12,13 @@
 import { announce } from './departures.js';
 import { type Outside, type RegistryEffect, reply, replyText } from './event.js';
 import type { Pending, Registry } from './state.js';
-import { isAlive, hasMajorityContact, primaryHolder } from './queries.js';
+import { hasMajorityContact, isAlive, onlyPeersHearPrimary, primaryHolder } from './queries.js';
 
 type Done = Step<Registry, RegistryEffect>;
 const resendInterval = 400;
 const maxPendingCalls = 256;
+/** How long a call waits for a primary that others hear and this registry does not, or without a majority. */
+const contactTimeout = 900;
 
 const startBootstrap = (
   state: Registry,
@@ -108,13 +110,25 @@
   ...(one.base === undefined ? {} : { base: one.base }),
 });
 
+/**
+ * Whether this registry is cut off from the primary for as long as a call has to know it: it has
+ * no contact with the majority, or the primary is silent here while peers hear it. While nobody
+ * hears one, a new primary is being elected, and the call waits for it.
+ */
+const isCutOff = (state: Registry, one: Pending, now: Moment): boolean => {
+  if (!hasMajorityContact(state, now)) return true;
+  const primaryHeardAt = Math.max(one.since, state.feed.asOf ?? -Infinity);
+  if (now - primaryHeardAt <= contactTimeout) return false;
+  return !hasMajorityContact(state, now, contactTimeout) || onlyPeersHearPrimary(state);
+};
+
 /** Sends waiting calls on to the primary, and ends those whose time is over. */
 export const tickPendingCalls = (state: Registry, now: Moment): Done => {
   let pending = state.pending;
   const effects: RegistryEffect[] = [];
   const store = primaryHolder(state);
   for (const [id, one] of state.pending) {
-    if (now - one.since > one.span) {
+    if (now - one.since > one.span || isCutOff(state, one, now)) {
       pending = drop(pending, id);
       // A call that never left this registry certainly did not run.
       const unrun = one.sent === undefined || one.verb === 'ask' || one.verb === 'view';
@@ -169,6 +183,16 @@
       state,
       reply(ref, 503, { kind: 'rejected', id, text: 'this registry is stopping', retryAfterMs: 0 }),
     );
+  if (!hasMajorityContact(state, now))
+    return step(
+      state,
+      reply(ref, 503, {
+        kind: 'unready',
+        id,
+        text: 'this registry is not in touch with the majority; call another',
+        retryAfterMs: 0,
+      }),
+    );
   if (state.pending.size >= maxPendingCalls)
     return step(
       state,
--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -10,29 +10,36 @@
   toCallId,
   toMoment,
 } from '@switchwheel/types';
-import { type Peer, type Frame, type FrameOf, log, send } from '@switchwheel/transport';
-import { recoverGrants, adoptElectorate, vote } from '@switchwheel/election';
+import {
+  type Peer,
+  type Frame,
+  type FrameOf,
+  type WireEffect,
+  log,
+  send,
+} from '@switchwheel/transport';
+import { abstainsUntil, recoverGrants, adoptElectorate, vote } from '@switchwheel/election';
 import { learnHolder } from '../session/node-session.js';
 import { forget, learnAll } from '../origins/origins.js';
 import { onDeparture, onDepartureAck, tickDepartures } from './departures.js';
 import { tickPendingCalls, onCalled, onBootstrapped, onOutside, onStoreWant } from './calls.js';
 import type { RegistryEffect, RegistryEvent } from './event.js';
+import { learnHint } from './hints.js';
+import { learnSession, onHeartbeat, onPiece, onWant, pushToNodes, vacantDuties } from './nodes.js';
 import {
-  learnHint,
-  learnSession,
-  onHeartbeat,
-  onPiece,
-  onWant,
-  pushToNodes,
-  vacantDuties,
-} from './nodes.js';
-import { type Feed, type KnownSession, type Registry, newRegistry } from './state.js';
+  type Feed,
+  type KnownSession,
+  type PeerContact,
+  type Registry,
+  newRegistry,
+} from './state.js';
 import {
   isAlive,
   broadcastTargets,
   peerAddresses,
   feedAge,
   gossipFrame,
+  hasMajorityContact,
   emptyReport,
   primaryHolder,
   broadcast,
@@ -75,9 +82,51 @@
   return step(next, answer, ...broadcast(next, now));
 };
 
+/** The gossip of this registry's own life that a peer shows to have. */
+const echoOf = (
+  state: Registry,
+  word: FrameOf<'gossip'>,
+): FrameOf<'gossip'>['heard'][number] | undefined =>
+  word.heard.find(
+    (one) => one.node === state.member.node && one.incarnation === state.member.incarnation,
+  );
+
+/** What a gossip tells of the ways between this registry and the peer; undefined if it is older than what is known. */
+const contactOf = (
+  state: Registry,
+  word: FrameOf<'gossip'>,
+  now: Moment,
+): PeerContact | undefined => {
+  const { incarnation } = word.from;
+  const known = state.peers.get(word.from.node);
+  const sameLife = known?.incarnation === incarnation;
+  if (known !== undefined && incarnation < known.incarnation) return undefined;
+  if (sameLife && word.at <= known.sentAt) return undefined;
+  const echoed = echoOf(state, word)?.at;
+  return {
+    incarnation,
+    sentAt: word.at,
+    echoedAt: echoed ?? (sameLife ? known.echoedAt : undefined),
+    primaryAsOf: word.feedAge === undefined ? undefined : earlier(now, word.feedAge),
+  };
+};
+
+/** A peer that restarted waits for what this registry remembers: it is told at once. */
+const answerRecovering = (
+  state: Registry,
+  word: FrameOf<'gossip'>,
+  now: Moment,
+): readonly WireEffect[] =>
+  word.recovering && !state.voter.recovering
+    ? [send(word.from.address, gossipFrame(state, now))]
+    : [];
+
 const onGossip = (state: Registry, word: FrameOf<'gossip'>, now: Moment): Done => {
   const node = word.from.node;
   if (node === state.member.node) return step(state);
+  const contact = contactOf(state, word, now);
+  // A gossip that was overtaken tells nothing that its sender did not tell since.
+  if (contact === undefined) return step(state);
   const self: KnownSession = {
     member: word.from,
     report: emptyReport(true),
@@ -86,10 +135,9 @@
     at: now,
     open: true,
   };
-  const told = word.hint === undefined ? state : learnHint(state, word.hint);
   let next: Registry = {
-    ...told,
-    peerHeardAt: put(state.peerHeardAt, node, now),
+    ...state,
+    peers: put(state.peers, node, contact),
     sessions: put(state.sessions, node, self),
   };
   let news = state.sessions.get(node)?.member.address !== word.from.address;
@@ -114,10 +162,20 @@
   const origins = learnAll(next.origins, word.origins, now);
   const holders = word.holders.reduce(learnHolder, next.holders);
   news ||= origins.news || holders !== next.holders;
-  const voter = recoverGrants(next.voter, node, word.recovering, word.memories, now);
+  const memory = {
+    from: node,
+    recovering: word.recovering,
+    records: word.memories,
+    heard: echoOf(state, word),
+  };
+  const voter = recoverGrants(next.voter, memory, now);
   next = { ...next, origins: origins.origins, holders, voter: voter };
   // What is news here goes on to the nodes; peers hear it from whom it began with.
-  return step(next, ...(news ? sendMemberList(next, broadcastTargets(next, now), now) : []));
+  return step(
+    next,
+    ...answerRecovering(next, word, now),
+    ...(news ? sendMemberList(next, broadcastTargets(next, now), now) : []),
+  );
 };
 
 const onFeed = (state: Registry, word: FrameOf<'feed'>, now: Moment): Done => {
@@ -229,11 +287,17 @@
   );
 };
 
+/** Whether the voter's abstention has just ended: peers are asked at once for what they remember. */
+const recoversNow = (state: Registry, now: Moment): boolean =>
+  state.voter.recovering &&
+  now >= abstainsUntil(state.voter) &&
+  state.gossipedAt < abstainsUntil(state.voter);
+
 const onTick = (state: Registry, now: Moment): Done => {
   let next: Done = step(state);
   if (now - state.subscribedAt >= subscribeInterval)
     next = join(next.effects, subscribe(next.state, now));
-  if (now - state.gossipedAt >= gossipInterval) {
+  if (now - state.gossipedAt >= gossipInterval || recoversNow(state, now)) {
     const word = gossipFrame(next.state, now);
     next = join(
       next.effects,
@@ -281,11 +345,12 @@
 };
 
 const onHint = (state: Registry, word: FrameOf<'hint'>, now: Moment): Done => {
-  const noted = learnHint(state, word);
+  const noted = learnHint(state, word, now);
   if (
     !state.eager ||
     feedAge(state, now) !== undefined ||
-    (state.fleet !== undefined && state.fleet !== word.fleet)
+    !hasMajorityContact(state, now) ||
+    (state.fleet !== undefined && state.fleet !== word.metadata.fleet)
   )
     return step(noted);
   const learned = learnAll(noted.origins, word.origins, now);
--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -7,6 +7,7 @@
   drop,
   join,
   later,
+  noGeneration,
   put,
   start,
   step,
@@ -23,6 +24,7 @@
 import { learnHolder } from '../session/node-session.js';
 import { isSettled, releasesDigest } from '../releases/digest.js';
 import type { KnownSession, Registry } from './state.js';
+import { provenHint } from './hints.js';
 import { feedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
 
 type Done = Step<Registry, WireEffect>;
@@ -51,24 +53,8 @@
   return { state: { ...state, sessions: put(state.sessions, word.member.node, word) }, news };
 };
 
-/** How long a registry listens for what disks hold before it tells of it. */
-const hintDelay = 250;
-
 const offerFromHint = (state: Registry, known: KnownSession, now: Moment): Offer | undefined =>
-  state.eager && known.report.phase === 'none' && now - state.voter.born > hintDelay
-    ? state.hint?.offer
-    : undefined;
-
-/** Keeps the newest of what disks are known to hold; the origins that a disk tells of are taken for a short time. */
-export const learnHint = (state: Registry, word: FrameOf<'hint'>): Registry => {
-  const known = state.hint;
-  if (state.fleet !== undefined && state.fleet !== word.fleet) return state;
-  const newer =
-    known === undefined ||
-    word.epoch > known.epoch ||
-    (word.epoch === known.epoch && word.offer.generation > known.offer.generation);
-  return newer ? { ...state, hint: word } : state;
-};
+  known.report.phase === 'none' ? provenHint(state, now)?.offer : undefined;
 
 /** What a node is to run, if this registry's word of the primary counts. */
 const desiredOffer = (state: Registry, known: KnownSession, now: Moment): Offer | undefined => {
@@ -175,6 +161,7 @@
     epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
+    newest: state.feed.current?.generation ?? noGeneration,
     purges: state.feed.purges.filter((one) => one.seq > purged),
     floor: state.feed.floor,
     top: state.feed.top,
@@ -285,8 +272,7 @@
       missing.push(hash);
     }
   }
-  const store =
-    feedAge(state, now) === undefined ? (state.hint ?? primaryHolder(state)) : primaryHolder(state);
+  const store = provenHint(state, now) ?? primaryHolder(state);
   if (missing.length > 0 && store !== undefined)
     effects.push(
       send(store.address, { kind: 'piece-request', node: state.member.node, hashes: missing }),
--- a/packages/membership/src/registry/queries.ts
+++ b/packages/membership/src/registry/queries.ts
@@ -60,18 +60,42 @@
   );
 };
 
-/** Whether this registry is in touch with enough of the core for its word to reach every keeper. */
-export const hasMajorityContact = (state: Registry, now: Moment): boolean => {
+/**
+ * Whether this registry and a majority of the electorate hear each other: each of them showed that
+ * it has a gossip of this registry that is younger than the limit. A way that is cut in one
+ * direction is no contact.
+ */
+export const hasMajorityContact = (
+  state: Registry,
+  now: Moment,
+  limit = freshnessLimit,
+): boolean => {
   const set: Electorate | undefined = state.electorate;
   if (set === undefined) return true;
   const near = set.members.filter(
     (one) =>
       one.node === state.member.node ||
-      now - (state.peerHeardAt.get(one.node) ?? -Infinity) < freshnessLimit,
+      now - (state.peers.get(one.node)?.echoedAt ?? -Infinity) < limit,
   );
   return near.length >= majority(set.members.length);
 };
 
+/** By how much a peer's word of the primary must be newer: a dead primary falls silent for all at once. */
+const silenceMargin = 500;
+
+/** Whether a peer hears a primary that this registry does not hear any more. */
+export const onlyPeersHearPrimary = (state: Registry): boolean => {
+  const own = state.feed.asOf ?? -Infinity;
+  return [...state.peers.values()].some(
+    (one) => one.primaryAsOf !== undefined && one.primaryAsOf > own + silenceMargin,
+  );
+};
+
+const feedAgeField = (state: Registry, now: Moment): Pick<FrameOf<'gossip'>, 'feedAge'> => {
+  const age = feedAge(state, now);
+  return age === undefined ? {} : { feedAge: age };
+};
+
 export const gossipFrame = (state: Registry, now: Moment): FrameOf<'gossip'> => ({
   kind: 'gossip',
   from: state.member,
@@ -84,9 +108,12 @@
   holders: [...state.holders.values()],
   memories: [...grantRecords(state.voter)],
   recovering: state.voter.recovering,
-  ...(state.hint === undefined || feedAge(state, now) !== undefined
-    ? {}
-    : { hint: { ...state.hint, origins: [] } }),
+  heard: [...state.peers].map(([node, one]) => ({
+    node,
+    incarnation: one.incarnation,
+    at: one.sentAt,
+  })),
+  ...feedAgeField(state, now),
 });
 
 export const memberListFrame = (state: Registry, now: Moment): FrameOf<'member-list'> => ({
--- a/packages/membership/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -7,6 +7,7 @@
   type FleetId,
   type Generation,
   type Hash,
+  type Incarnation,
   type InstanceId,
   type Moment,
   type NodeId,
@@ -116,20 +117,36 @@
   readonly electorate: Electorate;
 }
 
+/** What this registry knows of its way to and from a peer. */
+export interface PeerContact {
+  readonly incarnation: Incarnation;
+  /** When the newest gossip of the peer was sent, by the peer's clock. */
+  readonly sentAt: Moment;
+  /** When this registry sent the newest gossip that the peer is known to have. */
+  readonly echoedAt: Moment | undefined;
+  /** As of when the peer is known to have heard the primary. */
+  readonly primaryAsOf: Moment | undefined;
+}
+
+/** What a store said of its disk, and when it was heard. */
+export interface StoreHint {
+  readonly word: FrameOf<'hint'>;
+  readonly heardAt: Moment;
+}
+
 export interface Registry {
   readonly member: Member;
   readonly proposal: ClusterProposal | undefined;
   readonly proposedAt: Moment;
   /** Whether a node that runs nothing gets the newest that any disk is known to hold, while no primary is heard of. */
   readonly eager: boolean;
-  readonly hint: FrameOf<'hint'> | undefined;
+  readonly hints: ReadonlyMap<NodeId, StoreHint>;
   readonly seeds: readonly Address[];
   readonly voter: Voter;
   readonly sessions: ReadonlyMap<NodeId, KnownSession>;
   readonly origins: Origins;
   readonly holders: ReadonlyMap<Duty, Holder>;
-  /** When each peer registry was last heard. */
-  readonly peerHeardAt: ReadonlyMap<NodeId, Moment>;
+  readonly peers: ReadonlyMap<NodeId, PeerContact>;
   readonly feed: Feed;
   readonly electorate: Electorate | undefined;
   readonly fleet: FleetId | undefined;
@@ -164,14 +181,14 @@
   proposal,
   proposedAt: start,
   eager,
-  hint: undefined,
+  hints: new Map(),
   member,
   seeds,
-  voter: newVoter(member.node, now),
+  voter: newVoter(member.node, now, member.incarnation),
   sessions: new Map(),
   origins: new Map(),
   holders: new Map(),
-  peerHeardAt: new Map(),
+  peers: new Map(),
   feed: noFeed,
   electorate: undefined,
   fleet: undefined,
--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -22,6 +22,7 @@
 import { nextElectorate } from './leadership/electorate.js';
 import {
   type HeartbeatContent,
+  knownRegistries,
   onRegistryLost,
   tickSession,
   sendHeartbeat,
@@ -325,29 +326,38 @@
   return next;
 };
 
-/** While no primary is heard of, the registry is told what this disk holds: nodes that run nothing need not wait for an election. */
+/**
+ * While no primary is heard of, the registries are told what this disk holds: nodes that run
+ * nothing need not wait for an election. Each registry is told, as each needs the word of every
+ * store in sync; the store's own gets the origins too.
+ */
 const sendHint = (state: Store, now: Moment): readonly StoreEffect[] => {
   const offer = state.control.stored?.offer;
-  const { metadata: metadata, session: berth } = state;
+  const { metadata, session } = state;
   if (
-    offer === undefined ||
     metadata === undefined ||
-    berth.registryLink === undefined ||
+    session.registryLink === undefined ||
     isPrimary(state, now) ||
     now - state.primaryHeardAt < primaryTimeout
   )
     return [];
-  const { node, address } = berth.member;
+  const { node, address, incarnation } = session.member;
+  const own = session.registryLink.address;
+  const hint: FrameOf<'hint'> = {
+    kind: 'hint',
+    node,
+    address,
+    incarnation,
+    at: now,
+    metadata,
+    ...(offer === undefined ? {} : { offer }),
+    origins: [],
+  };
   return [
-    send(berth.registryLink.address, {
-      kind: 'hint',
-      node,
-      address,
-      epoch: metadata.epoch,
-      fleet: metadata.fleet,
-      offer,
-      origins: storedOrigins(state),
-    }),
+    send(own, { ...hint, origins: storedOrigins(state) }),
+    ...knownRegistries(session)
+      .filter((one) => one !== own)
+      .map((one) => send(one, hint)),
   ];
 };
 
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -82,7 +82,7 @@
     name: 'a voter that restarted abstains',
     rule: 'one holder',
     file: voter,
-    from: 'if (now < later(state.born, leaseSpan))',
+    from: 'if (now < abstainsUntil(state))',
     to: 'if (false)',
   },
   {
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -46,9 +46,11 @@
   kind: kind('hint'),
   node: g.nodeId,
   address: g.address,
-  epoch: g.epoch,
-  fleet: g.fleetId,
-  offer,
+  incarnation: g.incarnation,
+  /** When the store said it, by its own clock. */
+  at: g.moment,
+  metadata: clusterMetadata,
+  offer: v.optional(offer),
   origins: v.array(origin),
 });
 
@@ -74,6 +76,8 @@
     age: v.optional(g.span),
     epoch: g.epoch,
     offer: v.optional(offer),
+    /** The generation of the newest description that the primary told this registry of. */
+    newest: g.generation,
     purges: v.array(purge),
     floor: g.seq,
     top: g.seq,
@@ -109,7 +113,10 @@
     memories: v.array(grantRecord),
     recovering: v.boolean(),
     at: g.moment,
-    hint: v.optional(hint),
+    /** The newest gossip that the sender has from each registry, by that registry's own clock. */
+    heard: v.array(v.object({ node: g.nodeId, incarnation: g.incarnation, at: g.moment })),
+    /** How old the sender's word of the primary is; absent when it has none that counts. */
+    feedAge: v.optional(g.span),
   }),
   v.object({
     kind: kind('vote-request'),
@@ -126,12 +133,16 @@
     inSyncSet: v.array(g.nodeId),
     held: v.optional(holder),
     stepDown: v.boolean(),
+    /** The life of the voter that gave the newest vote in this epoch: a renewal that echoes it proves the win. */
+    voterLife: v.optional(g.incarnation),
   }),
   v.object({
     kind: kind('vote'),
     duty: g.duty,
     epoch: g.epoch,
     voter: g.nodeId,
+    /** Which life of the voter's process votes. */
+    life: g.incarnation,
     at: g.moment,
     preVote: v.boolean(),
     granted: v.boolean(),
