Guards: their texts match the built code again, white space left out of account

Twelve of 55 texts did not stand in the built code since the renaming, eight more only with other white space.

--- a/packages/simulator/src/guard/copy.ts
+++ b/packages/simulator/src/guard/copy.ts
@@ -40,10 +40,33 @@
   return { root: place, drop };
 };
 
+/** Where a text stands in another one. */
+interface Place {
+  readonly start: number;
+  readonly end: number;
+}
+
+const isSpace = (sign: string): boolean => /\s/.test(sign);
+
+/** Every place where a text stands, white space left out of account on both sides. */
+const placesOf = (text: string, sought: string): readonly Place[] => {
+  const positions = [...text.matchAll(/\S/gu)].map((one) => one.index);
+  const dense = positions.map((at) => text.charAt(at)).join('');
+  const needle = [...sought].filter((sign) => !isSpace(sign)).join('');
+  const places: Place[] = [];
+  for (let at = dense.indexOf(needle); at >= 0; at = dense.indexOf(needle, at + 1)) {
+    const start = positions[at];
+    const last = positions[at + needle.length - 1];
+    if (start !== undefined && last !== undefined) places.push({ start, end: last + 1 });
+  }
+  return places;
+};
+
 /** Why a guard can't be taken out; nothing if it can. */
 export const faultOf = (root: string, guard: Guard): string | undefined => {
-  const many =
-    readFileSync(join(root, 'packages', guard.file), 'utf8').split(guard.from).length - 1;
+  const path = join(root, 'packages', guard.file);
+  if (!existsSync(path)) return `${guard.file}: not there, for the guard "${guard.name}"`;
+  const many = placesOf(readFileSync(path, 'utf8'), guard.from).length;
   return many === 1
     ? undefined
     : `${guard.file}: the text of the guard "${guard.name}" stands there ${many} times, not once`;
@@ -53,9 +76,8 @@
 export const takeOut = (copy: Copy, guard: Guard): (() => void) => {
   const path = join(copy.root, 'packages', guard.file);
   const text = readFileSync(path, 'utf8');
-  writeFileSync(
-    path,
-    text.replace(guard.from, () => guard.to),
-  );
+  const place = placesOf(text, guard.from)[0];
+  if (place === undefined) throw new Error(`${guard.name}: its text is not there`);
+  writeFileSync(path, text.slice(0, place.start) + guard.to + text.slice(place.end));
   return () => writeFileSync(path, text);
 };
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -1,4 +1,7 @@
-/** One thing that keeps a rule, and how to take it out of built code: the text that stands once in the file, and what stands there without it. */
+/**
+ * One thing that keeps a rule, and how to take it out of built code: the text that stands once in
+ * the file (white space doesn't count), and what stands there without it.
+ */
 export interface Guard {
   readonly name: string;
   readonly rule: string;
@@ -20,13 +23,13 @@
 const cache = 'proxy-core/dist/cache/cache.js';
 const cabin = 'proxy-core/dist/cabin/machine.js';
 const proxy = 'proxy-core/dist/proxy/machine.js';
-const stand = 'election/dist/candidate/candidate.js';
+const candidate = 'election/dist/candidate/candidate.js';
 const voter = 'election/dist/voter/voter.js';
-const job = 'replicated-store/dist/primary-write/primary-write.js';
+const primaryWrite = 'replicated-store/dist/primary-write/primary-write.js';
 const decide = 'replicated-store/dist/command/decide.js';
-const poll = 'replicated-store/dist/leadership/candidacy.js';
+const candidacy = 'replicated-store/dist/leadership/candidacy.js';
 const origins = 'membership/dist/origins/origins.js';
-const announce = 'membership/dist/registry/departures.js';
+const departures = 'membership/dist/registry/departures.js';
 
 export const guards: readonly Guard[] = [
   {
@@ -67,14 +70,14 @@
   {
     name: 'the margin of a lease',
     rule: 'one holder',
-    file: stand,
-    from: 'last + lease - guardSpan',
+    file: candidate,
+    from: 'last + lease - leaseMargin',
     to: 'last + lease + 50',
   },
   {
     name: 'a lease that ran out stays over',
     rule: 'one holder',
-    file: stand,
+    file: candidate,
     from: "if (own.phase === 'holdingLease' && now >= own.until)",
     to: 'if (false)',
   },
@@ -93,10 +96,10 @@
     to: 'if (false)',
   },
   {
-    name: 'blank votes do not count',
+    name: 'recovering votes do not count',
     rule: 'lost write',
-    file: stand,
-    from: 'one !== undefined && (poll.trustBlank || !one.blank)',
+    file: candidate,
+    from: 'one !== undefined && (poll.countRecovering || !one.recovering)',
     to: 'one !== undefined',
   },
   {
@@ -109,43 +112,43 @@
   {
     name: 'only stores in sync stand',
     rule: 'lost write',
-    file: poll,
-    from: 'state.metadata.inSyncSet.includes(me(state)) && state.ousted <= state.metadata.epoch',
-    to: 'true',
+    file: candidacy,
+    from: 'state.metadata.inSyncSet.includes(ownId(state)) && state.excludedAtEpoch <= state.metadata.epoch;',
+    to: 'true;',
   },
   {
     name: 'the backup has it before the answer',
     rule: 'lost write',
-    file: job,
-    from: 'const whole = awaited(state, next).length === 0;\n    if (whole)\n        return join(',
-    to: 'if (true)\n        return join(',
+    file: primaryWrite,
+    from: 'const whole = unconfirmedBackups(state, next).length === 0; if (whole) return join(',
+    to: 'if (true) return join(',
   },
   {
     name: 'every backup in sync has it before the answer',
     rule: 'lost write',
-    file: job,
-    from: 'const whole = awaited(state, next).length === 0;\n    return whole ?',
+    file: primaryWrite,
+    from: 'const whole = unconfirmedBackups(state, next).length === 0; return whole ?',
     to: 'return true ?',
   },
   {
     name: 'the own disk has it before the answer',
     rule: 'lost write',
-    file: job,
-    from: 'return step({ ...next, job, nextId: state.nextId + 1 }, ...told, diskWrite(job.id, job.metadata, stamp, puts));',
-    to: 'return join([...told, diskWrite(job.id, job.metadata, stamp, puts)], finish({ ...next, job, nextId: state.nextId + 1 }, job, now));',
+    file: primaryWrite,
+    from: 'return step({ ...next, primaryWrite, nextId: state.nextId + 1 }, ...told, diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts));',
+    to: 'return join([...told, diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts)], commitWrite({ ...next, primaryWrite, nextId: state.nextId + 1 }, primaryWrite, now));',
   },
   {
     name: 'what lasts is never told as refused',
     rule: 'R2',
-    file: job,
-    from: 'const rejected = job.lasts ? unsure(job.results) : ',
+    file: primaryWrite,
+    from: 'const rejected = primaryWrite.onOwnDisk ? unknownOutcome(primaryWrite.results) : ',
     to: 'const rejected = ',
   },
   {
     name: 'a primary answers only while it holds',
     rule: 'lost write',
-    file: job,
-    from: 'if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.metadata.epoch)\n        return step(state);\n    const next',
+    file: primaryWrite,
+    from: 'if (!holdsLease(state.candidate, now) || heldEpoch(state.candidate) !== primaryWrite.metadata.epoch) return step(state); const next',
     to: 'const next',
   },
   {
@@ -166,7 +169,7 @@
     name: 'a call is answered once',
     rule: 'whole',
     file: decide,
-    from: 'return before === undefined ? undefined : { ...nothing, rejections: [{ ...command.asker, status: before.status, body: before.body }] };',
+    from: 'return before === undefined ? undefined : { ...noChange, immediateReplies: [{ ...command.asker, status: before.status, body: before.body }], };',
     to: 'return undefined;',
   },
   {
@@ -292,8 +295,8 @@
     name: 'an edge does not tell what was long under way',
     rule: 'R7',
     file: edge,
-    from: 'return at - sentAt > sureSpan && (',
-    to: 'return false && (',
+    from: 'return (at - sentAt > sureSpan &&',
+    to: 'return (false &&',
   },
   {
     name: 'an edge that slept does not tell what it had',
@@ -326,14 +329,14 @@
   {
     name: 'a registry out of touch takes no announcements',
     rule: 'R6',
-    file: announce,
-    from: 'if (!inTouch(state, now)) {',
+    file: departures,
+    from: 'if (!hasMajorityContact(state, now)) {',
     to: 'if (false) {',
   },
   {
     name: 'a departure is told once a majority has it',
     rule: 'R6',
-    file: announce,
+    file: departures,
     from: 'return knowing.length >= majority(set.members.length);',
     to: 'return true;',
   },
@@ -411,7 +414,7 @@
     name: 'a keeper hands over as it stops',
     rule: 'R11',
     file: 'proxy-core/dist/cabin/duties.js',
-    from: 'if (!holds(stand, now))\n            continue;\n        const heir',
+    from: 'if (!holdsLease(stand, now)) continue; const heir',
     to: 'if (true)\n            continue;\n        const heir',
   },
 ];
