--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -30,6 +30,7 @@
 import { nextElectorate, notePolledElectorate } from './leadership/electorate.js';
 import {
   type HeartbeatContent,
+  knownRegistries,
   onRegistryLost,
   tickSession,
   sendHeartbeat,
@@ -345,29 +346,38 @@
   return next;
 };
 
-/** While no primary is heard of, the registry is told what this disk holds: nodes that run nothing need not wait for an election. */
+/**
+ * While no primary is heard of, the registries are told what this disk holds: nodes that run
+ * nothing need not wait for an election. Each registry is told, as each needs the word of every
+ * store in sync; the store's own gets the origins too.
+ */
 const sendHint = (state: Store, now: Moment): readonly StoreEffect[] => {
   const offer = state.control.stored?.offer;
-  const { metadata: metadata, session: berth } = state;
+  const { metadata, session } = state;
   if (
-    offer === undefined ||
     metadata === undefined ||
-    berth.registryLink === undefined ||
+    session.registryLink === undefined ||
     isPrimary(state, now) ||
     now - state.primaryHeardAt < primaryTimeout
   )
     return [];
-  const { node, address } = berth.member;
+  const { node, address, incarnation } = session.member;
+  const own = session.registryLink.address;
+  const hint: FrameOf<'hint'> = {
+    kind: 'hint',
+    node,
+    address,
+    incarnation,
+    at: now,
+    metadata,
+    ...(offer === undefined ? {} : { offer }),
+    origins: [],
+  };
   return [
-    send(berth.registryLink.address, {
-      kind: 'hint',
-      node,
-      address,
-      epoch: metadata.epoch,
-      fleet: metadata.fleet,
-      offer,
-      origins: storedOrigins(state),
-    }),
+    send(own, { ...hint, origins: storedOrigins(state) }),
+    ...knownRegistries(session)
+      .filter((one) => one !== own)
+      .map((one) => send(one, hint)),
   ];
 };
 
@@ -440,8 +450,9 @@
 const onStop = (state: Store, now: Moment, graceMs: number): Done => {
   if (state.leaving !== undefined) return step(state);
   const leaving = { since: now, deadline: later(now, graceMs) };
-  const told = sendStatus({ ...state, leaving, statusSentAt: start }, now);
-  return join(told.effects, tickLeaving(told.state, now));
+  const begun = tickLeaving({ ...state, leaving, statusSentAt: start }, now);
+  // A handover has told the peers already; two words at once might overtake each other.
+  return join(begun.effects, sendStatus(begun.state, now));
 };
 
 const onFrame = (state: Store, from: Peer, frame: Frame, now: Moment): Done => {
