A description of any size is stored, copied and read back in bounded frames

Cause: the view of a description put all of its pieces, quoted, into one frame, and the write that put it in force bore all of its new pieces: over 8 MiB the receiver ends the channel, so a backup could not take such a write and nobody could read it back. Pieces of a large description are stored by writes of about 1 MiB before the one that puts it in force; a batch of commands ends at 1 MiB. Pieces in memory are given up with the next tick when no call under way needs them (they stayed while any call was open). Ruled out: a larger frame (unbounded again), parsing pieces to join them (their texts are joined).

--- a/packages/configuration/src/description/piece.ts
+++ b/packages/configuration/src/description/piece.ts
@@ -72,13 +72,6 @@
   return ok({ hash: bundleHash(order), pieces, order });
 }
 
-function* routesOf(texts: readonly string[]): Generator {
-  for (const text of texts) {
-    const list: unknown = JSON.parse(text);
-    if (isList(list)) yield* list;
-  }
-}
-
 /** Puts pieces together again and compiles them, on top of the table before if they share most of it. */
 export function* build(
   texts: readonly string[],
@@ -98,8 +91,13 @@
   }
 }
 
-/** The description that pieces make, as plain data. */
-export const whole = (texts: readonly string[]): unknown => {
-  const first: unknown = JSON.parse(texts[0] ?? '{}');
-  return { ...(isObject(first) ? first : {}), routes: [...routesOf(texts.slice(1))] };
+/**
+ * The text of the description that pieces make: the first is an object, each other a list of
+ * routes. Nothing is parsed, so this takes little time however large the description is.
+ */
+export const wholeText = (texts: readonly string[]): string => {
+  const [head = '{}', ...lists] = texts.map((one) => one.trim());
+  const members = head.slice(1, -1).trim();
+  const routes = lists.map((one) => one.slice(1, -1).trim()).filter((one) => one !== '');
+  return `{${members === '' ? '' : `${members},`}"routes":[${routes.join(',')}]}`;
 };
--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -10,6 +10,7 @@
 } from '@switchwheel/types';
 import { type FrameOf, send } from '@switchwheel/transport';
 import { announce } from './departures.js';
+import { onOfferNamed, readsDescription } from './description-read.js';
 import { type Outside, type RegistryEffect, reply, replyText } from './event.js';
 import type { Pending, Registry } from './state.js';
 import { isAlive, hasMajorityContact, primaryHolder } from './queries.js';
@@ -285,9 +286,10 @@
 };
 
 /** The store answered a call. */
-export const onCalled = (state: Registry, word: FrameOf<'called'>): Done => {
+export const onCalled = (state: Registry, word: FrameOf<'called'>, now: Moment): Done => {
   const open = state.pending.get(word.id);
   if (open === undefined) return step(state);
+  if (word.status === 200 && readsDescription(open)) return onOfferNamed(state, open, word, now);
   return step(
     { ...state, pending: drop(state.pending, word.id) },
     replyText(open.ref, word.status, word.body),
--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -27,6 +27,7 @@
   vacantDuties,
 } from './nodes.js';
 import { type Feed, type KnownSession, type Registry, newRegistry } from './state.js';
+import { piecesOfReads } from './description-read.js';
 import {
   isAlive,
   broadcastTargets,
@@ -152,9 +153,9 @@
     releasesAt: now,
   };
   const kept = new Set(
-    [...feed.offers.values(), ...(feed.current === undefined ? [] : [feed.current])].flatMap(
-      (one) => one.pieces,
-    ),
+    [...feed.offers.values(), ...(feed.current === undefined ? [] : [feed.current])]
+      .flatMap((one) => one.pieces)
+      .concat(piecesOfReads(state)),
   );
   const voter =
     word.electorate === undefined
@@ -315,9 +316,9 @@
         ? onStoreWant(state, frame, from.address)
         : onWant(state, from, frame, now);
     case 'piece':
-      return onPiece(state, frame);
+      return onPiece(state, frame, now);
     case 'called':
-      return onCalled(state, frame);
+      return onCalled(state, frame, now);
     case 'bootstrapped':
       return onBootstrapped(state, frame);
     case 'hint':
--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -22,6 +22,8 @@
 } from '@switchwheel/transport';
 import { learnHolder } from '../session/node-session.js';
 import { isSettled, releasesDigest } from '../releases/digest.js';
+import { advanceReads } from './description-read.js';
+import type { RegistryEffect } from './event.js';
 import type { KnownSession, Registry } from './state.js';
 import { feedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
 
@@ -294,15 +296,20 @@
   return step({ ...state, wanted, asked }, ...effects);
 };
 
-export const onPiece = (state: Registry, word: FrameOf<'piece'>): Done => {
+export const onPiece = (
+  state: Registry,
+  word: FrameOf<'piece'>,
+  now: Moment,
+): Step<Registry, RegistryEffect> => {
   const waiting = [...(state.wanted.get(word.hash) ?? [])];
-  return step(
-    {
-      ...state,
-      pieces: put(state.pieces, word.hash, word.data),
-      wanted: drop(state.wanted, word.hash),
-      asked: drop(state.asked, word.hash),
-    },
-    ...waiting.map((to) => send(to, word)),
+  const next: Registry = {
+    ...state,
+    pieces: put(state.pieces, word.hash, word.data),
+    wanted: drop(state.wanted, word.hash),
+    asked: drop(state.asked, word.hash),
+  };
+  return join(
+    waiting.map((to) => send(to, word)),
+    advanceReads(next, word.hash, now),
   );
 };
--- a/packages/membership/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -29,6 +29,7 @@
 } from '@switchwheel/transport';
 import { type Voter, newVoter } from '@switchwheel/election';
 import type { Origins } from '../origins/origins.js';
+import type { DescriptionRead } from './description-read.js';
 
 /** A session as this registry knows it, its own or a peer's. */
 export interface KnownSession {
@@ -89,6 +90,8 @@
   readonly body: string;
   readonly base: Generation | undefined;
   readonly pieces: ReadonlyMap<Hash, string>;
+  /** How far a read of the description is, once the primary has named the offer. */
+  readonly read?: DescriptionRead | undefined;
 }
 
 /** An origin's departure that was announced here: who of the peers confirmed that they know, and who waits for it. */
--- a/packages/replicated-store/src/command/calls.ts
+++ b/packages/replicated-store/src/command/calls.ts
@@ -19,6 +19,7 @@
 import { bundleHash, hashOf } from '@switchwheel/configuration';
 import { isPrimary } from '../leadership/candidacy.js';
 import { callReply, enqueue } from './queue.js';
+import { piecesCommands, releasePieces } from './pieces.js';
 import type { StoreEffect } from '../state/event.js';
 import { type Command, type Store, ownId } from '../state/state.js';
 import { view, viewRelease } from './view.js';
@@ -263,16 +264,25 @@
   return step(next, ...effects);
 };
 
+/** Queues a description, and before it the writes that store the pieces of a large one. */
+const enqueueApply = (state: Store, command: ApplyCommand): Done => {
+  const ahead = command.faults.length > 0 ? [] : piecesCommands(state, command);
+  let next: Done = step(state);
+  for (const one of [...ahead, command]) next = join(next.effects, enqueue(next.state, one));
+  return next;
+};
+
 /** The compile of a description ended. */
 export const onCompiled = (state: Store, hash: Hash, faults: ApplyCommand['faults']): Done => {
   let next: Done = step({ ...state, compiling: drop(state.compiling, hash) });
   for (const command of state.compiling.get(hash) ?? [])
-    next = join(next.effects, enqueue(next.state, { ...command, faults }));
+    next = join(next.effects, enqueueApply(next.state, { ...command, faults }));
   return next;
 };
 
 /** Lets time pass over calls that lack pieces. */
-export const tickCalls = (state: Store, now: Moment): Done => {
+export const tickCalls = (before: Store, now: Moment): Done => {
+  const state = releasePieces(before);
   let next: Done = step(state);
   for (const [id, one] of state.awaitingPieces) {
     if (now - one.since > piecesTimeout) {
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -15,6 +15,7 @@
   head as headSchema,
 } from '@switchwheel/configuration';
 import * as v from 'valibot';
+import { piecePuts, unusedPieces } from './pieces.js';
 import { decideOrder, decideRelease } from './order.js';
 import { originPuts } from '../origins/origins.js';
 import type { CallResult, Command, Store } from '../state/state.js';
@@ -106,15 +107,10 @@
   const generation = command.number ?? nextGeneration(now);
   const offer = { generation, hash: command.hash, pieces: [...command.order] };
   const result = callResult(command, 200, { kind: 'accepted', generation, hash: command.hash });
-  const keep = new Set([...command.order, ...(current?.pieces ?? [])]);
-  const puts: Put[] = [];
-  for (const hash of command.order) {
-    const data = state.receivedPieces.get(hash);
-    if (!control.pieces.has(hash) && data !== undefined)
-      puts.push({ key: keyOf.piece(hash), data });
-  }
-  for (const hash of control.pieces.keys())
-    if (!keep.has(hash)) puts.push(erase(keyOf.piece(hash)));
+  const puts: Put[] = [
+    ...piecePuts(state, control, command.order),
+    ...unusedPieces(state, control, command),
+  ];
   for (const [key, target] of control.targets)
     if (target.generation + 8 < generation) puts.push(erase(key));
   for (const one of control.rollouts.keys())
@@ -235,6 +231,8 @@
   switch (command.kind) {
     case 'apply':
       return decideApply(state, control, command, seq);
+    case 'pieces':
+      return { ...noChange, puts: piecePuts(state, control, command.hashes) };
     case 'purge':
       return decidePurge(control, command, seq);
     case 'electorate': {
--- /dev/null
+++ b/packages/replicated-store/src/command/pieces.ts
@@ -0,0 +1,75 @@
+/**
+ * Pieces of descriptions on their way into the table. A write goes to each backup in one frame, so
+ * the pieces of a large description are stored by writes of their own, of bounded size, before the
+ * write that puts it in force.
+ */
+import { type Hash, sift } from '@switchwheel/types';
+import type { Put } from '@switchwheel/transport';
+import { type Control, erase, keyOf } from '@switchwheel/configuration';
+import type { Command, Store } from '../state/state.js';
+
+/** The most characters of pieces that one command adds to a write. */
+export const maxPieceCharacters = 1024 * 1024;
+
+type ApplyCommand = Extract<Command, { kind: 'apply' }>;
+type PiecesCommand = Extract<Command, { kind: 'pieces' }>;
+
+/** The pieces that came in and are not in the table yet. */
+const unstored = (
+  state: Store,
+  control: Control,
+  hashes: readonly Hash[],
+): readonly { readonly hash: Hash; readonly data: string }[] =>
+  hashes.flatMap((hash) => {
+    const data = control.pieces.has(hash) ? undefined : state.receivedPieces.get(hash);
+    return data === undefined ? [] : [{ hash, data }];
+  });
+
+/** The writes that go before a description: none if its pieces fit the write that puts it in force. */
+export const piecesCommands = (state: Store, command: ApplyCommand): readonly PiecesCommand[] => {
+  const batches: Hash[][] = [[]];
+  let size = 0;
+  for (const { hash, data } of unstored(state, state.control, command.order)) {
+    if (size > 0 && size + data.length > maxPieceCharacters) {
+      batches.push([]);
+      size = 0;
+    }
+    batches.at(-1)?.push(hash);
+    size += data.length;
+  }
+  return batches.length === 1 ? [] : batches.map((hashes) => ({ kind: 'pieces', hashes }));
+};
+
+/** The entries that store the pieces which came in. */
+export const piecePuts = (
+  state: Store,
+  control: Control,
+  hashes: readonly Hash[],
+): readonly Put[] =>
+  unstored(state, control, hashes).map(({ hash, data }) => ({ key: keyOf.piece(hash), data }));
+
+/** Drops the pieces that neither this description, nor the one in force, nor a waiting one needs. */
+export const unusedPieces = (
+  state: Store,
+  control: Control,
+  command: ApplyCommand,
+): readonly Put[] => {
+  const waiting = state.commandQueue.flatMap((one) => (one.kind === 'apply' ? one.order : []));
+  const kept = new Set([...command.order, ...(control.stored?.offer.pieces ?? []), ...waiting]);
+  return [...control.pieces.keys()]
+    .filter((hash) => !kept.has(hash))
+    .map((hash) => erase(keyOf.piece(hash)));
+};
+
+/** Gives up the pieces in memory that no description under way needs. */
+export const releasePieces = (state: Store): Store => {
+  if (state.receivedPieces.size === 0) return state;
+  const underWay = [
+    ...[...state.awaitingPieces.values()].map((one) => one.command),
+    ...[...state.compiling.values()].flat(),
+    ...state.commandQueue.filter((one) => one.kind === 'apply'),
+  ];
+  const needed = new Set(underWay.flatMap((one) => one.order));
+  const receivedPieces = sift(state.receivedPieces, (_, hash) => needed.has(hash));
+  return receivedPieces === state.receivedPieces ? state : { ...state, receivedPieces };
+};
--- a/packages/replicated-store/src/command/view.ts
+++ b/packages/replicated-store/src/command/view.ts
@@ -1,6 +1,5 @@
 import { type Moment, noGeneration } from '@switchwheel/types';
 import { heldEpoch } from '@switchwheel/election';
-import { whole } from '@switchwheel/configuration';
 import { spentOf } from '../release/release.js';
 import { type Store, ownId } from '../state/state.js';
 
@@ -32,15 +31,9 @@
 export const view = (state: Store, what: string, now: Moment): object => {
   const control = state.control;
   switch (what) {
-    case 'description': {
-      const offer = control.stored?.offer;
-      const texts = offer?.pieces.map((one) => control.pieces.get(one) ?? '') ?? [];
-      return {
-        ...about(state),
-        hash: offer?.hash ?? null,
-        description: offer === undefined ? null : whole(texts),
-      };
-    }
+    // The offer alone: the registry that asks collects its pieces, as they may not fit one frame.
+    case 'description':
+      return { ...about(state), offer: control.stored?.offer ?? null };
     case 'rollouts':
       return {
         ...about(state),
--- a/packages/replicated-store/src/primary-write/primary-write.ts
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -43,6 +43,8 @@
 /** How often a full disk is tried again for the metadata of a holding. */
 const fullDiskRetry = 1000;
 const maxBatch = 512;
+/** No more commands join a write once it bears so many characters: it has to fit one frame. */
+const maxBatchCharacters = 1024 * 1024;
 const noReceivedPieces: Store['receivedPieces'] = new Map();
 const noConfirmations: PrimaryWrite['confirmed'] = new Set();
 
@@ -160,10 +162,15 @@
   const results: CallResult[] = [];
   const rejections: CallResult[] = [];
   const tried: PrimaryWrite['trialReports'][number][] = [];
+  let taken = 0;
+  let characters = 0;
   for (const command of state.commandQueue.slice(0, maxBatch)) {
+    if (characters >= maxBatchCharacters) break;
+    taken += 1;
     const decision = decide(next, draft, command, stamp.seq, now);
     draft = absorbAll(draft, decision.puts);
     puts.push(...decision.puts);
+    for (const one of decision.puts) characters += one.data?.length ?? 0;
     results.push(...decision.results);
     rejections.push(...decision.immediateReplies);
     electorate = decision.electorate ?? electorate;
@@ -171,7 +178,7 @@
     if (command.kind === 'turn')
       next = { ...next, seen: decision.seen ?? next.seen, opened: decision.opened };
   }
-  next = { ...next, commandQueue: state.commandQueue.slice(maxBatch) };
+  next = { ...next, commandQueue: state.commandQueue.slice(taken) };
   const told = rejections.map(callReply);
   if (puts.length === 0 && results.length === 0 && electorate === metadata.electorate) {
     return step(next, ...told, ...tried.flatMap((one) => trialReplies(draft, one)));
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -57,6 +57,8 @@
       readonly number: Generation | undefined;
       readonly faults: readonly Fault[];
     }
+  /** Pieces of a description that is too large for one write: they are stored before it. */
+  | { readonly kind: 'pieces'; readonly hashes: readonly Hash[] }
   | { readonly kind: 'purge'; readonly asker: Asker; readonly aims: readonly Aim[] }
   | { readonly kind: 'electorate'; readonly asker: Asker; readonly electorate: Electorate }
   | { readonly kind: 'seats'; readonly electorate: Electorate }
--- /dev/null
+++ b/packages/simulator/src/run/large-description.test.ts
@@ -0,0 +1,159 @@
+/**
+ * Whatever description can be applied can be read back whole, and no frame on the way is larger
+ * than a frame may be.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { noGeneration, toCallId, toServiceName } from '@switchwheel/types';
+import { type Bundle, cut, finish } from '@switchwheel/configuration';
+import { type Frame, encode, maxFrameBytes } from '@switchwheel/transport';
+import type { SimRegistry, Told } from '../cast/registry.js';
+import type { Actor, Meter } from '../world/actor.js';
+import { describe } from '../world/describe.js';
+import { type Layout, World } from '../world/world.js';
+
+const layout: Layout = {
+  seed: 41,
+  edges: 2,
+  shields: 2,
+  stores: 3,
+  limits: { copies: 3, tolerate: 1, follow: false },
+  services: [{ name: toServiceName('clips'), origins: 1, slots: 4, perSecond: undefined }],
+};
+
+/** Frames that bear pieces of a description, or all of it. */
+const weighed: ReadonlySet<Frame['kind']> = new Set([
+  'call',
+  'called',
+  'piece',
+  'replicate',
+  'resync-entries',
+]);
+
+/** A world that weighs the frames which bear pieces. */
+class WeighingWorld extends World {
+  largestFrame = 0;
+  readonly meter: Meter = {
+    sent: (_from: Actor, _to: Actor, frame: Frame) => {
+      if (weighed.has(frame.kind))
+        this.largestFrame = Math.max(this.largestFrame, encode(frame).length);
+    },
+    step: <T>(_actor: Actor, work: () => T): T => work(),
+  };
+}
+
+/** A description of many routes, each padded to a length. */
+const descriptionOf = (routes: number, pathLength: number): object => ({
+  ...describe(layout, 1),
+  routes: Array.from({ length: routes }, (_, at) => ({
+    name: `route-${at}`,
+    path: `/objects/${at}/`.padEnd(pathLength, 'x'),
+    service: 'clips',
+    class: 'bulk',
+  })),
+});
+
+const bundleOf = (description: object): Bundle => {
+  const made = finish(cut(description));
+  if (made.isErr) throw new Error(JSON.stringify(made.error));
+  return made.value;
+};
+
+const settled = (
+  world: World,
+  spanMs: number,
+  begin: (done: (told: Told) => void) => void,
+): Told | undefined => {
+  let told: Told | undefined;
+  begin((answer) => {
+    told = answer;
+  });
+  world.until(spanMs, () => told !== undefined);
+  return told;
+};
+
+const apply = (world: World, registry: SimRegistry, id: string, bundle: Bundle): Told | undefined =>
+  settled(world, 15_000, (done) => {
+    registry.call({ verb: 'apply', id: toCallId(id), base: undefined, ...bundle }, done);
+  });
+
+const readBack = (world: World, registry: SimRegistry, id: string): Told | undefined =>
+  settled(world, 25_000, (done) => {
+    registry.call({ verb: 'view', id: toCallId(id), what: 'description' }, done);
+  });
+
+const assertEqualDescription = (told: Told | undefined, description: object): void => {
+  assert.ok(told?.status === 200, told?.body.slice(0, 200));
+  const held: unknown = JSON.parse(told.body);
+  assert.ok(typeof held === 'object' && held !== null && 'description' in held);
+  assert.deepEqual(held.description, description);
+};
+
+const sizes = [
+  { routes: 12_000, pathLength: 40, least: 1_000_000 },
+  { routes: 15_000, pathLength: 640, least: maxFrameBytes + 1 },
+] as const;
+
+for (const { routes, pathLength, least } of sizes) {
+  void test(`${routes} routes of ${pathLength} signs are applied, read back equal from each registry, and get to a new store, in frames of bounded size`, () => {
+    const world = new WeighingWorld(layout);
+    world.form();
+    const description = descriptionOf(routes, pathLength);
+    const bundle = bundleOf(description);
+    const bytes = [...bundle.pieces.values()].reduce((sum, one) => sum + one.length, 0);
+    assert.ok(bytes >= least, `${bytes} bytes`);
+    const [first] = world.registries;
+    assert.ok(first !== undefined);
+    assert.equal(apply(world, first, 'large', bundle)?.status, 200);
+    world.run(2000);
+    for (const [at, registry] of world.registries.entries())
+      assertEqualDescription(readBack(world, registry, `read-${at}`), description);
+    const inSync = (): readonly string[] => world.primary()?.state?.metadata?.inSyncSet ?? [];
+    assert.ok(
+      world.until(5000, () => inSync().length === 3),
+      'all stores took the write',
+    );
+    const gone = world.stores.find((one) => one !== world.primary());
+    assert.ok(gone !== undefined);
+    world.dropStore(gone);
+    const fresh = world.addStore('store-9', 9);
+    assert.ok(
+      world.until(8000, () => inSync().includes(fresh.node)),
+      'a new store got all of it',
+    );
+    assert.ok(world.largestFrame <= maxFrameBytes, `a frame of ${world.largestFrame} bytes`);
+  });
+}
+
+void test('a description is read back while others are put in force 20 times a second: what is read was in force meanwhile', () => {
+  const world = new World(layout);
+  world.form();
+  const large = [0, 1].map((at) => bundleOf({ ...descriptionOf(2000 + at, 40) }));
+  let serial = 0;
+  let working = true;
+  const change = (): void => {
+    if (!working) return;
+    serial += 1;
+    const bundle = large[serial % 2];
+    if (bundle !== undefined)
+      world.registries[0]?.call(
+        { verb: 'apply', id: toCallId(`change-${serial}`), base: undefined, ...bundle },
+        () => undefined,
+      );
+    world.agenda.after(50, change);
+  };
+  change();
+  world.run(2000);
+  for (let turn = 0; turn < 10; turn += 1) {
+    const before = world.primary()?.state?.control.stored?.offer.generation ?? noGeneration;
+    const registry = world.registries[1 + (turn % (world.registries.length - 1))];
+    assert.ok(registry !== undefined);
+    const told = readBack(world, registry, `amid-${turn}`);
+    const after = world.primary()?.state?.control.stored?.offer.generation ?? noGeneration;
+    assert.ok(told?.status === 200, told?.body.slice(0, 200));
+    const generation = Number(/"generation":(\d+)/.exec(told.body)?.[1]);
+    assert.ok(generation >= before && generation <= after, `${before} ${generation} ${after}`);
+    world.run(70);
+  }
+  working = false;
+});
