--- a/packages/replicated-store/src/command/pieces.ts
+++ b/packages/replicated-store/src/command/pieces.ts
@@ -16,7 +16,7 @@
 
 /** The pieces that came in and are not in the table yet. */
 const unstored = (
-  state: Store,
+  state: Pick<Store, 'receivedPieces'>,
   control: Control,
   hashes: readonly Hash[],
 ): readonly { readonly hash: Hash; readonly data: string }[] =>
@@ -42,7 +42,7 @@
 
 /** The entries that store the pieces which came in. */
 export const piecePuts = (
-  state: Store,
+  state: Pick<Store, 'receivedPieces'>,
   control: Control,
   hashes: readonly Hash[],
 ): readonly Put[] =>
@@ -50,7 +50,7 @@
 
 /** Drops the pieces that neither this description, nor the one in force, nor a waiting one needs. */
 export const unusedPieces = (
-  state: Store,
+  state: Pick<Store, 'commandQueue'>,
   control: Control,
   command: ApplyCommand,
 ): readonly Put[] => {
