Damaged data files do not pile up; the data file is shown not to grow

Cause: each start on a damaged file set it aside under a name of its own, so a disk that tore again and again filled up (red: 4 files after 4 starts, with the test before the mend). Now the last one is kept. The test that 150 states of 4 MiB grown and shrunk, and 1,500 small changes, leave the data file no larger than after the first 31, and under 32 MiB, was green from the start.

--- a/packages/runtime/src/disk/disk.test.ts
+++ b/packages/runtime/src/disk/disk.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { spawnSync } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, readdirSync, rmSync, statSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
-import { Disk } from './disk.js';
+import { Disk, type Row } from './disk.js';
 
 const inFolder = async (work: (folder: string) => Promise<void>): Promise<void> => {
   const folder = mkdtempSync(join(tmpdir(), 'disk-'));
@@ -134,3 +134,45 @@
     );
     return Promise.resolve();
   }));
+
+void test('the data file does not grow with the number of changes: 150 states of 4 MiB grown and shrunk, 1,500 small changes', () =>
+  inFolder(async (folder) => {
+    const file = join(folder, 'table.lmdb');
+    const disk = new Disk(folder);
+    const rows = (round: number): readonly Row[] =>
+      Array.from({ length: 100 }, (_, at) => ({
+        key: `piece/${round}/${at}`,
+        text: 'x'.repeat(40 * 1024),
+      }));
+    const sizes: number[] = [];
+    for (let round = 0; round < 150; round += 1) {
+      const drops = round === 0 ? [] : rows(round - 1).map((row) => row.key);
+      const sets = round % 2 === 0 ? rows(round) : [];
+      assert.ok((await disk.write({ sets, drops, wipe: false })).isOk);
+      for (let change = 0; change < 10; change += 1) {
+        const serial = round * 10 + change;
+        const small = { key: `purge/${serial}`, text: 'y'.repeat(200) };
+        const old = [`purge/${serial - 256}`];
+        assert.ok((await disk.write({ sets: [small], drops: old, wipe: false })).isOk);
+      }
+      sizes.push(statSync(file).size);
+    }
+    await disk.close();
+    const [early, late] = [sizes[30] ?? 0, sizes.at(-1) ?? 0];
+    assert.ok(late <= early, `${early} bytes after 31 states, ${late} after 150`);
+    assert.ok(late < 32 * 1024 * 1024, `${late} bytes`);
+  }));
+
+void test('files set aside as damaged do not pile up: the last one is kept', () =>
+  inFolder(async (folder) => {
+    const file = join(folder, 'table.lmdb');
+    for (let turn = 0; turn < 4; turn += 1) {
+      writeFileSync(file, `no data file ${turn}`);
+      const disk = new Disk(folder);
+      assert.ok(disk.aside !== undefined);
+      await disk.close();
+    }
+    const aside = readdirSync(folder).filter((name) => name.includes('.damaged'));
+    assert.equal(aside.length, 1, aside.join(', '));
+    assert.equal(readFileSync(join(folder, aside[0] ?? ''), 'utf8'), 'no data file 3');
+  }));
--- a/packages/runtime/src/disk/disk.ts
+++ b/packages/runtime/src/disk/disk.ts
@@ -65,7 +65,8 @@
           ? `the process ended ${tries} times while reading it`
           : undefined;
     if (damaged !== undefined) {
-      renameSync(file, `${file}.damaged-${Date.now()}`);
+      // One is kept to be looked at: more of them would fill the disk.
+      renameSync(file, `${file}.damaged`);
       rmSync(`${file}-lock`, { force: true });
     }
     this.aside = damaged;
