--- a/packages/replicated-store/src/command/apply.ts
+++ b/packages/replicated-store/src/command/apply.ts
@@ -13,10 +13,11 @@
 import type { Put } from '@switchwheel/transport';
 import { type Control, erase, keptNumbers, keyOf, write } from '@switchwheel/configuration';
 import { type Decision, callResult, earlierResult, noChange, rememberResult } from './decision.js';
+import { piecePuts, unusedPieces } from './pieces.js';
 import type { Command, Store } from '../state/state.js';
 
 type ApplyCommand = Extract<Command, { kind: 'apply' }>;
-type ApplyState = Pick<Store, 'receivedPieces'>;
+type ApplyState = Pick<Store, 'receivedPieces' | 'commandQueue'>;
 
 const currentGeneration = (control: Control): Generation =>
   control.stored?.offer.generation ?? noGeneration;
@@ -85,19 +86,6 @@
   results: [callResult(command, 200, { kind: 'held', generation: currentGeneration(control) })],
 });
 
-/** The pieces of the new configuration, and the end of those that neither it nor the last one holds. */
-const piecePuts = (state: ApplyState, control: Control, command: ApplyCommand): readonly Put[] => {
-  const keep = new Set([...command.order, ...(control.stored?.offer.pieces ?? [])]);
-  const added = command.order.flatMap((hash): readonly Put[] => {
-    const data = state.receivedPieces.get(hash);
-    return control.pieces.has(hash) || data === undefined ? [] : [{ key: keyOf.piece(hash), data }];
-  });
-  const dropped = [...control.pieces.keys()]
-    .filter((hash) => !keep.has(hash))
-    .map((hash) => erase(keyOf.piece(hash)));
-  return [...added, ...dropped];
-};
-
 /** How many generations back rollouts and their targets are kept. */
 const keptRollouts = 8;
 
@@ -124,7 +112,8 @@
   return {
     ...noChange,
     puts: [
-      ...piecePuts(state, control, command),
+      ...piecePuts(state, control, order),
+      ...unusedPieces(state, control, command),
       ...rolloutPuts(control, generation),
       write(keyOf.stored, { offer, call: command.asker.id }),
       ...recordNumber(control, generation, hash),
