The answer to a HEAD request is neither kept nor shared as the object

Cause: the keys of kept answers and of shared fetches leave the method out. The empty answer to a HEAD request was kept as the object and told, as a whole 200, to those who asked for it. Before: the new test of line.test.ts fails (the GET joined the HEAD).

--- a/packages/routing/src/line/line.test.ts
+++ b/packages/routing/src/line/line.test.ts
@@ -400,3 +400,23 @@
   assert.ok(bench.sent.every((one) => one.cut));
   assert.equal(bench.line.open, 0);
 });
+
+void test('a question for the head of an object is neither kept as the object nor joined by those who ask for it', () => {
+  const bench = new Bench(two);
+  bench.ask('/clips/1', 'HEAD');
+  bench.ask('/clips/1');
+  assert.equal(bench.sent.length, 2, 'the object is fetched by itself');
+  bench.answer(0, '');
+  bench.answer(1, 'body');
+  bench.ask('/clips/1');
+  const bodies = bench.told.map((one) =>
+    one.kind === 'kept'
+      ? one.entry.body.toString()
+      : one.kind === 'answer'
+        ? one.answer.body.toString()
+        : one.fault,
+  );
+  assert.deepEqual(bodies, ['', 'body', 'body']);
+  bench.ask('/clips/1', 'HEAD');
+  assert.equal(bench.sent.length, 2, 'a kept object answers for its head');
+});
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -241,11 +241,13 @@
       this.bump('kept');
       return end({ kind: 'kept', entry: kept, at: now });
     }
-    const flight = this.#flightFor(slip, now);
+    // The answer to a HEAD request has no body: it can be neither kept nor shared as the object.
+    const fetched = call.method === 'GET' ? slip : undefined;
+    const flight = this.#flightFor(fetched, now);
     if (flight !== undefined) return this.#join(flight, { call, tell, until });
     if (this.#runs.size >= this.#manner.most)
       return end(fault('rejected', 'too many requests are under way', 300));
-    return this.#start({ call, track, service, slip, tell, until }, now);
+    return this.#start({ call, track, service, slip: fetched, tell, until }, now);
   }
 
   /** The fetch that a request may wait for, if there is one that is young enough and no purge came since. */
