The direct edge runs in the simulator, judged by the origins' own records

DirectLine and tripStep as they ship, with simulated origins that answer late, short, under another id, not at all, falsely promise, reset before or after they ran, refuse to open, and start at the address of another service's origin; callers leave; configurations, purges and a stop come between. Not in it: several edges (budgets and ceilings), pipelining (tested on sockets), kill and restart.

--- /dev/null
+++ b/packages/simulator/src/direct/direct.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { playDirect } from './run.js';
+
+const seeds = 40;
+
+void test('the direct edge keeps the rules of requests, whatever its origins and callers do', () => {
+  const counts = new Map<string, number>();
+  let requests = 0;
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const run = playDirect(seed);
+    assert.deepEqual(run.violations.slice(0, 5), [], `seed ${seed}`);
+    requests += run.requests;
+    for (const [name, many] of run.counts) counts.set(name, (counts.get(name) ?? 0) + many);
+  }
+  for (const name of [
+    'joined',
+    'kept',
+    'broke',
+    'unopened',
+    'extra',
+    'fault_lost',
+    'fault_rejected',
+  ])
+    assert.ok((counts.get(name) ?? 0) > 100, `${name}: ${counts.get(name) ?? 0}`);
+  console.log(`${seeds} seeds, ${requests} requests:`, Object.fromEntries(counts));
+});
--- /dev/null
+++ b/packages/simulator/src/direct/leg.ts
@@ -0,0 +1,111 @@
+import {
+  type Answer,
+  type LegEars,
+  type LegOrder,
+  type LegPort,
+  plainWords,
+} from '@switchwheel/routing';
+import type { Agenda } from '../world/agenda.js';
+import type { Chance } from '../world/chance.js';
+import type { Conduct, OriginFleet, SimulatedOrigin } from './origin.js';
+
+/** What stands in the body of an object at a revision. */
+export const objectBody = (target: string, revision: number): string => `${target}@${revision}`;
+
+/** How late a late answer is, in milliseconds: sometimes after the request's deadline. */
+const lateMs = [300, 2600] as const;
+
+/** Statuses that promise that nothing ran, given here by origins that did run the request. */
+const falsePromises = [408, 429, 503] as const;
+
+/** Carries requests to simulated origins in the way that the socket port reports them. */
+export class SimulatedLegs implements LegPort {
+  readonly #agenda: Agenda;
+  readonly #chance: Chance;
+  readonly #fleet: OriginFleet;
+  readonly #revisionOf: (target: string) => number;
+
+  constructor(
+    agenda: Agenda,
+    chance: Chance,
+    fleet: OriginFleet,
+    revisionOf: (target: string) => number,
+  ) {
+    this.#agenda = agenda;
+    this.#chance = chance;
+    this.#fleet = fleet;
+    this.#revisionOf = revisionOf;
+  }
+
+  forget(): void {
+    // Idle connections bear nothing here: bytes left on them are among the conducts.
+  }
+
+  send(order: LegOrder, ears: LegEars): () => void {
+    let cut = false;
+    const conduct = this.#fleet.conduct();
+    // What is cut on its way may arrive all the same.
+    const arrivesAnyway = this.#chance.hit(0.5);
+    const report = (tell: () => void): void => {
+      if (!cut) tell();
+    };
+    this.#agenda.after(this.#chance.between(0.2, 5), () => {
+      if (cut && !arrivesAnyway) return;
+      const origin = this.#fleet.at(order.address);
+      if (conduct === 'unopened' || origin === undefined)
+        report(() => ears.broke(false, 'the connection did not open'));
+      else if (!names(order, origin))
+        report(() => ears.answered({ ...plain(421, ''), unrun: true }));
+      else this.#work(order, origin, conduct, ears, report);
+    });
+    return () => {
+      cut = true;
+    };
+  }
+
+  #work(
+    order: LegOrder,
+    origin: SimulatedOrigin,
+    conduct: Conduct,
+    ears: LegEars,
+    report: (tell: () => void) => void,
+  ): void {
+    const broke = (): void => report(() => ears.broke(true, conduct));
+    if (conduct === 'reset before') {
+      broke();
+      return;
+    }
+    if (conduct === 'full') {
+      report(() => ears.answered({ ...plain(503, ''), unrun: true }));
+      return;
+    }
+    this.#fleet.run(origin, order);
+    if (conduct === 'silent') return;
+    const body =
+      order.method === 'GET'
+        ? objectBody(order.target, this.#revisionOf(order.target))
+        : `done ${order.id}`;
+    const [least, most] = conduct === 'late' ? lateMs : [2, 60];
+    this.#agenda.after(this.#chance.between(least, most), () => {
+      if (conduct === 'answer' || conduct === 'late') report(() => ears.answered(plain(200, body)));
+      else if (conduct === 'failure') report(() => ears.answered(plain(500, 'failed')));
+      else if (conduct === 'false promise') {
+        const status = this.#chance.one(falsePromises) ?? 503;
+        report(() => ears.answered(plain(status, 'failed')));
+      } else broke();
+    });
+  }
+}
+
+/** Whether the request names this origin, or none: only then does it run. */
+const names = (order: LegOrder, origin: SimulatedOrigin): boolean => {
+  const named = order.fields.find(([name]) => name === plainWords.instance);
+  return named === undefined || named[1] === origin.instance;
+};
+
+const plain = (status: number, body: string): Answer => ({
+  status,
+  fields: [],
+  body: Buffer.from(body),
+  unrun: false,
+});
