--- /dev/null
+++ b/packages/simulator/src/history/history.ts
@@ -0,0 +1,90 @@
+/** What operators asked of the control side, when, and what they were told: the record that the checker judges. */
+
+/** A configuration as its number and the hash of its content. */
+export interface Version {
+  readonly number: number;
+  readonly hash: string;
+}
+
+/** A configuration as it is sent; without a number the control side gives it the next one. */
+export interface SentVersion {
+  readonly number: number | undefined;
+  readonly hash: string;
+}
+
+/** How an operation ended, as its caller saw it. An unknown one may or may not have taken effect. */
+export type Ending = 'acknowledged' | 'refused' | 'unknown';
+
+interface Timed {
+  readonly startedAt: number;
+  /** When the answer came; an operation without one has not ended. */
+  readonly endedAt: number | undefined;
+}
+
+/** A configuration was handed in. One without a number has it once it is acknowledged. */
+export interface ConfigurationWrite extends Timed {
+  readonly kind: 'write';
+  /** Whether the operator gave the number. */
+  readonly numbered: boolean;
+  readonly version: SentVersion;
+  readonly ending: Ending;
+}
+
+/** The configuration was read back; undefined if none was there yet. */
+export interface ConfigurationRead extends Timed {
+  readonly kind: 'read';
+  readonly ending: 'acknowledged' | 'unknown';
+  readonly version: Version | undefined;
+}
+
+/** An order to move a service to a release; sent again it bears the same key. */
+export interface ReleaseWrite extends Timed {
+  readonly kind: 'release';
+  /** Names the order itself, whatever often it is sent. */
+  readonly key: string;
+  readonly ending: Ending;
+  /** The number under which the control side runs it, where it is acknowledged. */
+  readonly order: number | undefined;
+}
+
+/** Objects were purged; `number` is that of the purge, where it is acknowledged. */
+export interface PurgeWrite extends Timed {
+  readonly kind: 'purge';
+  readonly ending: Ending;
+  readonly number: number | undefined;
+}
+
+export type Operation = ConfigurationWrite | ConfigurationRead | ReleaseWrite | PurgeWrite;
+
+/** An operation that has no answer yet: ended by exactly one call of `end`. */
+export interface OpenOperation<T extends Operation> {
+  end(change: Partial<Omit<T, 'kind' | 'startedAt' | 'endedAt'>>): void;
+}
+
+/** The history of one run, in the order in which operations began. */
+export class History {
+  readonly #operations: Operation[] = [];
+  readonly #now: () => number;
+
+  constructor(now: () => number) {
+    this.#now = now;
+  }
+
+  get operations(): readonly Operation[] {
+    return this.#operations;
+  }
+
+  /** Notes that an operation begins: unknown until it is ended. */
+  begin<T extends Operation>(operation: T): OpenOperation<T> {
+    const at = this.#operations.length;
+    this.#operations.push(operation);
+    let open = true;
+    return {
+      end: (change) => {
+        if (!open) return;
+        open = false;
+        this.#operations[at] = { ...operation, ...change, endedAt: this.#now() };
+      },
+    };
+  }
+}
