Guards follow the configuration's number and the release order to their files

Five guards are new: one content by number (2), a lower number alters nothing, an order that others followed, and one that was judged bad.

Seen: list.test and operators.test pass (10). Of the new guards two were run, both red without the guard; the run was ended after two minutes, the other three were not run.

--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -27,6 +27,9 @@
 const voter = 'election/dist/voter/voter.js';
 const primaryWrite = 'replicated-store/dist/primary-write/primary-write.js';
 const decide = 'replicated-store/dist/command/decide.js';
+const decideApply = 'replicated-store/dist/command/apply.js';
+const decision = 'replicated-store/dist/command/decision.js';
+const releaseOrder = 'configuration/dist/release/order.js';
 const candidacy = 'replicated-store/dist/leadership/candidacy.js';
 const origins = 'membership/dist/origins/origins.js';
 const departures = 'membership/dist/registry/departures.js';
@@ -154,21 +157,56 @@
   {
     name: 'a generation is made from its base',
     rule: 'generation',
-    file: decide,
+    file: decideApply,
     from: 'if (command.base !== undefined && command.base !== now)',
     to: 'if (false)',
   },
   {
     name: 'an invalid description is refused whole',
     rule: 'whole',
-    file: decide,
+    file: decideApply,
     from: 'if (command.faults.length > 0)',
     to: 'if (false)',
   },
+  {
+    name: 'a number has one content',
+    rule: 'generation',
+    file: decideApply,
+    from: 'if (taken !== undefined && taken !== command.hash)',
+    to: 'if (false)',
+  },
+  {
+    name: 'a number keeps its content once another is in force',
+    rule: 'generation',
+    file: decideApply,
+    from: 'if (kept !== undefined) return kept;',
+    to: '',
+  },
+  {
+    name: 'a lower number alters nothing',
+    rule: 'generation',
+    file: decideApply,
+    from: 'if (number <= now) return held(control, command, number);',
+    to: '',
+  },
+  {
+    name: 'an order that others followed is known again',
+    rule: 'order',
+    file: releaseOrder,
+    from: "if (repeated !== undefined) return { kind: 'stands', order: repeated.order };",
+    to: '',
+  },
+  {
+    name: 'an order that was judged bad is known again after its term',
+    rule: 'order',
+    file: releaseOrder,
+    from: 'spentMs < Math.max(known.spanMs, repeatMs)',
+    to: 'spentMs < known.spanMs',
+  },
   {
     name: 'a call is answered once',
     rule: 'whole',
-    file: decide,
+    file: decision,
     from: 'return before === undefined ? undefined : { ...noChange, immediateReplies: [{ ...command.asker, status: before.status, body: before.body }], };',
     to: 'return undefined;',
   },
--- a/packages/simulator/src/guard/main.ts
+++ b/packages/simulator/src/guard/main.ts
@@ -69,6 +69,7 @@
   'proxy-core/dist/forward/forward.test.js',
   'proxy-core/dist/keeper/keeper.test.js',
   'proxy-core/dist/cache/cache.test.js',
+  'simulator/dist/run/operators.test.js',
   'simulator/dist/run/given-up.test.js',
   'simulator/dist/run/copies.test.js',
   'simulator/dist/run/leaving.test.js',
