--- /dev/null
+++ b/packages/model-checker/src/cluster/disk.ts
@@ -0,0 +1,38 @@
+import type { ClusterMetadata, Stamp } from '@switchwheel/transport';
+import { keyOf } from '@switchwheel/configuration';
+import type { DiskWrite, Found, KeyedEntry } from '@switchwheel/replicated-store';
+
+/** What a virtual disk holds durably; never changed in place. */
+export interface DiskImage {
+  readonly metadata: ClusterMetadata;
+  readonly stamp: Stamp;
+  readonly entries: ReadonlyMap<string, KeyedEntry>;
+}
+
+/** The image after a write, which is taken as a whole. */
+export const applyWrite = (image: DiskImage | undefined, write: DiskWrite): DiskImage => {
+  const before = write.wipe ? [] : (image?.entries ?? []);
+  const entries = new Map<string, KeyedEntry>(before);
+  for (const key of write.drops) entries.delete(key);
+  for (const entry of write.sets) entries.set(entry.key, entry);
+  return { metadata: write.metadata, stamp: write.stamp, entries };
+};
+
+/** What a store that starts reads from a disk. */
+export const readImage = (image: DiskImage | undefined): Found =>
+  image === undefined
+    ? { found: 'nothing' }
+    : {
+        found: 'whole',
+        metadata: image.metadata,
+        stamp: image.stamp,
+        entries: [...image.entries.values()],
+      };
+
+const generationPattern = /"generation":(\d+)/;
+
+/** The number of the configuration on a disk; 0 if there is none. */
+export const storedGeneration = (image: DiskImage | undefined): number => {
+  const data = image?.entries.get(keyOf.stored)?.data;
+  return Number(generationPattern.exec(data ?? '')?.[1] ?? 0);
+};
--- /dev/null
+++ b/packages/model-checker/src/cluster/names.ts
@@ -0,0 +1,22 @@
+import { type Address, type NodeId, toAddress, toNodeId } from '@switchwheel/types';
+import type { Endpoint, Role } from '../schedule/deviation.js';
+
+const firstPort: Record<Role, number> = { registry: 7000, store: 8000 };
+
+/** The name of a process. */
+export const nodeOf = ({ machine, role }: Endpoint): NodeId => toNodeId(`${role}-${machine}`);
+
+/** The address of a process. */
+export const addressOf = ({ machine, role }: Endpoint): Address =>
+  toAddress(`10.0.0.${machine + 1}:${firstPort[role]}`);
+
+const endpoints = new Map<Address, Endpoint>();
+
+/** The process at an address, among the first machines. */
+export const endpointAt = (address: Address): Endpoint | undefined => {
+  if (endpoints.size === 0)
+    for (let machine = 0; machine < 16; machine += 1)
+      for (const role of ['registry', 'store'] as const)
+        endpoints.set(addressOf({ machine, role }), { machine, role });
+  return endpoints.get(address);
+};
--- /dev/null
+++ b/packages/model-checker/src/cluster/operator.ts
@@ -0,0 +1,92 @@
+import { type CallId, type Hash, toCallId, toGeneration } from '@switchwheel/types';
+import type { Outside } from '@switchwheel/membership';
+import { bundleHash, hashOf } from '@switchwheel/configuration';
+
+/** How often the operator acts. */
+export const operatorInterval = 110;
+/** How long it waits for an answer before it asks another machine, with the same id. */
+const retryAfter = 1300;
+/** How often a write is sent again at most. */
+const maxAttempts = 4;
+/** How many writes it has under way at most. */
+const maxOpen = 6;
+
+/** A call that a registry is to be given, and what the operator keeps to judge the answer. */
+export interface OperatorCall {
+  readonly machine: number;
+  readonly call: Outside;
+  readonly expected:
+    | { readonly kind: 'write'; readonly number: number; readonly hash: Hash }
+    | { readonly kind: 'read' };
+}
+
+interface OpenWrite {
+  readonly number: number;
+  readonly sentAt: number;
+  readonly attempts: number;
+}
+
+const contentOf = (number: number): string => JSON.stringify({ content: number });
+
+const writeCall = (number: number, id: CallId): Outside & { verb: 'apply' } => {
+  const text = contentOf(number);
+  const piece = hashOf(text);
+  return {
+    verb: 'apply',
+    id,
+    base: undefined,
+    number: toGeneration(number),
+    hash: bundleHash([piece]),
+    order: [piece],
+    pieces: new Map([[piece, text]]),
+  };
+};
+
+/** Writes numbered configurations, repeats those without an answer, and reads. Never changed in place. */
+export interface Operator {
+  readonly turn: number;
+  readonly nextNumber: number;
+  readonly open: readonly OpenWrite[];
+}
+export const newOperator: Operator = { turn: 0, nextNumber: 1, open: [] };
+
+const toWrite = (number: number, machine: number): OperatorCall => {
+  const call = writeCall(number, toCallId(`write-${number}`));
+  return { machine, call, expected: { kind: 'write', number, hash: call.hash } };
+};
+
+/** One turn: what it asks of which machines. */
+export const operatorTurn = (
+  operator: Operator,
+  machines: number,
+  now: number,
+): readonly [Operator, readonly OperatorCall[]] => {
+  const calls: OperatorCall[] = [];
+  const due = operator.open.filter((one) => now - one.sentAt >= retryAfter);
+  const waiting = operator.open.filter((one) => now - one.sentAt < retryAfter);
+  const repeated = due.filter((one) => one.attempts < maxAttempts);
+  for (const one of repeated)
+    calls.push(toWrite(one.number, (one.number + one.attempts) % machines));
+  const open = [
+    ...waiting,
+    ...repeated.map((one) => ({ ...one, sentAt: now, attempts: one.attempts + 1 })),
+  ];
+  let nextNumber = operator.nextNumber;
+  if (operator.turn % 2 === 0 && open.length < maxOpen) {
+    calls.push(toWrite(nextNumber, nextNumber % machines));
+    open.push({ number: nextNumber, sentAt: now, attempts: 1 });
+    nextNumber += 1;
+  }
+  calls.push({
+    machine: operator.turn % machines,
+    call: { verb: 'view', id: toCallId(`read-${operator.turn}`), what: 'description' },
+    expected: { kind: 'read' },
+  });
+  return [{ turn: operator.turn + 1, nextNumber, open }, calls];
+};
+
+/** A write was answered for good. */
+export const closeWrite = (operator: Operator, number: number): Operator => ({
+  ...operator,
+  open: operator.open.filter((one) => one.number !== number),
+});
--- /dev/null
+++ b/packages/model-checker/src/cluster/simulation.ts
@@ -0,0 +1,599 @@
+import { type NodeId, toMoment } from '@switchwheel/types';
+import type { Frame, Peer, WireEffect, WireEvent } from '@switchwheel/transport';
+import {
+  type DiskWrite,
+  type StoreEffect,
+  type StoreEvent,
+  storeStep,
+} from '@switchwheel/replicated-store';
+import { type RegistryEffect, type RegistryEvent, registryStep } from '@switchwheel/membership';
+import type { Crash, Cut, Deviation, Endpoint, MessageFault, Role } from '../schedule/deviation.js';
+import type { ClusterLayout } from '../schedule/scenario.js';
+import { Agenda } from './agenda.js';
+import { type DiskImage, applyWrite, readImage } from './disk.js';
+import { type Invariant, InvariantMonitor } from './invariants.js';
+import { type StandingCut, cutBetween, faultApplies } from './links.js';
+import { type Machine, clockOf, newMachine, peerOf, startMachine, stopMachine } from './machine.js';
+import { addressOf, endpointAt, nodeOf } from './names.js';
+import {
+  type Operator,
+  type OperatorCall,
+  closeWrite,
+  newOperator,
+  operatorInterval,
+  operatorTurn,
+} from './operator.js';
+
+/** How long a message takes within a machine and between machines, and a write to a disk. */
+const localLatency = 1;
+const networkLatency = 2;
+const diskLatency = 3;
+const compileLatency = 1;
+const tickInterval = 30;
+/** How long the machines must have been well for a lost disk to be one loss at a time. */
+const recoveryTime = 5000;
+/** How long a machine must have been well to count as reachable when a write is confirmed. */
+const settledTime = 3000;
+
+type Item =
+  | { readonly kind: 'tick'; readonly process: Endpoint; readonly life: number }
+  | {
+      readonly kind: 'message';
+      readonly from: Peer;
+      readonly sender: Endpoint;
+      readonly to: Endpoint;
+      readonly frame: Frame;
+    }
+  | { readonly kind: 'gone'; readonly of: Endpoint; readonly to: Endpoint }
+  | { readonly kind: 'read disk'; readonly machine: number; readonly life: number }
+  | {
+      readonly kind: 'disk write';
+      readonly machine: number;
+      readonly life: number;
+      readonly write: DiskWrite;
+    }
+  | {
+      readonly kind: 'store event';
+      readonly machine: number;
+      readonly life: number;
+      readonly event: (now: ReturnType<typeof toMoment>) => StoreEvent;
+    }
+  | {
+      readonly kind: 'call';
+      readonly call: OperatorCall;
+      readonly floor: number;
+      readonly ref: number;
+    }
+  | { readonly kind: 'operator' }
+  | { readonly kind: 'start'; readonly machine: number }
+  | { readonly kind: 'wake'; readonly machine: number }
+  | { readonly kind: 'disk well'; readonly machine: number }
+  | { readonly kind: 'deviation'; readonly deviation: Deviation };
+
+/** What happened, for those who choose where to deviate from it. */
+export interface Occurrence {
+  readonly at: number;
+  readonly kind: 'message' | 'event';
+  readonly machine: number;
+  readonly frame?: string;
+  readonly from?: Endpoint;
+  readonly to?: Endpoint;
+}
+
+/** The whole cluster in virtual time. A clone goes its own way from there. */
+export class Simulation {
+  readonly layout: ClusterLayout;
+  #now = 0;
+  #steps = 0;
+  #ref = 0;
+  #agenda = new Agenda<Item>();
+  #machines: Machine[];
+  #held: Item[] = [];
+  #cuts: StandingCut[] = [];
+  #messageFaults: MessageFault[] = [];
+  #operator: Operator = newOperator;
+  #waiting = new Map<number, { readonly call: OperatorCall; readonly floor: number }>();
+  #diskLost = false;
+  #monitor = new InvariantMonitor();
+  /** Told of each event that a process acted on, and of each message sent. */
+  observer: ((occurrence: Occurrence) => void) | undefined;
+
+  constructor(layout: ClusterLayout, machines?: readonly Machine[]) {
+    this.layout = layout;
+    const size = layout.founders + layout.spares;
+    this.#machines = machines
+      ? [...machines]
+      : Array.from({ length: size }, (_, index) => newMachine(layout, index));
+    if (machines !== undefined) return;
+    for (let index = 0; index < layout.founders; index += 1)
+      this.#agenda.add(index * 2, { kind: 'start', machine: index });
+    this.#agenda.add(operatorInterval, { kind: 'operator' });
+  }
+
+  clone(): Simulation {
+    const copy = new Simulation(this.layout, this.#machines);
+    copy.#now = this.#now;
+    copy.#steps = this.#steps;
+    copy.#ref = this.#ref;
+    copy.#agenda = this.#agenda.clone();
+    copy.#held = [...this.#held];
+    copy.#cuts = [...this.#cuts];
+    copy.#messageFaults = [...this.#messageFaults];
+    copy.#operator = this.#operator;
+    copy.#waiting = new Map(this.#waiting);
+    copy.#diskLost = this.#diskLost;
+    copy.#monitor = this.#monitor.clone();
+    return copy;
+  }
+
+  get now(): number {
+    return this.#now;
+  }
+
+  /** How many events were acted on. */
+  get steps(): number {
+    return this.#steps;
+  }
+
+  get monitor(): InvariantMonitor {
+    return this.#monitor;
+  }
+
+  /** Stops judging some invariants from here on. */
+  ignore(ignored: ReadonlySet<Invariant>): void {
+    this.#monitor = this.#monitor.clone(ignored);
+  }
+
+  get machines(): readonly Machine[] {
+    return this.#machines;
+  }
+
+  /** Adds a deviation that is still to come. */
+  deviate(deviation: Deviation): void {
+    if (deviation.kind === 'message') this.#messageFaults.push(deviation);
+    else this.#agenda.add(deviation.at, { kind: 'deviation', deviation });
+  }
+
+  /** Runs until a moment, or until an invariant does not hold. */
+  runUntil(end: number): void {
+    while (this.#monitor.violation === undefined) {
+      const next = this.#agenda.nextAt;
+      if (next === undefined || next > end) break;
+      const entry = this.#agenda.take();
+      if (entry === undefined) break;
+      this.#now = Math.max(this.#now, entry.at);
+      this.#act(entry.item);
+    }
+    this.#now = Math.max(this.#now, end);
+  }
+
+  #machine(index: number): Machine | undefined {
+    return this.#machines[index];
+  }
+
+  #change(index: number, change: Partial<Machine>): void {
+    const machine = this.#machines[index];
+    if (machine !== undefined) this.#machines[index] = { ...machine, ...change };
+  }
+
+  #after(span: number, item: Item): void {
+    this.#agenda.add(this.#now + span, item);
+  }
+
+  #act(item: Item): void {
+    switch (item.kind) {
+      case 'operator':
+        this.#runOperator();
+        return;
+      case 'deviation':
+        this.#runDeviation(item.deviation);
+        return;
+      case 'start':
+        this.#start(item.machine);
+        return;
+      case 'wake':
+        this.#wake(item.machine);
+        return;
+      case 'disk well':
+        this.#change(item.machine, { diskTrouble: 'none', troubledUntil: this.#now });
+        this.#release((one) => one.kind === 'disk write' && one.machine === item.machine);
+        return;
+      case 'disk write':
+        this.#writeDisk(item);
+        return;
+      default:
+        this.#actAsProcess(item);
+    }
+  }
+
+  /** Puts back what was held, in its order. */
+  #release(matches: (item: Item) => boolean): void {
+    const due = this.#held.filter(matches);
+    this.#held = this.#held.filter((one) => !matches(one));
+    for (const one of due) this.#after(0, one);
+  }
+
+  #machineOf(item: Item): number {
+    switch (item.kind) {
+      case 'tick':
+        return item.process.machine;
+      case 'message':
+      case 'gone':
+        return item.to.machine;
+      case 'call':
+        return item.call.machine;
+      case 'read disk':
+      case 'store event':
+        return item.machine;
+      default:
+        return -1;
+    }
+  }
+
+  #actAsProcess(item: Item): void {
+    const machine = this.#machine(this.#machineOf(item));
+    if (machine === undefined || !machine.running) return;
+    if ('life' in item && item.life !== machine.life) return;
+    if (machine.paused) {
+      this.#held.push(item);
+      return;
+    }
+    this.#steps += 1;
+    const now = clockOf(machine, this.#now);
+    switch (item.kind) {
+      case 'tick':
+        this.#deliver(machine, item.process.role, { kind: 'tick', now });
+        this.#after(tickInterval, item);
+        break;
+      case 'message':
+        this.#deliver(machine, item.to.role, {
+          kind: 'frame',
+          now,
+          from: item.from,
+          frame: item.frame,
+        });
+        break;
+      case 'gone':
+        this.#deliver(machine, item.to.role, { kind: 'gone', now, address: addressOf(item.of) });
+        break;
+      case 'read disk':
+        this.#stepStore(machine, { kind: 'read', now, found: readImage(machine.disk) });
+        break;
+      case 'store event':
+        this.#stepStore(machine, item.event(now));
+        break;
+      case 'call':
+        this.#waiting.set(item.ref, { call: item.call, floor: item.floor });
+        this.#stepRegistry(machine, { kind: 'outside', now, ref: item.ref, call: item.call.call });
+        break;
+      default:
+        break;
+    }
+    this.observer?.({ at: this.#now, kind: 'event', machine: machine.index });
+    this.#checkStores();
+  }
+
+  #checkStores(): void {
+    const stores = this.#machines.flatMap((machine) =>
+      machine.store === undefined
+        ? []
+        : [
+            {
+              store: machine.store,
+              clock: clockOf(machine, this.#now),
+              node: nodeOf({ machine: machine.index, role: 'store' }),
+            },
+          ],
+    );
+    this.#monitor.onStores(stores, this.#now);
+  }
+
+  #deliver(machine: Machine, role: Role, event: WireEvent): void {
+    if (role === 'store') this.#stepStore(machine, event);
+    else this.#stepRegistry(machine, event);
+  }
+
+  #stepStore(machine: Machine, event: StoreEvent): void {
+    if (machine.store === undefined) return;
+    const result = storeStep(machine.store, event);
+    this.#change(machine.index, { store: result.state });
+    for (const effect of result.effects) this.#runStoreEffect(machine, effect);
+  }
+
+  #stepRegistry(machine: Machine, event: RegistryEvent): void {
+    if (machine.registry === undefined) return;
+    const result = registryStep(machine.registry, event);
+    this.#change(machine.index, { registry: result.state });
+    this.#monitor.onVoter(
+      nodeOf({ machine: machine.index, role: 'registry' }),
+      result.state.voter.electorate,
+    );
+    for (const effect of result.effects) this.#runRegistryEffect(machine, effect);
+  }
+
+  #runStoreEffect(machine: Machine, effect: StoreEffect): void {
+    const { index, life } = machine;
+    switch (effect.kind) {
+      case 'sync':
+        this.#after(diskLatency, { kind: 'disk write', machine: index, life, write: effect.write });
+        break;
+      case 'compile':
+        this.#after(compileLatency, {
+          kind: 'store event',
+          machine: index,
+          life,
+          event: (now) => ({ kind: 'compiled', now, hash: effect.hash, faults: [] }),
+        });
+        break;
+      case 'stopped':
+        break;
+      default:
+        this.#runWireEffect(machine, 'store', effect);
+    }
+  }
+
+  #runRegistryEffect(machine: Machine, effect: RegistryEffect): void {
+    if (effect.kind === 'reply') this.#onReply(effect.ref, effect.status, effect.body);
+    else this.#runWireEffect(machine, 'registry', effect);
+  }
+
+  #runWireEffect(machine: Machine, role: Role, effect: WireEffect): void {
+    if (effect.kind === 'log') return;
+    const to = endpointAt(effect.to);
+    if (to === undefined) return;
+    const sender: Endpoint = { machine: machine.index, role };
+    const { frame } = effect;
+    if (frame.kind === 'called') this.#checkConfirmation(machine, frame.status, frame.body);
+    this.observer?.({
+      at: this.#now,
+      kind: 'message',
+      machine: machine.index,
+      frame: frame.kind,
+      from: sender,
+      to,
+    });
+    this.#send({ kind: 'message', from: peerOf(machine, role), sender, to, frame });
+  }
+
+  #send(message: Extract<Item, { kind: 'message' }>): void {
+    const { sender, to, frame } = message;
+    const cut = cutBetween(this.#cuts, sender.machine, to.machine, this.#now);
+    if (cut?.messages === 'lost') return;
+    const latency = sender.machine === to.machine ? localLatency : networkLatency;
+    const arrival = cut === undefined ? latency : cut.until - this.#now + latency;
+    const fault = this.#messageFaults.find((one) =>
+      faultApplies(one, frame.kind, sender, to, this.#now),
+    );
+    if (fault === undefined) {
+      this.#after(arrival, message);
+      return;
+    }
+    this.#messageFaults = this.#messageFaults.filter((one) => one !== fault);
+    switch (fault.action.action) {
+      case 'drop':
+        break;
+      case 'delay':
+        this.#after(arrival + fault.action.byMs, message);
+        break;
+      case 'repeat':
+        this.#after(arrival, message);
+        this.#after(arrival + fault.action.afterMs, message);
+        break;
+    }
+  }
+
+  #writeDisk(item: Extract<Item, { kind: 'disk write' }>): void {
+    const machine = this.#machine(item.machine);
+    if (machine?.running !== true || machine.life !== item.life) return;
+    if (machine.diskTrouble === 'stalled') {
+      this.#held.push(item);
+      return;
+    }
+    const full = machine.diskTrouble === 'full';
+    if (!full) this.#store(machine, item.write);
+    const { id } = item.write;
+    this.#after(0, {
+      kind: 'store event',
+      machine: item.machine,
+      life: item.life,
+      event: (now) =>
+        full
+          ? { kind: 'unsynced', now, id, text: 'no room', full: true }
+          : { kind: 'synced', now, id },
+    });
+  }
+
+  #store(machine: Machine, write: DiskWrite): void {
+    const node = nodeOf({ machine: machine.index, role: 'store' });
+    this.#monitor.onDiskWrite(node, machine.disk, write, this.#now);
+    this.#change(machine.index, { disk: applyWrite(machine.disk, write) });
+  }
+
+  #runOperator(): void {
+    const [operator, calls] = operatorTurn(this.#operator, this.layout.founders, this.#now);
+    this.#operator = operator;
+    for (const call of calls) {
+      this.#ref += 1;
+      this.#after(networkLatency, {
+        kind: 'call',
+        call,
+        floor: this.#monitor.highestConfirmed,
+        ref: this.#ref,
+      });
+    }
+    this.#after(operatorInterval, { kind: 'operator' });
+  }
+
+  #onReply(ref: number, status: number, body: string): void {
+    const asked = this.#waiting.get(ref);
+    if (asked === undefined) return;
+    this.#waiting.delete(ref);
+    if (status !== 200) return;
+    const { expected } = asked.call;
+    const answer = readAnswer(body);
+    if (expected.kind === 'read') this.#monitor.onRead(answer.generation, asked.floor, this.#now);
+    else {
+      this.#operator = closeWrite(this.#operator, expected.number);
+      if (answer.kind === 'accepted')
+        this.#monitor.onConfirmed(expected.number, expected.hash, this.#now);
+    }
+  }
+
+  /** A primary answers that a number is accepted: the copies are counted right then. */
+  #checkConfirmation(machine: Machine, status: number, body: string): void {
+    const answer = readAnswer(body);
+    const store = machine.store;
+    if (status !== 200 || answer.kind !== 'accepted' || store?.metadata === undefined) return;
+    const metadata = this.#machine(machine.index)?.store?.metadata ?? store.metadata;
+    const images = new Map<NodeId, DiskImage | undefined>(
+      this.#machines.map((one) => [nodeOf({ machine: one.index, role: 'store' }), one.disk]),
+    );
+    const well = this.#machines.filter((one) => this.#wellFor(one, settledTime)).length;
+    this.#monitor.onConfirming(
+      answer.generation,
+      nodeOf({ machine: machine.index, role: 'store' }),
+      metadata.inSyncSet,
+      images,
+      Math.min(this.layout.tolerate + 1, well),
+      this.#now,
+    );
+  }
+
+  /** Whether a machine runs and nothing has been the matter with it for a while. */
+  #wellFor(machine: Machine, span: number): boolean {
+    const cut = this.#cuts.some(
+      (one) =>
+        (one.machine === machine.index || one.peer === machine.index || one.peer === 'all') &&
+        (one.machine === machine.index || one.peer === machine.index) &&
+        this.#now - one.until < span,
+    );
+    return (
+      machine.running &&
+      !machine.paused &&
+      machine.diskTrouble === 'none' &&
+      !cut &&
+      this.#now - machine.troubledUntil >= span
+    );
+  }
+
+  #start(index: number): void {
+    const machine = this.#machine(index);
+    if (machine === undefined || machine.running) return;
+    const next = startMachine(machine, this.layout, this.#now);
+    this.#machines[index] = {
+      ...next,
+      troubledUntil: this.#now,
+      crashedUntil: next.life === 1 ? -Infinity : this.#now,
+    };
+    const { life } = next;
+    this.#after(1, { kind: 'read disk', machine: index, life });
+    for (const [place, role] of (['registry', 'store'] as const).entries())
+      this.#after(3 + place * 11 + index * 5, {
+        kind: 'tick',
+        process: { machine: index, role },
+        life,
+      });
+  }
+
+  #wake(index: number): void {
+    const machine = this.#machine(index);
+    if (machine?.paused !== true) return;
+    this.#change(index, { paused: false, troubledUntil: this.#now });
+    // A process that slept in its wait for sockets reads them before it looks at its timers.
+    this.#release((one) => this.#machineOf(one) === index && one.kind !== 'tick');
+    this.#release((one) => this.#machineOf(one) === index);
+  }
+
+  #runDeviation(deviation: Deviation): void {
+    switch (deviation.kind) {
+      case 'crash':
+        this.#crash(deviation);
+        break;
+      case 'pause': {
+        const machine = this.#machine(deviation.machine);
+        if (machine?.running !== true || machine.paused) break;
+        this.#change(deviation.machine, { paused: true });
+        this.#after(deviation.forMs, { kind: 'wake', machine: deviation.machine });
+        break;
+      }
+      case 'cut':
+        this.#cut(deviation);
+        break;
+      case 'disk':
+        this.#change(deviation.machine, { diskTrouble: deviation.trouble });
+        this.#after(deviation.forMs, { kind: 'disk well', machine: deviation.machine });
+        break;
+      case 'join':
+        this.#start(deviation.machine);
+        break;
+      case 'message':
+        break;
+    }
+  }
+
+  #cut(deviation: Cut): void {
+    this.#cuts = [
+      ...this.#cuts.filter((one) => this.#now - one.until < recoveryTime),
+      { ...deviation, until: this.#now + deviation.forMs },
+    ];
+  }
+
+  /** Whether losing this disk now is a single loss: no other machine down lately, at most one in trouble. */
+  #isSingleLoss(index: number): boolean {
+    const others = this.#machines.filter((one) => one.index !== index && one.life > 0);
+    const down = others.some((one) => !one.running || this.#now - one.crashedUntil < recoveryTime);
+    const troubled = others.filter((one) => !this.#wellFor(one, recoveryTime)).length;
+    return !this.#diskLost && !down && troubled <= 1;
+  }
+
+  #crash(deviation: Crash): void {
+    const machine = this.#machine(deviation.machine);
+    if (machine?.running !== true) return;
+    const lost = deviation.disk === 'lost' && this.#isSingleLoss(machine.index);
+    const pending = this.#pendingWrites(machine);
+    if (deviation.disk === 'kept with pending write' && pending !== undefined)
+      this.#store(machine, pending);
+    const current = this.#machine(deviation.machine) ?? machine;
+    this.#machines[machine.index] = {
+      ...stopMachine(current),
+      disk: lost ? undefined : current.disk,
+    };
+    this.#diskLost ||= lost;
+    this.#held = this.#held.filter((one) => this.#machineOf(one) !== machine.index);
+    for (const other of this.#machines)
+      if (other.index !== machine.index && other.running) this.#announceEnd(machine, other);
+    if (Number.isFinite(deviation.forMs))
+      this.#after(deviation.forMs, { kind: 'start', machine: machine.index });
+  }
+
+  /** The first write that the disk had in hand. */
+  #pendingWrites(machine: Machine): DiskWrite | undefined {
+    const isPending = (item: Item): boolean =>
+      item.kind === 'disk write' && item.machine === machine.index && item.life === machine.life;
+    const pending = [...this.#held.filter(isPending), ...this.#agenda.extract(isPending)];
+    const first = pending[0];
+    return first?.kind === 'disk write' && machine.diskTrouble === 'none' ? first.write : undefined;
+  }
+
+  #announceEnd(machine: Machine, other: Machine): void {
+    if (cutBetween(this.#cuts, machine.index, other.index, this.#now) !== undefined) return;
+    for (const of of ['registry', 'store'] as const)
+      for (const role of ['registry', 'store'] as const)
+        this.#after(networkLatency, {
+          kind: 'gone',
+          of: { machine: machine.index, role: of },
+          to: { machine: other.index, role },
+        });
+  }
+}
+
+interface Answer {
+  readonly kind: string;
+  readonly generation: number;
+}
+
+/** The parts of an answer that matter here. */
+const readAnswer = (body: string): Answer => ({
+  kind: /"kind":"([a-z]+)"/.exec(body)?.[1] ?? '',
+  generation: Number(/"generation":(\d+)/.exec(body)?.[1] ?? 0),
+});
--- /dev/null
+++ b/packages/model-checker/src/seeded-bugs/list.ts
@@ -0,0 +1,131 @@
+import type { Guard } from '@switchwheel/simulator/guard';
+
+const candidate = 'election/dist/candidate/candidate.js';
+const voter = 'election/dist/voter/voter.js';
+const write = 'replicated-store/dist/primary-write/primary-write.js';
+const candidacy = 'replicated-store/dist/leadership/candidacy.js';
+const resync = 'replicated-store/dist/resync/resync.js';
+const decide = 'replicated-store/dist/command/decide.js';
+
+/** Guards of the control side whose absence the model checker is to find. */
+export const seededBugs: readonly Guard[] = [
+  {
+    name: 'a voter that restarted abstains',
+    rule: 'one valid lease',
+    file: voter,
+    from: 'if (now < later(state.born, leaseSpan))',
+    to: 'if (false)',
+  },
+  {
+    name: 'the margin of a lease',
+    rule: 'one valid lease',
+    file: candidate,
+    from: 'last + lease - leaseMargin',
+    to: 'last + lease + 100',
+  },
+  {
+    name: 'a lease is counted from before it was asked for',
+    rule: 'one valid lease',
+    file: candidate,
+    from: '{ at: word.at, recovering: word.recovering }',
+    to: '{ at: now, recovering: word.recovering }',
+  },
+  {
+    name: 'a lease that ran out stays over',
+    rule: 'one valid lease',
+    file: candidate,
+    from: "if (own.phase === 'holdingLease' && now >= own.until)",
+    to: 'if (false)',
+  },
+  {
+    name: 'a lease that stands is respected',
+    rule: 'one valid lease',
+    file: voter,
+    from: 'if (mine.lessee !== ballot.node && now < mine.until)',
+    to: 'if (false)',
+  },
+  {
+    name: 'a vote is only for a higher epoch',
+    rule: 'one primary per epoch',
+    file: voter,
+    from: 'if (ballot.epoch <= mine.epoch)',
+    to: 'if (false)',
+  },
+  {
+    name: 'a lease needs a majority',
+    rule: 'one valid lease',
+    file: voter,
+    from: 'export const majority = (size) => Math.floor(size / 2) + 1;',
+    to: 'export const majority = (size) => Math.floor(size / 2);',
+  },
+  {
+    name: 'recovering votes do not count',
+    rule: 'a primary has every confirmed write',
+    file: candidate,
+    from: 'one !== undefined && (poll.countRecovering || !one.recovering)',
+    to: 'one !== undefined',
+  },
+  {
+    name: 'only stores in sync are elected',
+    rule: 'a primary has every confirmed write',
+    file: voter,
+    from: 'if (ballot.duty === primary && !mine.inSyncSet.includes(ballot.node))',
+    to: 'if (false)',
+  },
+  {
+    name: 'only stores in sync stand',
+    rule: 'a primary has every confirmed write',
+    file: candidacy,
+    from: 'state.metadata.inSyncSet.includes(ownId(state)) && state.excludedAtEpoch <= state.metadata.epoch;',
+    to: 'true;',
+  },
+  {
+    name: 'the backup has it before the answer',
+    rule: 'in-sync members hold a confirmed write',
+    file: write,
+    from: 'const whole = unconfirmedBackups(state, next).length === 0; if (whole) return join(',
+    to: 'if (true) return join(',
+  },
+  {
+    name: 'every backup in sync has it before the answer',
+    rule: 'in-sync members hold a confirmed write',
+    file: write,
+    from: 'const whole = unconfirmedBackups(state, next).length === 0; return whole ?',
+    to: 'return true ?',
+  },
+  {
+    name: 'the own disk has it before the answer',
+    rule: 'in-sync members hold a confirmed write',
+    file: write,
+    from: 'return step({ ...next, primaryWrite, nextId: state.nextId + 1 }, ...told, diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts));',
+    to: 'return join([...told, diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts)], commitWrite({ ...next, primaryWrite, nextId: state.nextId + 1 }, primaryWrite, now));',
+  },
+  {
+    name: 'a primary answers only while it holds the lease',
+    rule: 'reads are never older than a write confirmed before',
+    file: candidacy,
+    from: 'state.serving && holdsLease(state.candidate, now);',
+    to: "state.serving && state.candidate.phase.phase === 'holdingLease';",
+  },
+  {
+    name: 'a backup takes no copy of an older epoch',
+    rule: 'epochs on a disk only go up',
+    file: resync,
+    from: 'if (word.metadata.epoch < metadata.epoch || word.metadata.epoch < heldEpoch(before.candidate))',
+    to: 'if (false)',
+  },
+  {
+    name: 'a backup takes no copy past a gap',
+    rule: 'a primary has every confirmed write',
+    file: resync,
+    from: 'const next = sameStamp(state.stamp, word.prior) || sameStamp(state.stamp, word.stamp);',
+    to: 'const next = true;',
+  },
+  {
+    name: 'a lower number does not replace a higher one',
+    rule: 'a primary has every confirmed write',
+    file: decide,
+    from: 'if (command.number !== undefined && command.number <= now)',
+    to: 'if (false)',
+  },
+];
