--- a/packages/model-checker/src/cluster/invariants.ts
+++ b/packages/model-checker/src/cluster/invariants.ts
@@ -154,12 +154,13 @@
       );
   }
 
-  /** An operator was told that its content stands under a number. */
-  onConfirmed(number: number, hash: string, at: number): void {
+  /** An operator was told that its content stands under a number, in force or below one that is. */
+  onAcknowledged(number: number, hash: string, accepted: boolean, at: number): void {
     const known = this.#contents.get(number);
     if (known !== undefined && known !== hash)
       this.#fail('one content by number', at, `${number} was confirmed with two contents`);
     this.#contents.set(number, hash);
+    if (!accepted) return;
     this.#highest = Math.max(this.#highest, number);
     this.exercise.confirmedWrites += 1;
   }
--- a/packages/model-checker/src/cluster/operator.ts
+++ b/packages/model-checker/src/cluster/operator.ts
@@ -26,10 +26,12 @@
   readonly attempts: number;
 }
 
-const contentOf = (number: number): string => JSON.stringify({ content: number });
+/** Two operators hand in different contents under some numbers: one of them is refused. */
+type Author = 'write' | 'rival';
+const rivalTurns = 6;
 
-const writeCall = (number: number, id: CallId): Outside & { verb: 'apply' } => {
-  const text = contentOf(number);
+const writeCall = (number: number, author: Author, id: CallId): Outside & { verb: 'apply' } => {
+  const text = JSON.stringify({ author, content: number });
   const piece = hashOf(text);
   return {
     verb: 'apply',
@@ -50,8 +52,8 @@
 }
 export const newOperator: Operator = { turn: 0, nextNumber: 1, open: [] };
 
-const toWrite = (number: number, machine: number): OperatorCall => {
-  const call = writeCall(number, toCallId(`write-${number}`));
+const toWrite = (number: number, machine: number, author: Author = 'write'): OperatorCall => {
+  const call = writeCall(number, author, toCallId(`${author}-${number}`));
   return { machine, call, expected: { kind: 'write', number, hash: call.hash } };
 };
 
@@ -77,6 +79,8 @@
     open.push({ number: nextNumber, sentAt: now, attempts: 1 });
     nextNumber += 1;
   }
+  if (operator.turn % rivalTurns === 1)
+    calls.push(toWrite(nextNumber - 1, operator.turn % machines, 'rival'));
   calls.push({
     machine: operator.turn % machines,
     call: { verb: 'view', id: toCallId(`read-${operator.turn}`), what: 'description' },
--- a/packages/model-checker/src/cluster/simulation.ts
+++ b/packages/model-checker/src/cluster/simulation.ts
@@ -434,8 +434,8 @@
     if (expected.kind === 'read') this.#monitor.onRead(answer.generation, asked.floor, this.#now);
     else {
       this.#operator = closeWrite(this.#operator, expected.number);
-      if (answer.kind === 'accepted')
-        this.#monitor.onConfirmed(expected.number, expected.hash, this.#now);
+      const accepted = answer.kind === 'accepted';
+      this.#monitor.onAcknowledged(expected.number, expected.hash, accepted, this.#now);
     }
   }
 
--- a/packages/model-checker/src/explore/run.ts
+++ b/packages/model-checker/src/explore/run.ts
@@ -4,7 +4,7 @@
 import type { ClusterLayout, Scenario } from '../schedule/scenario.js';
 
 /** When the cluster stands and is written to: deviations begin here. */
-export const formedAt = 3500;
+export const formedAt = 2500;
 /** How long a run goes on after its last deviation is over. */
 export const settleTime = 3200;
 const checkpointInterval = 100;
--- a/packages/model-checker/src/seeded-bugs/list.ts
+++ b/packages/model-checker/src/seeded-bugs/list.ts
@@ -5,7 +5,7 @@
 const write = 'replicated-store/dist/primary-write/primary-write.js';
 const candidacy = 'replicated-store/dist/leadership/candidacy.js';
 const resync = 'replicated-store/dist/resync/resync.js';
-const decide = 'replicated-store/dist/command/decide.js';
+const apply = 'replicated-store/dist/command/apply.js';
 
 /** Guards of the control side whose absence the model checker is to find. */
 export const seededBugs: readonly Guard[] = [
@@ -13,9 +13,30 @@
     name: 'a voter that restarted abstains',
     rule: 'one valid lease',
     file: voter,
-    from: 'if (now < later(state.born, leaseSpan))',
+    from: 'if (now < abstainsUntil(state))',
     to: 'if (false)',
   },
+  {
+    name: 'a young voter renews no lease',
+    rule: 'one valid lease',
+    file: voter,
+    from: 'if (now < abstainsUntil(state))',
+    to: 'if (!ballot.renew && now < abstainsUntil(state))',
+  },
+  {
+    name: 'a recovering voter believes only an echo of its own life',
+    rule: 'a primary has every confirmed write',
+    file: voter,
+    from: 'ballot.voterLife === state.life &&',
+    to: '',
+  },
+  {
+    name: 'a peer remembers for a recovering voter only what it said after the abstention',
+    rule: 'a primary has every confirmed write',
+    file: voter,
+    from: 'memory.heard?.incarnation === state.life && memory.heard.at >= abstainsUntil(state)',
+    to: 'true',
+  },
   {
     name: 'the margin of a lease',
     rule: 'one valid lease',
@@ -27,8 +48,8 @@
     name: 'a lease is counted from before it was asked for',
     rule: 'one valid lease',
     file: candidate,
-    from: '{ at: word.at, recovering: word.recovering }',
-    to: '{ at: now, recovering: word.recovering }',
+    from: 'at: word.at, recovering: word.recovering,',
+    to: 'at: now, recovering: word.recovering,',
   },
   {
     name: 'a lease that ran out stays over',
@@ -124,8 +145,15 @@
   {
     name: 'a lower number does not replace a higher one',
     rule: 'a primary has every confirmed write',
-    file: decide,
-    from: 'if (command.number !== undefined && command.number <= now)',
+    file: apply,
+    from: 'if (number <= now)',
+    to: 'if (false)',
+  },
+  {
+    name: 'a number that is taken keeps its content',
+    rule: 'one content by number',
+    file: apply,
+    from: 'if (taken !== undefined && taken !== command.hash)',
     to: 'if (false)',
   },
 ];
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -27,6 +27,8 @@
 const voter = 'election/dist/voter/voter.js';
 const primaryWrite = 'replicated-store/dist/primary-write/primary-write.js';
 const decide = 'replicated-store/dist/command/decide.js';
+const apply = 'replicated-store/dist/command/apply.js';
+const decision = 'replicated-store/dist/command/decision.js';
 const candidacy = 'replicated-store/dist/leadership/candidacy.js';
 const origins = 'membership/dist/origins/origins.js';
 const departures = 'membership/dist/registry/departures.js';
@@ -154,21 +156,21 @@
   {
     name: 'a generation is made from its base',
     rule: 'generation',
-    file: decide,
+    file: apply,
     from: 'if (command.base !== undefined && command.base !== now)',
     to: 'if (false)',
   },
   {
     name: 'an invalid description is refused whole',
     rule: 'whole',
-    file: decide,
+    file: apply,
     from: 'if (command.faults.length > 0)',
     to: 'if (false)',
   },
   {
     name: 'a call is answered once',
     rule: 'whole',
-    file: decide,
+    file: decision,
     from: 'return before === undefined ? undefined : { ...noChange, immediateReplies: [{ ...command.asker, status: before.status, body: before.body }], };',
     to: 'return undefined;',
   },
