--- a/packages/ballot/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export * from './witness/witness.js';
-export * from './stand/stand.js';
--- /dev/null
+++ b/packages/election/src/index.ts
@@ -0,0 +1,2 @@
+export * from './voter/voter.js';
+export * from './candidate/candidate.js';
--- /dev/null
+++ b/packages/election/src/voter/voter.ts
@@ -0,0 +1,239 @@
+import {
+  type Duty,
+  type Epoch,
+  type FleetId,
+  type Incarnation,
+  type Moment,
+  type NodeId,
+  later,
+  noEpoch,
+  primary,
+  put,
+  toSpan,
+} from '@switchwheel/types';
+import type { Electorate, FrameOf, GrantRecord } from '@switchwheel/transport';
+
+/** The longest lease a voter grants; one that restarted abstains for as long. */
+export const leaseSpan = 1000;
+
+/** What a voter keeps of one duty: the highest epoch it granted, to whom, and until when. */
+export interface Grant {
+  readonly epoch: Epoch;
+  readonly node: NodeId;
+  /** Whose lease it is that stands until then: what is recalled of a higher epoch does not end a lease. */
+  readonly lessee: NodeId;
+  readonly until: Moment;
+  /** For `primary`: the stores that hold every confirmed write under this epoch. */
+  readonly inSyncSet: readonly NodeId[];
+}
+
+export interface Voter {
+  readonly me: NodeId;
+  /** This life of the process: votes bear it, and only a renewal that echoes it proves a win. */
+  readonly life: Incarnation;
+  readonly born: Moment;
+  readonly fleet: FleetId | undefined;
+  readonly electorate: Electorate | undefined;
+  readonly grants: ReadonlyMap<Duty, Grant>;
+  /** While set, this voter restarted and does not yet know what it once granted. */
+  readonly recovering: boolean;
+  /** The peers that told what they remember since this voter's abstention ended. */
+  readonly heardFrom: ReadonlySet<NodeId>;
+}
+
+export const newVoter = (me: NodeId, born: Moment, life: Incarnation): Voter => ({
+  me,
+  life,
+  born,
+  fleet: undefined,
+  electorate: undefined,
+  grants: new Map(),
+  recovering: true,
+  heardFrom: new Set(),
+});
+
+/**
+ * When a voter's abstention ends: by then every vote that an earlier life of the process gave is
+ * too old to win anything, and every lease that it granted is over.
+ */
+export const abstainsUntil = (state: Voter): Moment => later(state.born, leaseSpan);
+
+export const majority = (size: number): number => Math.floor(size / 2) + 1;
+
+const newestElectorate = (mine: Electorate | undefined, theirs: Electorate): Electorate =>
+  mine === undefined || theirs.serial > mine.serial ? theirs : mine;
+
+const isMember = (set: Electorate, node: NodeId): boolean =>
+  set.members.some((one) => one.node === node);
+
+/** The grant a voter would make, or why not. */
+const refusalReason = (
+  state: Voter,
+  ballot: FrameOf<'vote-request'>,
+  set: Electorate,
+  now: Moment,
+): string | undefined => {
+  if (state.fleet !== undefined && state.fleet !== ballot.fleet) return 'another fleet';
+  if (ballot.electorate.serial < set.serial) return 'an older electorate';
+  if (!isMember(set, state.me)) return 'not a voter';
+  const mine = state.grants.get(ballot.duty);
+  if (ballot.stepDown)
+    return mine?.epoch === ballot.epoch && mine.node === ballot.node
+      ? undefined
+      : 'not the grant that stands';
+  if (now < abstainsUntil(state)) return 'too young';
+  if (ballot.renew) {
+    if (mine === undefined) return undefined;
+    if (mine.epoch > ballot.epoch) return 'a higher epoch';
+    return mine.epoch === ballot.epoch && mine.node !== ballot.node ? 'another holder' : undefined;
+  }
+  if (mine === undefined) return undefined;
+  if (ballot.epoch <= mine.epoch) return 'not a higher epoch';
+  if (mine.lessee !== ballot.node && now < mine.until) return 'the lease stands';
+  if (ballot.duty === primary && !mine.inSyncSet.includes(ballot.node)) return 'not in sync';
+  return undefined;
+};
+
+/**
+ * Whether a renewal proves that its holder won with a vote of this life of the voter: then nothing
+ * that an earlier life granted can be newer. A renewal that was under way for long, or that is
+ * delivered twice, does not echo this life and proves nothing.
+ */
+const provesWinOf = (
+  state: Voter,
+  mine: Grant | undefined,
+  ballot: FrameOf<'vote-request'>,
+): boolean =>
+  ballot.renew &&
+  !ballot.stepDown &&
+  ballot.duty === primary &&
+  ballot.voterLife === state.life &&
+  mine?.epoch === ballot.epoch &&
+  mine.node === ballot.node;
+
+/** Takes a ballot: the one place where a voter's memory changes by a vote. */
+export const vote = (
+  state: Voter,
+  ballot: FrameOf<'vote-request'>,
+  now: Moment,
+): readonly [Voter, FrameOf<'vote'>] => {
+  const set = newestElectorate(state.electorate, ballot.electorate);
+  const why = refusalReason(state, ballot, set, now);
+  const mine = state.grants.get(ballot.duty);
+  const highest = mine?.epoch ?? noEpoch;
+  const base = {
+    kind: 'vote' as const,
+    duty: ballot.duty,
+    voter: state.me,
+    life: state.life,
+    at: ballot.at,
+    preVote: ballot.preVote,
+  };
+  if (why !== undefined) {
+    const told = set.serial > ballot.electorate.serial ? { electorate: set } : {};
+    const left = Math.max(0, (mine?.until ?? now) - now, abstainsUntil(state) - now);
+    return [
+      state,
+      {
+        ...base,
+        epoch: ballot.epoch,
+        granted: false,
+        recovering: state.recovering,
+        highest,
+        left: toSpan(left),
+        ...told,
+      },
+    ];
+  }
+  if (ballot.preVote)
+    return [
+      state,
+      { ...base, epoch: ballot.epoch, granted: true, recovering: state.recovering, highest },
+    ];
+  const span = ballot.stepDown ? 0 : Math.min(ballot.lease, leaseSpan);
+  const grant: Grant = {
+    epoch: ballot.epoch,
+    node: ballot.node,
+    lessee: ballot.node,
+    until: later(now, span),
+    inSyncSet: ballot.inSyncSet,
+  };
+  const provesWin = provesWinOf(state, mine, ballot);
+  const next: Voter = {
+    ...state,
+    fleet: ballot.fleet,
+    electorate: set,
+    grants: put(state.grants, ballot.duty, grant),
+    recovering: state.recovering && !provesWin,
+  };
+  return [
+    next,
+    {
+      ...base,
+      epoch: ballot.epoch,
+      granted: true,
+      recovering: state.recovering,
+      highest: ballot.epoch,
+    },
+  ];
+};
+
+/** What a peer remembers, and the newest gossip of this voter's registry that it had by then. */
+export interface PeerMemory {
+  readonly from: NodeId;
+  readonly recovering: boolean;
+  readonly records: readonly GrantRecord[];
+  readonly heard: { readonly incarnation: Incarnation; readonly at: Moment } | undefined;
+}
+
+/** Whether a peer spoke after this voter's abstention ended: only then does it remember all that matters. */
+const spokeInTime = (state: Voter, memory: PeerMemory): boolean =>
+  memory.heard?.incarnation === state.life && memory.heard.at >= abstainsUntil(state);
+
+/** Takes what a peer remembers; enough of them make a recovering voter whole. */
+export const recoverGrants = (state: Voter, memory: PeerMemory, now: Moment): Voter => {
+  if (!state.recovering || memory.recovering) return state;
+  let grants = state.grants;
+  for (const word of memory.records) {
+    const mine = grants.get(word.duty);
+    if (mine !== undefined && mine.epoch >= word.epoch) continue;
+    const lease =
+      mine !== undefined && now < mine.until
+        ? { lessee: mine.lessee, until: mine.until }
+        : { lessee: word.node, until: later(now, leaseSpan) };
+    grants = put(grants, word.duty, {
+      epoch: word.epoch,
+      node: word.node,
+      inSyncSet: word.inSyncSet,
+      ...lease,
+    });
+  }
+  const heardFrom = spokeInTime(state, memory)
+    ? new Set([...state.heardFrom, memory.from])
+    : state.heardFrom;
+  const set = state.electorate;
+  const others =
+    set === undefined
+      ? 0
+      : set.members.filter((one) => one.node !== state.me && heardFrom.has(one.node)).length;
+  const enough =
+    set !== undefined && others >= set.members.length - majority(set.members.length) + 1;
+  return { ...state, grants, heardFrom, recovering: !enough };
+};
+
+/** Takes a newer electorate that the primary published. */
+export const adoptElectorate = (state: Voter, fleet: FleetId, set: Electorate): Voter => {
+  if (state.fleet !== undefined && state.fleet !== fleet) return state;
+  const next = newestElectorate(state.electorate, set);
+  return next === state.electorate && state.fleet === fleet
+    ? state
+    : { ...state, fleet, electorate: next };
+};
+
+export const grantRecords = (state: Voter): readonly GrantRecord[] =>
+  [...state.grants].map(([duty, grant]) => ({
+    duty,
+    epoch: grant.epoch,
+    node: grant.node,
+    inSyncSet: [...grant.inSyncSet],
+  }));
--- /dev/null
+++ b/packages/membership/src/registry/queries.ts
@@ -0,0 +1,162 @@
+import {
+  type Address,
+  type Moment,
+  between,
+  noGeneration,
+  primary,
+  toSpan,
+} from '@switchwheel/types';
+import {
+  type Electorate,
+  type FrameOf,
+  type Holder,
+  type Member,
+  type Report,
+  type Session,
+  type WireEffect,
+  send,
+} from '@switchwheel/transport';
+import { majority, grantRecords } from '@switchwheel/election';
+import { tellOrigins } from '../origins/origins.js';
+import type { KnownSession, Registry } from './state.js';
+
+/** How long a session stands without a word of its node. */
+export const sessionTimeout = 1500;
+/** How old a registry's word of the primary may be to count. */
+export const freshnessLimit = 1200;
+
+export const isAlive = (one: KnownSession, now: Moment): boolean =>
+  one.open && now - one.at < sessionTimeout;
+
+export const emptyReport = (ready: boolean): Report => ({
+  generation: noGeneration,
+  phase: 'none',
+  ready,
+  health: { name: 'process', healthy: true, text: '', parts: [] },
+});
+
+const sessionRecord = (one: KnownSession, now: Moment): Session => ({
+  member: one.member,
+  report: one.report,
+  registry: one.registry,
+  seq: one.seq,
+  age: between(one.at, now),
+  open: one.open,
+});
+
+/** Every node in touch, this registry and its peers among them. */
+export const members = (state: Registry, now: Moment): Member[] => [
+  state.member,
+  ...[...state.sessions.values()].filter((one) => isAlive(one, now)).map((one) => one.member),
+];
+
+export const peerAddresses = (state: Registry, now: Moment): readonly Address[] => {
+  const known = [...state.sessions.values()]
+    .filter((one) => one.member.role === 'registry' && now - one.at < 60_000)
+    .map((one) => one.member.address);
+  const seated = state.electorate?.members.map((one) => one.address) ?? [];
+  return [...new Set([...known, ...seated, ...state.seeds])].filter(
+    (one) => one !== state.member.address,
+  );
+};
+
+/**
+ * Whether this registry and a majority of the electorate hear each other: each of them showed that
+ * it has a gossip of this registry that is younger than the limit. A way that is cut in one
+ * direction is no contact.
+ */
+export const hasMajorityContact = (
+  state: Registry,
+  now: Moment,
+  limit = freshnessLimit,
+): boolean => {
+  const set: Electorate | undefined = state.electorate;
+  if (set === undefined) return true;
+  const near = set.members.filter(
+    (one) =>
+      one.node === state.member.node ||
+      now - (state.peers.get(one.node)?.echoedAt ?? -Infinity) < limit,
+  );
+  return near.length >= majority(set.members.length);
+};
+
+/** By how much a peer's word of the primary must be newer: a dead primary falls silent for all at once. */
+const silenceMargin = 500;
+
+/** Whether a peer hears a primary that this registry does not hear any more. */
+export const onlyPeersHearPrimary = (state: Registry): boolean => {
+  const own = state.feed.asOf ?? -Infinity;
+  return [...state.peers.values()].some(
+    (one) => one.primaryAsOf !== undefined && one.primaryAsOf > own + silenceMargin,
+  );
+};
+
+const feedAgeField = (state: Registry, now: Moment): Pick<FrameOf<'gossip'>, 'feedAge'> => {
+  const age = feedAge(state, now);
+  return age === undefined ? {} : { feedAge: age };
+};
+
+export const gossipFrame = (state: Registry, now: Moment): FrameOf<'gossip'> => ({
+  kind: 'gossip',
+  from: state.member,
+  full: true,
+  at: now,
+  sessions: [...state.sessions.values()]
+    .filter((one) => now - one.at < 30_000)
+    .map((one) => sessionRecord(one, now)),
+  origins: tellOrigins(state.origins, now),
+  holders: [...state.holders.values()],
+  memories: [...grantRecords(state.voter)],
+  recovering: state.voter.recovering,
+  heard: [...state.peers].map(([node, one]) => ({
+    node,
+    incarnation: one.incarnation,
+    at: one.sentAt,
+  })),
+  ...feedAgeField(state, now),
+});
+
+export const memberListFrame = (state: Registry, now: Moment): FrameOf<'member-list'> => ({
+  kind: 'member-list',
+  members: members(state, now),
+  origins: tellOrigins(state.origins, now),
+  holders: [...state.holders.values()],
+});
+
+/** The nodes that news goes to at once: those with a session here, and every shield. */
+export const broadcastTargets = (state: Registry, now: Moment): readonly Address[] =>
+  [...state.sessions.values()]
+    .filter(
+      (one) =>
+        isAlive(one, now) &&
+        one.member.role !== 'registry' &&
+        (one.registry === state.member.node || one.member.role === 'shield'),
+    )
+    .map((one) => one.member.address);
+
+/** Tells nodes of the whole fleet. */
+export const sendMemberList = (
+  state: Registry,
+  to: readonly Address[],
+  now: Moment,
+): readonly WireEffect[] => {
+  const word = memberListFrame(state, now);
+  return to.map((one) => send(one, word));
+};
+
+export const broadcast = (state: Registry, now: Moment): readonly WireEffect[] => {
+  const inner = gossipFrame(state, now);
+  return [
+    ...sendMemberList(state, broadcastTargets(state, now), now),
+    ...peerAddresses(state, now).map((to) => send(to, inner)),
+  ];
+};
+
+export const primaryHolder = (state: Registry): Holder | undefined => state.holders.get(primary);
+
+export const feedAge = (state: Registry, now: Moment): ReturnType<typeof toSpan> | undefined => {
+  const asOf = state.feed.asOf;
+  if (asOf === undefined) return undefined;
+  const age = now - asOf;
+  return age < freshnessLimit ? toSpan(age) : undefined;
+};
--- a/packages/roster/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -7,6 +7,7 @@
   type FleetId,
   type Generation,
   type Hash,
+  type Incarnation,
   type InstanceId,
   type Moment,
   type NodeId,
@@ -14,7 +15,7 @@
   noEpoch,
   noSeq,
   start,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import type {
   Electorate,
   FrameOf,
@@ -26,12 +27,12 @@
   ReleaseState,
   Report,
   Verdict,
-} from '@switchwheel/coupling';
-import { type Witness, newWitness } from '@switchwheel/ballot';
+} from '@switchwheel/transport';
+import { type Voter, newVoter } from '@switchwheel/election';
 import type { Origins } from '../origins/origins.js';
 
-/** A session as this registry knows it, its own or a colleague's. */
-export interface Known {
+/** A session as this registry knows it, its own or a peer's. */
+export interface KnownSession {
   readonly member: Member;
   readonly report: Report;
   readonly registry: NodeId;
@@ -91,7 +92,7 @@
   readonly pieces: ReadonlyMap<Hash, string>;
 }
 
-/** An origin's departure that was announced here: who of the colleagues confirmed that they know, and who waits for it. */
+/** An origin's departure that was announced here: who of the peers confirmed that they know, and who waits for it. */
 export interface Departure {
   readonly state: Origin['state'];
   readonly confirmed: boolean;
@@ -101,35 +102,51 @@
 }
 
 /** A founding under way: the stores that agreed so far. */
-export interface Founding {
+export interface BootstrapInProgress {
   readonly ref: number;
   readonly since: Moment;
   readonly stores: readonly NodeId[];
-  readonly witnesses: readonly NodeId[];
+  readonly voters: readonly NodeId[];
   readonly agreed: ReadonlySet<NodeId>;
 }
 
 /** A fleet that its first processes found by themselves: each of them, from the same seeds, proposes the same. */
-export interface Proposal {
+export interface ClusterProposal {
   readonly fleet: FleetId;
   readonly stores: readonly { readonly node: NodeId; readonly address: Address }[];
   readonly electorate: Electorate;
 }
 
+/** What this registry knows of its way to and from a peer. */
+export interface PeerContact {
+  readonly incarnation: Incarnation;
+  /** When the newest gossip of the peer was sent, by the peer's clock. */
+  readonly sentAt: Moment;
+  /** When this registry sent the newest gossip that the peer is known to have. */
+  readonly echoedAt: Moment | undefined;
+  /** As of when the peer is known to have heard the primary. */
+  readonly primaryAsOf: Moment | undefined;
+}
+
+/** What a store said of its disk, and when it was heard. */
+export interface StoreHint {
+  readonly word: FrameOf<'hint'>;
+  readonly heardAt: Moment;
+}
+
 export interface Registry {
   readonly member: Member;
-  readonly proposal: Proposal | undefined;
-  readonly proposed: Moment;
+  readonly proposal: ClusterProposal | undefined;
+  readonly proposedAt: Moment;
   /** Whether a node that runs nothing gets the newest that any disk is known to hold, while no primary is heard of. */
   readonly eager: boolean;
-  readonly hint: FrameOf<'hint'> | undefined;
+  readonly hints: ReadonlyMap<NodeId, StoreHint>;
   readonly seeds: readonly Address[];
-  readonly witness: Witness;
-  readonly sessions: ReadonlyMap<NodeId, Known>;
+  readonly voter: Voter;
+  readonly sessions: ReadonlyMap<NodeId, KnownSession>;
   readonly origins: Origins;
   readonly holders: ReadonlyMap<Duty, Holder>;
-  /** When each colleague registry was last heard. */
-  readonly heard: ReadonlyMap<NodeId, Moment>;
+  readonly peers: ReadonlyMap<NodeId, PeerContact>;
   readonly feed: Feed;
   readonly electorate: Electorate | undefined;
   readonly fleet: FleetId | undefined;
@@ -141,14 +158,14 @@
     { readonly hash: Hash; readonly at: Moment; readonly tries: number }
   >;
   readonly pending: ReadonlyMap<CallId, Pending>;
-  readonly founding: ReadonlyMap<CallId, Founding>;
+  readonly bootstraps: ReadonlyMap<CallId, BootstrapInProgress>;
   readonly departures: ReadonlyMap<InstanceId, Departure>;
-  readonly gossiped: Moment;
-  readonly tuned: Moment;
+  readonly gossipedAt: Moment;
+  readonly subscribedAt: Moment;
   /** When the nodes with a session here were last told of the whole fleet. */
-  readonly told: Moment;
+  readonly memberListSentAt: Moment;
   /** Duties that were vacant at the last look. */
-  readonly lapsed: ReadonlySet<Duty>;
+  readonly vacantDuties: ReadonlySet<Duty>;
   readonly stopping: boolean;
   readonly dice: Dice;
 }
@@ -158,20 +175,20 @@
   seeds: readonly Address[],
   now: Moment,
   dice: Dice,
-  proposal?: Proposal,
+  proposal?: ClusterProposal,
   eager = false,
 ): Registry => ({
   proposal,
-  proposed: start,
+  proposedAt: start,
   eager,
-  hint: undefined,
+  hints: new Map(),
   member,
   seeds,
-  witness: newWitness(member.node, now),
+  voter: newVoter(member.node, now, member.incarnation),
   sessions: new Map(),
   origins: new Map(),
   holders: new Map(),
-  heard: new Map(),
+  peers: new Map(),
   feed: noFeed,
   electorate: undefined,
   fleet: undefined,
@@ -180,12 +197,12 @@
   asked: new Map(),
   offered: new Map(),
   pending: new Map(),
-  founding: new Map(),
+  bootstraps: new Map(),
   departures: new Map(),
-  gossiped: start,
-  tuned: start,
-  told: start,
-  lapsed: new Set(),
+  gossipedAt: start,
+  subscribedAt: start,
+  memberListSentAt: start,
+  vacantDuties: new Set(),
   stopping: false,
   dice,
 });
--- a/packages/waybill/src/line/port.ts
+++ b/packages/proxy-core/src/line/port.ts
@@ -1,5 +1,5 @@
-import type { Address, InstanceId, Kind, Moment } from '@switchwheel/gauge';
-import type { Fields, Frame } from '@switchwheel/coupling';
+import type { Address, InstanceId, Kind, Moment } from '@switchwheel/types';
+import type { Fields, Frame } from '@switchwheel/transport';
 import type { Entry } from '../cache/cache.js';
 import type { Proxy, ProxyEvent } from '../proxy/state.js';
 
@@ -13,7 +13,7 @@
 /** A channel on which requests and results go. */
 export interface DataChannel {
   readonly send: (frame: Frame) => void;
-  readonly hang: (why: string) => void;
+  readonly terminate: (why: string) => void;
 }
 
 /** What is heard on such a channel. */
--- a/packages/waybill/src/proxy/state.ts
+++ b/packages/proxy-core/src/proxy/state.ts
@@ -6,8 +6,8 @@
   type Moment,
   type ServiceName,
   start,
-} from '@switchwheel/gauge';
-import type { Ask, FrameOf, Member } from '@switchwheel/coupling';
+} from '@switchwheel/types';
+import type { Ask, FrameOf, Member } from '@switchwheel/transport';
 import { type Cabin, type CabinEffect, type CabinEvent, newCabin } from '../cabin/state.js';
 import { type Forward, type ForwardEffect, type Wagon, newForward } from '../forward/state.js';
 import type { Keeper, KeeperEffect, LegEnd } from '../keeper/state.js';
@@ -75,10 +75,10 @@
       readonly frame: FrameOf<'result'>;
     }
   | {
-      readonly kind: 'bounce';
+      readonly kind: 'reject';
       readonly now: Moment;
       readonly from: Address;
-      readonly frame: FrameOf<'bounce'>;
+      readonly frame: FrameOf<'reject'>;
     }
   | { readonly kind: 'begun'; readonly now: Moment; readonly from: Address; readonly id: AskId }
   | { readonly kind: 'done'; readonly now: Moment; readonly id: AskId }
--- a/packages/turnout/src/direct/leg.ts
+++ b/packages/proxy/src/direct/leg.ts
@@ -1,9 +1,9 @@
 import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
 import type { Socket } from 'node:net';
-import type { InstanceId } from '@switchwheel/gauge';
-import { type Fields, parts } from '@switchwheel/coupling';
-import type { LegEars, LegOrder, LegPort, Words } from '@switchwheel/shunt';
-import { fieldOf } from '@switchwheel/waybill';
+import type { InstanceId } from '@switchwheel/types';
+import { type Fields, splitAddress } from '@switchwheel/transport';
+import type { LegEars, LegOrder, LegPort, Words } from '@switchwheel/routing';
+import { fieldOf } from '@switchwheel/proxy-core';
 
 /** How long a connection may take to open. */
 const openMs = 300;
@@ -61,7 +61,7 @@
   }
 
   send(order: LegOrder, ears: LegEars): () => void {
-    const { host, port } = parts(order.address);
+    const { host, port } = splitAddress(order.address);
     const headers = order.fields.flat();
     const bare = order.method === 'GET' || order.method === 'HEAD';
     if (!bare || order.body.length > 0) headers.push('Content-Length', String(order.body.length));
--- a/packages/turnout/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -1,5 +1,5 @@
 import Koa from 'koa';
-import { type Frame, Yard } from '@switchwheel/coupling';
+import { type Frame, ChannelPool } from '@switchwheel/transport';
 import {
   type Cab,
   Cache,
@@ -15,7 +15,7 @@
   isReady,
   newProxy,
   proxyStep,
-} from '@switchwheel/waybill';
+} from '@switchwheel/proxy-core';
 import {
   type Reading,
   adminApp,
@@ -30,9 +30,9 @@
   openDoor,
   plainReading as plain,
   runLoop,
-} from '@switchwheel/footplate';
-import type { WireEffect } from '@switchwheel/coupling';
-import { build } from '@switchwheel/timetable';
+} from '@switchwheel/runtime';
+import type { WireEffect } from '@switchwheel/transport';
+import { build } from '@switchwheel/configuration';
 import { proxyView } from './admin/view.js';
 import { program, schema } from './boot/boot.js';
 import { serveCaller } from './edge/door.js';
@@ -49,7 +49,7 @@
   admin: boot.admin,
   incarnation: newIncarnation(),
 };
-const yard = new Yard({
+const yard = new ChannelPool({
   node: member.node,
   address: member.address,
   incarnation: member.incarnation,
@@ -115,7 +115,7 @@
 
 const dial: Dial = (to, ears) => {
   const channel = yard.open(to);
-  const late = setTimeout(() => channel.hang('no hello in time'), dialSpan);
+  const late = setTimeout(() => channel.terminate('no hello in time'), dialSpan);
   channel.on('up', () => {
     clearTimeout(late);
     ears.up();
--- a/packages/yardmaster/src/outside/forms.ts
+++ b/packages/registry/src/outside/forms.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
-import { aim } from '@switchwheel/coupling';
+import * as g from '@switchwheel/types';
+import { aim } from '@switchwheel/transport';
 
 /** What an origin says of itself. */
 export const announcement = v.strictObject({
@@ -26,7 +26,7 @@
   id: v.optional(g.callId),
   fleet: g.fleetId,
   stores: v.optional(v.array(g.nodeId), []),
-  witnesses: v.optional(v.array(g.nodeId), []),
+  voters: v.optional(v.array(g.nodeId), []),
 });
 
 export const electorateForm = v.strictObject({
--- a/packages/ledger/src/command/order.ts
+++ b/packages/replicated-store/src/command/order.ts
@@ -1,13 +1,14 @@
-import type { Moment, Release, ServiceName } from '@switchwheel/gauge';
-import type { Put } from '@switchwheel/coupling';
+import type { Moment, Release, ServiceName } from '@switchwheel/types';
+import type { Put } from '@switchwheel/transport';
 import {
   type Control,
   type ReleaseOrder,
   keyOf,
   order,
+  releaseSettings,
   settledOn,
   write,
-} from '@switchwheel/timetable';
+} from '@switchwheel/configuration';
 import { mostStanding, spentOf, standingOf } from '../release/release.js';
 import type { Command, Store } from '../state/state.js';
 
@@ -46,6 +47,7 @@
     target,
     spanMs,
     spentOf(state, known, now),
+    (state.settings.releases ?? releaseSettings).repeatMs,
   );
   const accepted = { kind: 'accepted', service, target };
   switch (ordered.kind) {
@@ -59,7 +61,7 @@
         puts: [],
       };
     case 'stands':
-      return { status: 200, body: { ...accepted, order: known.order }, puts: [] };
+      return { status: 200, body: { ...accepted, order: ordered.order }, puts: [] };
     case 'opened':
       return {
         status: 200,
--- /dev/null
+++ b/packages/replicated-store/src/machine.ts
@@ -0,0 +1,493 @@
+import {
+  type Moment,
+  type Step,
+  alike,
+  drop,
+  join,
+  noGeneration,
+  noSeq,
+  put,
+  start,
+  step,
+} from '@switchwheel/types';
+import {
+  type Peer,
+  type Frame,
+  type FrameOf,
+  type Report,
+  log,
+  send,
+} from '@switchwheel/transport';
+import { countVote, observeEpoch, heldEpoch, tickCandidate } from '@switchwheel/election';
+import { nextElectorate } from './leadership/electorate.js';
+import {
+  type HeartbeatContent,
+  knownRegistries,
+  onRegistryLost,
+  tickSession,
+  sendHeartbeat,
+  highestEpoch,
+  applyHeartbeatReply,
+  applyMemberList,
+} from '@switchwheel/membership';
+import { absorbAll, noControl } from '@switchwheel/configuration';
+import { onCall, onCompiled, onPiece, onWant, tickCalls } from './command/calls.js';
+import {
+  inSync,
+  isPrimary,
+  wantsElection,
+  chooseBackups,
+  electionContext,
+  primaryTimeout,
+} from './leadership/candidacy.js';
+import { enqueue } from './command/queue.js';
+import { feedOne } from './feed/feed.js';
+import {
+  endLeadership,
+  onReplicated,
+  onSynced,
+  onUnsynced,
+  onElected,
+  startWrite,
+  tickWrite,
+  handOverLeadership,
+} from './primary-write/primary-write.js';
+import {
+  sendStatus,
+  onBackupWriteSynced,
+  onBackupWriteFailed,
+  onReplicate,
+  onFetchEntries,
+  onBootstrap,
+  onPeerStatus,
+  onRangeListing,
+  onResyncEntries,
+} from './resync/resync.js';
+import { tickOrigins, storedOrigins } from './origins/origins.js';
+import { onTally, tickReleases } from './release/release.js';
+import type { Found, StoreEffect, StoreEvent } from './state/event.js';
+import { type Store, ownId } from './state/state.js';
+
+type Done = Step<Store, StoreEffect>;
+const planInterval = 60_000;
+const engineInterval = 5000;
+const offlineAfter = 2000;
+const hintInterval = 300;
+/** How long a registry may be silent and still count as in touch without a break. */
+const subscriptionGap = 1000;
+/** How long a node may be out of touch before it is forgotten. */
+const forgetAfter = 3_600_000;
+
+const ownReport = (state: Store, now: Moment): Report => ({
+  generation: state.control.stored?.offer.generation ?? noGeneration,
+  phase: 'none',
+  ready: state.phase === 'member' && (isPrimary(state, now) || inSync(state)),
+  health: {
+    name: 'store',
+    healthy: state.trouble === '' && state.diskFull === undefined,
+    text:
+      state.trouble !== '' ? state.trouble : state.diskFull === undefined ? '' : 'the disk is full',
+    parts: [
+      {
+        name: isPrimary(state, now) ? 'primary' : inSync(state) ? 'backup' : 'out of sync',
+        healthy: inSync(state),
+        text: '',
+        parts: [],
+      },
+    ],
+  },
+});
+
+const heartbeatContent = (state: Store, now: Moment, bye: boolean): HeartbeatContent => ({
+  report: ownReport(state, now),
+  held: [],
+  purged: noSeq,
+  bye,
+});
+
+const onRead = (before: Store, found: Found, now: Moment): Done => {
+  const state: Store = { ...before, startedAt: now };
+  if (found.found === 'nothing')
+    return step(
+      { ...state, phase: 'empty' },
+      log('info', 'the disk is empty: this store is no member until it is founded or mended'),
+    );
+  if (found.found === 'damaged') {
+    return step(
+      { ...state, phase: 'empty', mustWipe: true, trouble: `damaged disk: ${found.text}` },
+      log('error', 'the disk is damaged: nothing of it is used, a peer has to mend this store', [
+        'why',
+        found.text,
+      ]),
+    );
+  }
+  const table = new Map(found.entries.map(({ key, ...entry }) => [key, entry]));
+  const control = absorbAll(
+    noControl,
+    found.entries.map(({ key, data }) => ({ key, data })),
+  );
+  const next: Store = {
+    ...state,
+    phase: 'member',
+    metadata: found.metadata,
+    stamp: found.stamp,
+    table,
+    control,
+    candidate: observeEpoch(
+      { ...state.candidate, inSyncSet: found.metadata.inSyncSet },
+      found.metadata.epoch,
+    ),
+  };
+  return step(
+    next,
+    log(
+      'info',
+      'the disk is read',
+      ['entries', found.entries.length],
+      ['epoch', found.metadata.epoch],
+      ['generation', control.stored?.offer.generation ?? 0],
+    ),
+  );
+};
+
+/** Follows a change of the stand: a win is served, a loss ends all that was under way. */
+const onCandidateChange = (before: Store, after: Store, now: Moment): Done => {
+  const was = before.candidate.phase.phase;
+  const is = after.candidate.phase.phase;
+  if (was === 'requestingVotes' && is === 'holdingLease')
+    return join(
+      [log('info', 'won the duty', ['epoch', heldEpoch(after.candidate)])],
+      onElected(after, now),
+    );
+  if ((was === 'requestingVotes' || was === 'holdingLease') && is === 'idle') {
+    const ended = endLeadership(after);
+    return join(was === 'holdingLease' ? [log('warn', 'the duty is over')] : [], ended);
+  }
+  return step(after);
+};
+
+const onVote = (state: Store, word: FrameOf<'vote'>, now: Moment): Done => {
+  if (state.metadata === undefined) return step(state);
+  const berth =
+    word.electorate === undefined ||
+    (state.session.electorate !== undefined &&
+      state.session.electorate.serial >= word.electorate.serial)
+      ? state.session
+      : { ...state.session, electorate: word.electorate };
+  const base = { ...state, session: berth };
+  return onCandidateChange(
+    base,
+    {
+      ...base,
+      candidate: countVote(base.candidate, electionContext(base, state.metadata, now), word, now),
+    },
+    now,
+  );
+};
+
+const onSubscribe = (state: Store, word: FrameOf<'subscribe'>, now: Moment): Done => {
+  if (!isPrimary(state, now)) return step(state);
+  const before = state.subscribers.get(word.registry.node);
+  const since = before !== undefined && now - before.at < subscriptionGap ? before.since : now;
+  const row = {
+    address: word.registry.address,
+    since,
+    at: now,
+    serial: word.epoch === heldEpoch(state.candidate) ? word.serial : noSeq,
+    purged: word.purged,
+  };
+  let next: Store = { ...state, subscribers: put(state.subscribers, word.registry.node, row) };
+  const effects: StoreEffect[] = [...feedOne(next, row, word.at, now)];
+  let touch = next.contacts;
+  let fresh = false;
+  for (const one of word.reports) {
+    const known = state.control.nodes.get(one.node);
+    const near = touch.get(one.node);
+    if (!one.open && near !== undefined && near.registry !== word.registry.node) continue;
+    if (one.open) touch = put(touch, one.node, { registry: word.registry.node, at: now });
+    const same =
+      known?.incarnation === one.incarnation &&
+      known.online === one.open &&
+      known.role === one.role &&
+      alike(known.reported, one.report);
+    if (same) continue;
+    fresh ||= known === undefined;
+    const waits = next.commandQueue.some(
+      (command) =>
+        command.kind === 'node' &&
+        command.node === one.node &&
+        command.incarnation === one.incarnation &&
+        alike(command.report, one.report) &&
+        command.online === one.open,
+    );
+    if (waits) continue;
+    const queued = enqueue(next, {
+      kind: 'node',
+      node: one.node,
+      role: one.role,
+      incarnation: one.incarnation,
+      online: one.open,
+      report: one.report,
+    });
+    next = queued.state;
+    effects.push(...queued.effects);
+  }
+  if (fresh) {
+    const queued = enqueue(next, { kind: 'plan' });
+    next = queued.state;
+    effects.push(...queued.effects);
+  }
+  return step({ ...next, contacts: touch }, ...effects);
+};
+
+/** Nodes that no registry has told of for a while are out of touch. */
+const markOffline = (state: Store, now: Moment): Done => {
+  let next: Done = step(state);
+  for (const [node, row] of state.control.nodes) {
+    const near = state.contacts.get(node);
+    if (!row.online && near !== undefined && now - near.at > forgetAfter) {
+      next = join(
+        next.effects,
+        enqueue(
+          { ...next.state, contacts: drop(next.state.contacts, node) },
+          { kind: 'forget', node },
+        ),
+      );
+      continue;
+    }
+    if (!row.online && near === undefined)
+      next = step(
+        {
+          ...next.state,
+          contacts: put(next.state.contacts, node, { registry: ownId(state), at: now }),
+        },
+        ...next.effects,
+      );
+    if (!row.online || (near !== undefined && now - near.at < offlineAfter)) continue;
+    if (near === undefined) {
+      next = step(
+        {
+          ...next.state,
+          contacts: put(next.state.contacts, node, { registry: ownId(state), at: now }),
+        },
+        ...next.effects,
+      );
+      continue;
+    }
+    if (next.state.commandQueue.some((one) => one.kind === 'node' && one.node === node)) continue;
+    next = join(
+      next.effects,
+      enqueue(next.state, {
+        kind: 'node',
+        node,
+        role: row.role,
+        incarnation: row.incarnation,
+        online: false,
+        report: row.reported,
+      }),
+    );
+  }
+  return next;
+};
+
+/** Lets the electorate follow the registries, one seat at a time. */
+const followRegistries = (state: Store, now: Moment): Done => {
+  const open =
+    state.primaryWrite !== undefined ||
+    state.commandQueue.some((one) => one.kind === 'electorate' || one.kind === 'seats');
+  const electorate = state.settings.follow && !open ? nextElectorate(state, now) : undefined;
+  if (electorate === undefined) return step(state);
+  const queued = enqueue({ ...state, electorateChangedAt: now }, { kind: 'seats', electorate });
+  return join(
+    [
+      log('info', 'the electorate follows the registries', [
+        'members',
+        electorate.members.map((one) => one.node).join(', '),
+      ]),
+    ],
+    queued,
+  );
+};
+
+const tickPrimary = (state: Store, now: Moment): Done => {
+  const seated = followRegistries(state, now);
+  let next = join(seated.effects, markOffline(seated.state, now));
+  if (now - next.state.plannedAt >= planInterval)
+    next = join(next.effects, enqueue({ ...next.state, plannedAt: now }, { kind: 'plan' }));
+  next = join(next.effects, tickReleases(next.state, now));
+  next = join(next.effects, tickOrigins(next.state, now));
+  const due = next.state.engineDueAt;
+  if ((due !== undefined && now >= due) || now - next.state.engineRanAt >= engineInterval) {
+    next = join(
+      next.effects,
+      enqueue({ ...next.state, engineDueAt: undefined, engineRanAt: now }, { kind: 'turn' }),
+    );
+  }
+  return next;
+};
+
+/**
+ * While no primary is heard of, the registries are told what this disk holds: nodes that run
+ * nothing need not wait for an election. Each registry is told, as each needs the word of every
+ * store in sync; the store's own gets the origins too.
+ */
+const sendHint = (state: Store, now: Moment): readonly StoreEffect[] => {
+  const offer = state.control.stored?.offer;
+  const { metadata, session } = state;
+  if (
+    metadata === undefined ||
+    session.registryLink === undefined ||
+    isPrimary(state, now) ||
+    now - state.primaryHeardAt < primaryTimeout
+  )
+    return [];
+  const { node, address, incarnation } = session.member;
+  const own = session.registryLink.address;
+  const hint: FrameOf<'hint'> = {
+    kind: 'hint',
+    node,
+    address,
+    incarnation,
+    at: now,
+    metadata,
+    ...(offer === undefined ? {} : { offer }),
+    origins: [],
+  };
+  return [
+    send(own, { ...hint, origins: storedOrigins(state) }),
+    ...knownRegistries(session)
+      .filter((one) => one !== own)
+      .map((one) => send(one, hint)),
+  ];
+};
+
+const onTick = (state: Store, now: Moment): Done => {
+  if (state.phase === 'reading') return step(state);
+  const drifted = tickSession(state.session, heartbeatContent(state, now, false), now);
+  let next: Done = step({ ...state, session: drifted.state }, ...drifted.effects);
+  const metadata = next.state.metadata;
+  if (metadata !== undefined && state.phase === 'member') {
+    const base: Store =
+      next.state.candidate.phase.phase === 'idle'
+        ? {
+            ...next.state,
+            candidate: { ...next.state.candidate, inSyncSet: chooseBackups(next.state, now) },
+          }
+        : next.state;
+    const known = observeEpoch(base.candidate, highestEpoch(base.session, base.candidate.duty));
+    const passed = tickCandidate(
+      known,
+      electionContext(base, metadata, now),
+      wantsElection(base, now),
+      base.dice,
+      now,
+    );
+    next = join(
+      [...next.effects, ...passed.effects],
+      onCandidateChange(
+        base,
+        { ...base, candidate: passed.state.stand, dice: passed.state.dice },
+        now,
+      ),
+    );
+  }
+  if (now - state.statusSentAt >= hintInterval)
+    next = step(next.state, ...next.effects, ...sendHint(next.state, now));
+  next = join(next.effects, sendStatus(next.state, now));
+  next = join(next.effects, tickWrite(next.state, now));
+  next = join(next.effects, tickCalls(next.state, now));
+  return isPrimary(next.state, now) ? join(next.effects, tickPrimary(next.state, now)) : next;
+};
+
+const onStop = (state: Store, now: Moment): Done => {
+  const bye = sendHeartbeat(state.session, heartbeatContent(state, now, true), now);
+  const done = handOverLeadership({ ...state, session: bye.state }, 60_000, now);
+  const told = sendStatus({ ...done.state, phase: 'member', statusSentAt: start }, now);
+  return join(
+    [...bye.effects, ...done.effects, ...told.effects],
+    step({ ...told.state, phase: 'stopping' }, { kind: 'stopped' }),
+  );
+};
+
+const onFrame = (state: Store, from: Peer, frame: Frame, now: Moment): Done => {
+  switch (frame.kind) {
+    case 'heartbeat-reply':
+      return step({ ...state, session: applyHeartbeatReply(state.session, from, frame, now) });
+    case 'member-list':
+      return step({ ...state, session: applyMemberList(state.session, from, frame, now) });
+    case 'vote':
+      return onVote(state, frame, now);
+    case 'subscribe':
+      return onSubscribe(state, frame, now);
+    case 'call':
+      return onCall(state, from, frame, now);
+    case 'piece':
+      return onPiece(state, frame, now);
+    case 'piece-request':
+      return onWant(state, from, frame);
+    case 'replicate':
+      return onReplicate(state, from, frame, now);
+    case 'replicated':
+      return onReplicated(state, frame, now);
+    case 'replica-status':
+      return onPeerStatus(state, from, frame, now);
+    case 'range-listing':
+      return onRangeListing(state, from, frame, now);
+    case 'fetch-entries':
+      return onFetchEntries(state, from, frame, now);
+    case 'resync-entries':
+      return onResyncEntries(state, from, frame, now);
+    case 'bootstrap':
+      return onBootstrap(state, from, frame, now);
+    case 'tally':
+      return isPrimary(state, now) ? onTally(state, frame, now) : step(state);
+    case 'trial':
+      return isPrimary(state, now)
+        ? enqueue(state, { kind: 'trial', to: from.address, word: frame })
+        : step(state);
+    default:
+      return step(
+        state,
+        log(
+          'warn',
+          'a frame this program does not take',
+          ['frame', frame.kind],
+          ['from', from.node],
+        ),
+      );
+  }
+};
+
+const onEvent = (state: Store, event: StoreEvent): Done => {
+  if (state.phase === 'stopping') return step(state);
+  switch (event.kind) {
+    case 'read':
+      return onRead(state, event.found, event.now);
+    case 'tick':
+      return onTick(state, event.now);
+    case 'frame':
+      return state.phase === 'reading'
+        ? step(state)
+        : onFrame(state, event.from, event.frame, event.now);
+    case 'gone':
+      return step({ ...state, session: onRegistryLost(state.session, event.address, event.now) });
+    case 'synced':
+      return state.backupWrite?.id === event.id
+        ? onBackupWriteSynced(state, event.id, event.now)
+        : onSynced(state, event.id, event.now);
+    case 'unsynced':
+      return state.backupWrite?.id === event.id
+        ? onBackupWriteFailed(state, event.id, event.text, event.full, event.now)
+        : onUnsynced(state, event.id, event.text, event.full, event.now);
+    case 'compiled':
+      return onCompiled(state, event.hash, event.faults);
+    case 'stop':
+      return onStop(state, event.now);
+  }
+};
+
+/** The store: one function for every change of its state. What an event queued is written at its end. */
+export const storeStep = (state: Store, event: StoreEvent): Done => {
+  const handled = onEvent(state, event);
+  return join(handled.effects, startWrite(handled.state, event.now));
+};
--- a/packages/shunt/src/trip/trip.test.ts
+++ b/packages/routing/src/trip/trip.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type InstanceId, toInstanceId, toMoment } from '@switchwheel/gauge';
+import { type InstanceId, toInstanceId, toMoment } from '@switchwheel/types';
 import {
   type Answer,
   type Told,
@@ -141,7 +141,7 @@
         for (const told of seen.told) {
           const promise =
             told.kind === 'fault'
-              ? told.fault === 'bounced'
+              ? told.fault === 'rejected'
               : [408, 421, 429, 503].includes(told.answer.status);
           if (promise && !repeatable)
             assert.ok(
--- a/packages/testtrack/src/fault/faults.ts
+++ b/packages/simulator/src/fault/faults.ts
@@ -1,4 +1,4 @@
-import { type Address, toCallId, toRelease } from '@switchwheel/gauge';
+import { type Address, toCallId, toRelease } from '@switchwheel/types';
 import type { SimCallers } from '../cast/callers.js';
 import type { SimOrigin } from '../cast/origin.js';
 import type { Actor } from '../world/actor.js';
@@ -6,7 +6,7 @@
 import type { Rules } from '../rules/rules.js';
 import { SimProxy } from '../cast/proxy.js';
 import { SimStore } from '../cast/store.js';
-import { sumOf } from '@switchwheel/waybill';
+import { sumOf } from '@switchwheel/proxy-core';
 import { fair, rough, slow } from '../world/net.js';
 
 /** What a run may do to a fleet. */
@@ -59,7 +59,7 @@
     if (world.agenda.now < this.#diskFree || world.agenda.now < this.#coreFree) return undefined;
     const primary = world.primary();
     if (
-      primary?.state?.charter?.insync.length !== 2 ||
+      primary?.state?.metadata?.inSyncSet.length !== 2 ||
       !world.stores.every((one) => one.alive && !one.frozen)
     )
       return undefined;
@@ -455,7 +455,7 @@
             change(
               false,
               () => {
-                world.tried.note('a witness was replaced');
+                world.tried.note('a voter was replaced');
                 ground.say(`${gone.node} is gone for good`);
                 world.dropRegistry(gone);
               },
--- a/packages/testtrack/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -1,4 +1,7 @@
-/** One thing that keeps a rule, and how to take it out of built code: the text that stands once in the file, and what stands there without it. */
+/**
+ * One thing that keeps a rule, and how to take it out of built code: the text that stands once in
+ * the file (white space doesn't count), and what stands there without it.
+ */
 export interface Guard {
   readonly name: string;
   readonly rule: string;
@@ -8,25 +11,25 @@
   readonly to: string;
 }
 
-const keeper = 'waybill/dist/keeper/keeper.js';
-const trial = 'waybill/dist/keeper/trial.js';
-const forward = 'waybill/dist/forward/forward.js';
-const taking = 'waybill/dist/line/taking.js';
-const trip = 'waybill/dist/line/trip.js';
-const edge = 'waybill/dist/line/edge.js';
-const shield = 'waybill/dist/line/shield.js';
-const dock = 'waybill/dist/line/dock.js';
-const desk = 'waybill/dist/cache/desk.js';
-const cache = 'waybill/dist/cache/cache.js';
-const cabin = 'waybill/dist/cabin/machine.js';
-const proxy = 'waybill/dist/proxy/machine.js';
-const stand = 'ballot/dist/stand/stand.js';
-const witness = 'ballot/dist/witness/witness.js';
-const job = 'ledger/dist/job/job.js';
-const decide = 'ledger/dist/command/decide.js';
-const poll = 'ledger/dist/duty/poll.js';
-const origins = 'roster/dist/origins/origins.js';
-const announce = 'roster/dist/registry/announce.js';
+const keeper = 'proxy-core/dist/keeper/keeper.js';
+const trial = 'proxy-core/dist/keeper/trial.js';
+const forward = 'proxy-core/dist/forward/forward.js';
+const taking = 'proxy-core/dist/line/taking.js';
+const trip = 'proxy-core/dist/line/trip.js';
+const edge = 'proxy-core/dist/line/edge.js';
+const shield = 'proxy-core/dist/line/shield.js';
+const dock = 'proxy-core/dist/line/dock.js';
+const desk = 'proxy-core/dist/cache/desk.js';
+const cache = 'proxy-core/dist/cache/cache.js';
+const cabin = 'proxy-core/dist/cabin/machine.js';
+const proxy = 'proxy-core/dist/proxy/machine.js';
+const candidate = 'election/dist/candidate/candidate.js';
+const voter = 'election/dist/voter/voter.js';
+const primaryWrite = 'replicated-store/dist/primary-write/primary-write.js';
+const decide = 'replicated-store/dist/command/decide.js';
+const candidacy = 'replicated-store/dist/leadership/candidacy.js';
+const origins = 'membership/dist/origins/origins.js';
+const departures = 'membership/dist/registry/departures.js';
 
 export const guards: readonly Guard[] = [
   {
@@ -67,85 +70,85 @@
   {
     name: 'the margin of a lease',
     rule: 'one holder',
-    file: stand,
-    from: 'last + lease - guardSpan',
+    file: candidate,
+    from: 'last + lease - leaseMargin',
     to: 'last + lease + 50',
   },
   {
     name: 'a lease that ran out stays over',
     rule: 'one holder',
-    file: stand,
-    from: "if (own.phase === 'holding' && now >= own.until)",
+    file: candidate,
+    from: "if (own.phase === 'holdingLease' && now >= own.until)",
     to: 'if (false)',
   },
   {
-    name: 'a witness that restarted abstains',
+    name: 'a voter that restarted abstains',
     rule: 'one holder',
-    file: witness,
-    from: 'if (now < later(state.born, leaseSpan))',
+    file: voter,
+    from: 'if (now < abstainsUntil(state))',
     to: 'if (false)',
   },
   {
     name: 'a lease that stands is respected',
     rule: 'one holder',
-    file: witness,
+    file: voter,
     from: 'if (mine.lessee !== ballot.node && now < mine.until)',
     to: 'if (false)',
   },
   {
-    name: 'blank votes do not count',
+    name: 'recovering votes do not count',
     rule: 'lost write',
-    file: stand,
-    from: 'one !== undefined && (poll.trustBlank || !one.blank)',
+    file: candidate,
+    from: 'one !== undefined && (poll.countRecovering || !one.recovering)',
     to: 'one !== undefined',
   },
   {
     name: 'only stores in sync are elected',
     rule: 'lost write',
-    file: witness,
-    from: 'if (ballot.duty === primary && !mine.insync.includes(ballot.node))',
+    file: voter,
+    from: 'if (ballot.duty === primary && !mine.inSyncSet.includes(ballot.node))',
     to: 'if (false)',
   },
   {
     name: 'only stores in sync stand',
     rule: 'lost write',
-    file: poll,
-    from: 'state.charter.insync.includes(me(state)) && state.ousted <= state.charter.epoch',
-    to: 'true',
+    file: candidacy,
+    from: 'state.metadata.inSyncSet.includes(ownId(state)) && state.excludedAtEpoch <= state.metadata.epoch;',
+    to: 'true;',
   },
   {
     name: 'the backup has it before the answer',
     rule: 'lost write',
-    file: job,
-    from: 'const whole = awaited(state, next).length === 0;\n    if (whole)\n        return join(',
-    to: 'if (true)\n        return join(',
+    file: primaryWrite,
+    from: 'const whole = unconfirmedBackups(state, next).length === 0; if (whole) return join(',
+    to: 'if (true) return join(',
   },
   {
     name: 'every backup in sync has it before the answer',
     rule: 'lost write',
-    file: job,
-    from: 'const whole = awaited(state, next).length === 0;\n    return whole ?',
+    file: primaryWrite,
+    from: 'const whole = unconfirmedBackups(state, next).length === 0; return whole ?',
     to: 'return true ?',
   },
   {
     name: 'the own disk has it before the answer',
     rule: 'lost write',
-    file: job,
-    from: 'return step({ ...next, job, nextId: state.nextId + 1 }, ...told, diskWrite(job.id, job.charter, stamp, puts));',
-    to: 'return join([...told, diskWrite(job.id, job.charter, stamp, puts)], finish({ ...next, job, nextId: state.nextId + 1 }, job, now));',
+    file: primaryWrite,
+    from: 'return step({ ...next, primaryWrite, nextId: state.nextId + 1 }, ...told, diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts));',
+    to: 'return join([...told, diskWrite(primaryWrite.id, primaryWrite.metadata, stamp, puts)], commitWrite({ ...next, primaryWrite, nextId: state.nextId + 1 }, primaryWrite, now));',
   },
   {
     name: 'what lasts is never told as refused',
     rule: 'R2',
-    file: job,
-    from: 'const bounced = job.lasts ? unsure(job.results) : ',
-    to: 'const bounced = ',
+    file: primaryWrite,
+    from: 'const rejected = primaryWrite.onOwnDisk ? unknownOutcome(primaryWrite.results) : ',
+    to: 'const rejected = ',
   },
   {
     name: 'a primary answers only while it holds',
     rule: 'lost write',
-    file: job,
-    from: 'if (!holds(state.stand, now) || heldEpoch(state.stand) !== job.charter.epoch)\n        return step(state);\n    const next',
+    file: primaryWrite,
+    from: 'if (!holdsLease(state.candidate, now) || heldEpoch(state.candidate) !== primaryWrite.metadata.epoch) return step(state); const next',
     to: 'const next',
   },
   {
@@ -166,7 +169,7 @@
     name: 'a call is answered once',
     rule: 'whole',
     file: decide,
-    from: 'return before === undefined ? undefined : { ...nothing, bounces: [{ ...command.asker, status: before.status, body: before.body }] };',
+    from: 'return before === undefined ? undefined : { ...noChange, immediateReplies: [{ ...command.asker, status: before.status, body: before.body }], };',
     to: 'return undefined;',
   },
   {
@@ -187,8 +190,8 @@
     name: 'no refusal of what may have run, at a keeper',
     rule: 'R2',
     file: keeper,
-    from: "effects.push(!begun ? away(leg.ask, 'bounced', text, 500) : ",
-    to: "effects.push(load !== undefined ? away(leg.ask, 'bounced', text, 500) : ",
+    from: "effects.push(!begun ? away(leg.ask, 'rejected', text, 500) : ",
+    to: "effects.push(load !== undefined ? away(leg.ask, 'rejected', text, 500) : ",
   },
   {
     name: 'no refusal of what may have run, in a waitlist',
@@ -201,15 +204,15 @@
     name: 'no refusal of what may have run, at an edge',
     rule: 'R2',
     file: forward,
-    from: "breakdown: breakdown === 'bounced' && wagon.again ? 'lost' : breakdown",
-    to: 'breakdown',
+    from: "errorKind: errorKind === 'rejected' && wagon.again ? 'lost' : errorKind",
+    to: 'errorKind',
   },
   {
     name: 'a caller that left is told that it may have run',
     rule: 'R2',
     file: forward,
-    from: "fail(wagon, wagon.stage.stage === 'waiting' ? 'bounced' : 'unknown', event.text",
-    to: "fail(wagon, 'bounced', event.text",
+    from: "fail(wagon, wagon.stage.stage === 'waiting' ? 'rejected' : 'unknown', event.text",
+    to: "fail(wagon, 'rejected', event.text",
   },
   {
     name: 'a result has the told length',
@@ -292,8 +295,8 @@
     name: 'an edge does not tell what was long under way',
     rule: 'R7',
     file: edge,
-    from: 'return at - sentAt > sureSpan && (',
-    to: 'return false && (',
+    from: 'return (at - sentAt > sureSpan &&',
+    to: 'return (false &&',
   },
   {
     name: 'an edge that slept does not tell what it had',
@@ -326,14 +329,14 @@
   {
     name: 'a registry out of touch takes no announcements',
     rule: 'R6',
-    file: announce,
-    from: 'if (!inTouch(state, now)) {',
+    file: departures,
+    from: 'if (!hasMajorityContact(state, now)) {',
     to: 'if (false) {',
   },
   {
     name: 'a departure is told once a majority has it',
     rule: 'R6',
-    file: announce,
+    file: departures,
     from: 'return knowing.length >= majority(set.members.length);',
     to: 'return true;',
   },
@@ -354,21 +357,21 @@
   {
     name: 'a new keeper begins with an empty ceiling',
     rule: 'R9',
-    file: 'waybill/dist/keeper/state.js',
+    file: 'proxy-core/dist/keeper/state.js',
     from: 'tokens: 0, filled: now',
     to: 'tokens: (rules.perSecond ?? 0) * 3, filled: now',
   },
   {
     name: 'the ceiling',
     rule: 'R9',
-    file: 'waybill/dist/keeper/ceiling.js',
+    file: 'proxy-core/dist/keeper/ceiling.js',
     from: 'state.rules.perSecond === undefined || state.tokens >= 1',
     to: 'true',
   },
   {
     name: 'health checks count under a ceiling',
     rule: 'R9',
-    file: 'waybill/dist/keeper/probes.js',
+    file: 'proxy-core/dist/keeper/probes.js',
     from: 'tokens: tokensAfter(state), bays',
     to: 'bays',
   },
@@ -396,22 +399,22 @@
   {
     name: 'callers are taken for a while after a stop began',
     rule: 'R11',
-    file: 'waybill/dist/proxy/depart.js',
+    file: 'proxy-core/dist/proxy/depart.js',
     from: "role === 'edge' ? graceSpan : 100",
     to: '0',
   },
   {
     name: 'a stop waits for what is open',
     rule: 'R11',
-    file: 'waybill/dist/proxy/depart.js',
+    file: 'proxy-core/dist/proxy/depart.js',
     from: 'if (open === 0)',
     to: 'if (true)',
   },
   {
     name: 'a keeper hands over as it stops',
     rule: 'R11',
-    file: 'waybill/dist/cabin/duties.js',
-    from: 'if (!holds(stand, now))\n            continue;\n        const heir',
+    file: 'proxy-core/dist/cabin/duties.js',
+    from: 'if (!holdsLease(stand, now)) continue; const heir',
     to: 'if (true)\n            continue;\n        const heir',
   },
 ];
--- a/packages/testtrack/src/world/actor.ts
+++ b/packages/simulator/src/world/actor.ts
@@ -7,16 +7,16 @@
   createStore,
   toIncarnation,
   toMoment,
-} from '@switchwheel/gauge';
+} from '@switchwheel/types';
 import {
-  type Colleague,
+  type Peer,
   type Frame,
   type WireEffect,
   type WireEvent,
   decode,
   encode,
-} from '@switchwheel/coupling';
-import type { Step } from '@switchwheel/gauge';
+} from '@switchwheel/transport';
+import type { Step } from '@switchwheel/types';
 import type { Agenda } from './agenda.js';
 import type { Chance } from './chance.js';
 import type { Tried } from '../rules/tried.js';
@@ -91,7 +91,7 @@
     return toMoment(this.#skew + this.stage.agenda.now * this.#rate);
   }
 
-  get colleague(): Colleague {
+  get peer(): Peer {
     return { node: this.node, address: this.address, incarnation: this.incarnation };
   }
 
@@ -177,7 +177,7 @@
     const other = this.stage.actors.get(to);
     if (other === undefined) return;
     this.stage.meter?.sent(this, other, frame);
-    const from = this.colleague;
+    const from = this.peer;
     const life = other.life;
     // Now and then what is sent goes through the real coding, so that frames and their checks stay in step.
     const told = this.stage.chance.hit(0.02)
--- a/packages/switchwheel/src/command/run.ts
+++ b/packages/switchwheel/src/command/run.ts
@@ -1,9 +1,9 @@
 import { readFileSync } from 'node:fs';
 import { randomUUID } from 'node:crypto';
 import { type Result, err, ok } from 'true-myth/result';
-import { noGeneration, toHash } from '@switchwheel/gauge';
-import { build, cut, finish } from '@switchwheel/timetable';
-import { carry, readNginx } from '@switchwheel/interchange';
+import { noGeneration, toHash } from '@switchwheel/types';
+import { build, cut, finish } from '@switchwheel/configuration';
+import { carry, readNginx } from '@switchwheel/config-import';
 import { type Reach, type Reply, type Request, call } from '../call/call.js';
 import { diff, diffLines } from './diff.js';
 import { at, listAt, refusal, table, text } from './show.js';
@@ -25,7 +25,7 @@
   readonly all: boolean;
   readonly strict: boolean;
   readonly stores: readonly string[];
-  readonly witnesses: readonly string[];
+  readonly voters: readonly string[];
   readonly waitMs: number;
   /** The span of an order to move to a release, as written: `16s`, `500ms`. */
   readonly span: string;
@@ -409,16 +409,16 @@
           body: JSON.stringify({
             fleet: `${rest[0]}.${randomUUID().slice(0, 8)}`,
             stores: options.stores,
-            witnesses: options.witnesses,
+            voters: options.voters,
           }),
         },
         (body) =>
-          `founded on ${listAt(body, 'stores').map(text).join(' and ')}; witnesses ${listAt(body, 'witnesses').map(text).join(', ')}`,
+          `founded on ${listAt(body, 'stores').map(text).join(' and ')}; voters ${listAt(body, 'voters').map(text).join(', ')}`,
       );
-    case 'witness': {
+    case 'voter': {
       const [change, node] = rest;
       if ((change !== 'add' && change !== 'remove') || node === undefined)
-        return wrong('witness add NODE, or witness remove NODE');
+        return wrong('voter add NODE, or voter remove NODE');
       return ask(
         options,
         {
--- a/packages/coupling/src/frame/data.ts
+++ b/packages/transport/src/frame/data.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import * as g from '@switchwheel/gauge';
+import * as g from '@switchwheel/types';
 
 const kind = <K extends string>(name: K): v.LiteralSchema<K, undefined> => v.literal(name);
 const bytes = v.custom<Uint8Array>((raw) => raw instanceof Uint8Array, 'bytes');
@@ -54,9 +54,9 @@
   v.object({ kind: kind('chunk'), id: g.askId, bytes }),
   v.object({ kind: kind('done'), id: g.askId, digest: v.string(), length: v.number() }),
   v.object({
-    kind: kind('bounce'),
+    kind: kind('reject'),
     id: g.askId,
-    breakdown: v.picklist(g.kinds),
+    errorKind: v.picklist(g.kinds),
     text: v.string(),
     retryAfter: v.number(),
     moved: v.boolean(),
