Storms record what operators are told, and a history that is not linearizable fails them

Every simulated run records its operators' configurations and purges (start, end, ending). The default storms keep their faults, so their seeds play as before; there the checker sees the unnumbered writes and the purges.

--- a/packages/simulator/src/fault/faults.ts
+++ b/packages/simulator/src/fault/faults.ts
@@ -2,6 +2,7 @@
 import type { SimCallers } from '../cast/callers.js';
 import type { SimOrigin } from '../cast/origin.js';
 import type { Actor } from '../world/actor.js';
+import type { SimOperators } from '../history/operators.js';
 import type { World } from '../world/world.js';
 import type { Rules } from '../rules/rules.js';
 import { SimProxy } from '../cast/proxy.js';
@@ -30,6 +31,8 @@
   #release = 1;
   readonly done = new Map<string, number>();
   trace: ((text: string) => void) | undefined;
+  /** Operators whose orders are recorded and judged; only where a run has them. */
+  operators: SimOperators | undefined;
 
   readonly callers: SimCallers;
   #serial = 0;
@@ -776,6 +779,38 @@
   },
 ];
 
+/** Orders of operators that number their configurations: the storms that ask for them by name get them. */
+export const numberedOrderFaults: readonly Fault[] = [
+  {
+    name: 'numbered race',
+    weight: 3,
+    act: (ground) => {
+      ground.say('two operators race under one number');
+      ground.operators?.race();
+    },
+  },
+  {
+    name: 'numbered apply',
+    weight: 3,
+    act: (ground) => ground.operators?.apply(),
+  },
+  {
+    name: 'numbered repeat',
+    weight: 4,
+    act: (ground) => ground.operators?.repeat(),
+  },
+  {
+    name: 'order a release',
+    weight: 2,
+    act: (ground) => ground.operators?.orderRelease(),
+  },
+  {
+    name: 'order a release again',
+    weight: 3,
+    act: (ground) => ground.operators?.repeatRelease(),
+  },
+];
+
 export const faults: readonly Fault[] = [
   ...storeFaults,
   ...processFaults,
--- a/packages/simulator/src/run/storm.test.ts
+++ b/packages/simulator/src/run/storm.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { tally } from '@switchwheel/types';
+import { type HistoryPoint, historyPoints, untestedPoints } from '../history/checker.js';
 import { type Trial, addCounts, untried } from '../rules/tried.js';
 import { seeds } from './stage.js';
 import { storm } from './storm.js';
@@ -44,6 +46,35 @@
   });
 }
 
+/** Storms in which operators race under one number, repeat orders and read back, beside one kind of trouble. */
+const operatorTrouble: readonly (readonly [string, readonly string[]])[] = [
+  [
+    'stores that are lost',
+    ['kill store', 'freeze store', 'wipe store', 'power lost', 'stall disk'],
+  ],
+  [
+    'registries that are lost',
+    ['kill registry', 'freeze registry', 'isolate machine', 'split core'],
+  ],
+  ['full losses', ['kill everything', 'lose an area', 'fill disk', 'apply', 'purge']],
+];
+const orders: readonly string[] = ['numbered', 'order a release'];
+const historyTried = new Map<HistoryPoint, number>();
+for (const [at, [name, only]] of operatorTrouble.entries()) {
+  void test(`a storm of operators' orders beside ${name}: their history is linearizable`, () => {
+    for (const seed of [540 + at, 640 + at, 740 + at]) {
+      const report = storm({ seed, steps: 40, only: [...orders, ...only], skip: new Set() });
+      for (const [point, many] of report.history) tally(historyTried, point, many);
+      assert.deepEqual(report.broken, []);
+    }
+  });
+}
+
+void test('the storms of orders put every point of the history to the test', (t) => {
+  for (const point of historyPoints) t.diagnostic(`${historyTried.get(point) ?? 0}  ${point}`);
+  assert.deepEqual(untestedPoints(historyTried), []);
+});
+
 void test('the storms before put every rule to the test', () => {
   assert.deepEqual(untried(tried), []);
 });
--- a/packages/simulator/src/run/storm.ts
+++ b/packages/simulator/src/run/storm.ts
@@ -1,6 +1,8 @@
 import { tally, toServiceName } from '@switchwheel/types';
 import { SimCallers } from '../cast/callers.js';
-import { type Fault, Ground, faults, pickFault } from '../fault/faults.js';
+import { type Fault, Ground, faults, numberedOrderFaults, pickFault } from '../fault/faults.js';
+import { type HistoryPoint, checkHistory } from '../history/checker.js';
+import { SimOperators } from '../history/operators.js';
 import { Rules } from '../rules/rules.js';
 import type { Trial } from '../rules/tried.js';
 import { fair } from '../world/net.js';
@@ -26,6 +28,8 @@
   readonly events: number;
   readonly acted: readonly number[];
   readonly tried: ReadonlyMap<Trial, number>;
+  /** How often each point of the operators' history was put to the test. */
+  readonly history: ReadonlyMap<HistoryPoint, number>;
 }
 
 const calm = (world: World): void => {
@@ -65,7 +69,13 @@
   const list: readonly Fault[] =
     options.only.length === 0
       ? faults
-      : faults.filter((one) => options.only.some((name) => one.name.startsWith(name)));
+      : [...faults, ...numberedOrderFaults].filter((one) =>
+          options.only.some((name) => one.name.startsWith(name)),
+        );
+  if (list.some((one) => numberedOrderFaults.includes(one))) {
+    ground.operators = new SimOperators(world, world.history);
+    ground.operators.beginReading();
+  }
   const counts = new Map<string, number>();
   const acted: number[] = [];
   for (let step = 0; step < options.steps; step += 1) {
@@ -90,7 +100,9 @@
   callers.end();
   world.run(6000);
   const failed = last.filter((one) => one?.left !== true && one?.result?.kind !== 'result');
-  const broken = [...rules.finish()];
+  ground.operators?.endReading();
+  const history = checkHistory(world.history.operations);
+  const broken = [...rules.finish(), ...history.violations.map((one) => `history: ${one}`)];
   if (missing.length > 0)
     broken.push(
       `R12: 15 s after everything calmed down ${missing.map((one) => one.node).join(', ')} did not serve`,
@@ -104,6 +116,7 @@
     faults: counts,
     acted,
     tried: world.tried.counts,
+    history: history.counts,
     events: world.net.sent,
     requests: callers.asked.length,
     results: callers.asked.filter((one) => one.result?.kind === 'result').length,
--- a/packages/simulator/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -17,6 +17,8 @@
 import { SimProxy } from '../cast/proxy.js';
 import { SimRegistry, type Told } from '../cast/registry.js';
 import { SimStore } from '../cast/store.js';
+import { type ConfigurationWrite, History, type PurgeWrite } from '../history/history.js';
+import { endingOf } from '../history/operators.js';
 import { Tried } from '../rules/tried.js';
 import { type Shape, describe } from './describe.js';
 import { toCallId, toFleetId, toGeneration } from '@switchwheel/types';
@@ -78,6 +80,8 @@
   readonly origins: SimOrigin[] = [];
   readonly writes: Write[] = [];
   readonly tried = new Tried();
+  /** What operators asked, and what they were told. */
+  readonly history = new History(() => this.agenda.now);
   readonly breaches: string[] = [];
   readonly layout: Layout;
   readonly #revisions = new Map<string, { readonly revision: number; readonly since: number }[]>();
@@ -360,7 +364,16 @@
     const bundle = finish(cut(describe(this.layout, mark, shape)));
     if (bundle.isErr) throw new Error(JSON.stringify(bundle.error));
     const order: readonly Hash[] = bundle.value.order;
-    this.#send(write, (registry, done) =>
+    this.#send(write, (registry, done) => {
+      const { hash } = bundle.value;
+      const open = this.history.begin<ConfigurationWrite>({
+        kind: 'write',
+        numbered: false,
+        version: { number: undefined, hash },
+        ending: 'unknown',
+        startedAt: this.agenda.now,
+        endedAt: undefined,
+      });
       registry.call(
         {
           verb: 'apply',
@@ -370,9 +383,13 @@
           order,
           pieces: bundle.value.pieces,
         },
-        done,
-      ),
-    );
+        (told) => {
+          const number = told.status === 200 ? parseNumber(told.body, 'generation') : undefined;
+          open.end({ ending: endingOf(told.status), version: { number, hash } });
+          done(told);
+        },
+      );
+    });
     return write;
   }
 
@@ -391,9 +408,20 @@
       revisions: new Map(paths.map((path) => [path, this.revisionOf(path)])),
     };
     this.writes.push(write);
-    this.#send(write, (registry, done) =>
-      registry.call({ verb: 'purge', id: write.id, aims }, done),
-    );
+    this.#send(write, (registry, done) => {
+      const open = this.history.begin<PurgeWrite>({
+        kind: 'purge',
+        number: undefined,
+        ending: 'unknown',
+        startedAt: this.agenda.now,
+        endedAt: undefined,
+      });
+      registry.call({ verb: 'purge', id: write.id, aims }, (told) => {
+        const number = told.status === 200 ? parseNumber(told.body, 'purge') : undefined;
+        open.end({ ending: endingOf(told.status), number });
+        done(told);
+      });
+    });
     return write;
   }
 }
