--- a/packages/simulator/src/run/soak.ts
+++ b/packages/simulator/src/run/soak.ts
@@ -1,5 +1,6 @@
 import meow from 'meow';
 import { tally } from '@switchwheel/types';
+import { type HistoryPoint, historyPoints } from '../history/checker.js';
 import { type Trial, addCounts, trials } from '../rules/tried.js';
 import { type StormOptions, type StormReport, storm } from './storm.js';
 
@@ -69,6 +70,7 @@
 const first = cli.flags.seed ?? Math.floor(Math.random() * 4294967296);
 const total = new Map<string, number>();
 const tried = new Map<Trial, number>();
+const historyTried = new Map<HistoryPoint, number>();
 let requests = 0;
 let results = 0;
 let failing = 0;
@@ -83,6 +85,7 @@
   };
   const report = storm(options);
   addCounts(tried, report.tried);
+  for (const [point, many] of report.history) tally(historyTried, point, many);
   requests += report.requests;
   results += report.results;
   for (const [name, many] of report.faults) tally(total, name, many);
@@ -117,4 +120,6 @@
     .join(', ')}`,
 );
 for (const name of trials) say(`${String(tried.get(name) ?? 0).padStart(8)}  ${name}`);
+for (const point of historyPoints)
+  say(`${String(historyTried.get(point) ?? 0).padStart(8)}  history: ${point}`);
 process.exitCode = failing > 0 ? 1 : 0;
