Members and origins that are gone are forgotten; what is kept is a flat line

Cause: a node's session (stores, shields, edges) never forgot an origin, registries kept those that left for ten minutes and told of them in every gossip and member list, and kept pieces that never came, offers to nodes long gone and contacts of registries for ever; a store kept each registry, store and node that it ever heard. Batches of purges were bounded by number, not by weight. Now: an origin is forgotten a minute after it was last heard (by registries and nodes; words nearly as old teach nobody anew), and the rest by forgetGone of registry and store; a peer store that told of a later epoch stays, as it speaks against a candidacy. Kept purges weigh 2 MiB at most. Ruled out: forgetting by a count, as the oldest tombstone may be the one that matters.

--- a/packages/configuration/src/control/control.ts
+++ b/packages/configuration/src/control/control.ts
@@ -100,6 +100,8 @@
 
 /** How many batches of purges are kept for caches that come back; older ones make them start empty. */
 export const keptPurges = 256;
+/** How many characters all kept batches of purges may have: they go to a registry in one frame. */
+const keptPurgeCharacters = 2 * 1024 * 1024;
 /** How many answers to operators are kept. */
 export const keptCalls = 512;
 /** Of how many numbers of configurations the content is kept. */
@@ -208,3 +210,17 @@
 export const samePlace = (one: Place | undefined, two: Place | undefined): boolean =>
   one?.generation === two?.generation && one?.hash === two?.hash;
 export type { Report };
+
+const charactersOf = (batch: Purge): number => JSON.stringify(batch).length;
+
+/** The oldest batches of purges that are given up for a new one: by number, and by what they weigh. */
+export const surplusPurges = (kept: readonly Purge[], added: Purge): readonly Purge[] => {
+  let characters = charactersOf(added);
+  let count = 1;
+  for (const one of [...kept].reverse()) {
+    characters += charactersOf(one);
+    if (count >= keptPurges || characters > keptPurgeCharacters) break;
+    count += 1;
+  }
+  return kept.slice(0, kept.length + 1 - count);
+};
--- a/packages/membership/src/origins/origins.ts
+++ b/packages/membership/src/origins/origins.ts
@@ -17,7 +17,13 @@
 
 /** How long an origin may be silent before nothing more is sent to it. */
 export const silentSpan = 10_000;
-const forgetSpan = 600_000;
+/**
+ * How long an origin that is silent is remembered. A word that is later than this is older than any
+ * frame or call can be, so nothing makes an origin that left count as standing again.
+ */
+export const forgetSpan = 60_000;
+/** Words that are nearly as old are no news: peers do not teach each other what they just forgot. */
+const relearnSpan = forgetSpan - 5000;
 const rank: ReadonlyMap<Origin['state'], number> = new Map([
   ['up', 0],
   ['leaving', 1],
@@ -71,6 +77,7 @@
 ): { readonly origins: Origins; readonly news: boolean } => {
   let result = { origins, news: false };
   for (const { age, ...word } of words) {
+    if (age > relearnSpan && !result.origins.has(word.instance)) continue;
     const next = learn(result.origins, { ...word, at: earlier(now, age) });
     result = { origins: next.origins, news: result.news || next.news };
   }
--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -20,9 +20,10 @@
 } from '@switchwheel/transport';
 import { abstainsUntil, recoverGrants, adoptElectorate, vote } from '@switchwheel/election';
 import { learnHolder } from '../session/node-session.js';
-import { forget, learnAll } from '../origins/origins.js';
+import { learnAll } from '../origins/origins.js';
 import { onDeparture, onDepartureAck, tickDepartures } from './departures.js';
 import { tickPendingCalls, onCalled, onBootstrapped, onOutside, onStoreWant } from './calls.js';
+import { forgetGone } from './forget.js';
 import type { RegistryEffect, RegistryEvent } from './event.js';
 import { learnHint } from './hints.js';
 import { learnSession, onHeartbeat, onPiece, onWant, pushToNodes, vacantDuties } from './nodes.js';
@@ -54,8 +55,6 @@
 const memberListInterval = 1000;
 const proposeInterval = 300;
 const bootstrapWindow = 30_000;
-/** How long a session that ended is still told of. */
-const forgetAfter = 600_000;
 
 const onVoteRequest = (
   state: Registry,
@@ -304,10 +303,8 @@
       next.effects,
       step(
         {
-          ...next.state,
+          ...forgetGone(next.state, now),
           gossipedAt: now,
-          origins: forget(next.state.origins, now),
-          sessions: sift(next.state.sessions, (one) => now - one.at < forgetAfter),
         },
         ...peerAddresses(next.state, now).map((to) => send(to, word)),
       ),
--- a/packages/membership/src/session/node-session.ts
+++ b/packages/membership/src/session/node-session.ts
@@ -27,7 +27,7 @@
   log,
   send,
 } from '@switchwheel/transport';
-import { type Origins, learnAll } from '../origins/origins.js';
+import { type Origins, forget, learnAll } from '../origins/origins.js';
 
 /** How often a node speaks to its registry. */
 export const heartbeatInterval = 250;
@@ -204,7 +204,7 @@
   return {
     ...berth,
     members: mine ? word.members : berth.members,
-    origins: learnAll(berth.origins, word.origins, now).origins,
+    origins: forget(learnAll(berth.origins, word.origins, now).origins, now),
     holders: word.holders.reduce(learnHolder, berth.holders),
   };
 };
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -4,10 +4,10 @@
   type Control,
   type NodeRow,
   erase,
-  keptPurges,
   keyOf,
   plan,
   policy as policySchema,
+  surplusPurges,
   topPurge,
   turn,
   write,
@@ -35,7 +35,7 @@
     purge: number,
     aims: command.aims.length,
   });
-  const old = control.purges.slice(0, Math.max(0, control.purges.length + 1 - keptPurges));
+  const old = surplusPurges(control.purges, batch);
   return {
     ...noChange,
     results: [result],
--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -65,6 +65,7 @@
 } from './resync/resync.js';
 import { tickOrigins, storedOrigins } from './origins/origins.js';
 import { onTally, tickReleases } from './release/release.js';
+import { forgetGone } from './state/forget.js';
 import type { Found, StoreEffect, StoreEvent } from './state/event.js';
 import { type Store, ownId } from './state/state.js';
 
@@ -361,8 +362,9 @@
   ];
 };
 
-const onTick = (state: Store, now: Moment): Done => {
-  if (state.phase === 'reading') return step(state);
+const onTick = (before: Store, now: Moment): Done => {
+  if (before.phase === 'reading') return step(before);
+  const state = forgetGone(before, now);
   const drifted = tickSession(state.session, heartbeatContent(state, now, false), now);
   let next: Done = step({ ...state, session: drifted.state }, ...drifted.effects);
   const metadata = next.state.metadata;
--- /dev/null
+++ b/packages/replicated-store/src/state/forget.ts
@@ -0,0 +1,26 @@
+/**
+ * Keeps a store's memory bounded: members that are gone are forgotten, so that what is kept depends
+ * on the fleet as it is and not on how long it has run.
+ */
+import { type Moment, sift } from '@switchwheel/types';
+import type { Store } from './state.js';
+
+/** How long a member of which nothing else is kept may be silent. */
+const forgetAfter = 60_000;
+
+/** Forgets silent registries, nodes without a record, and stores that the metadata does not name. */
+export const forgetGone = (state: Store, now: Moment): Store => {
+  const heard = (one: { readonly at: Moment }): boolean => now - one.at < forgetAfter;
+  const epoch = state.metadata?.epoch ?? 0;
+  const named = new Set(state.metadata?.stores.map((one) => one.node));
+  const subscribers = sift(state.subscribers, heard);
+  const contacts = sift(state.contacts, (one, node) => heard(one) || state.control.nodes.has(node));
+  // One that told of a later epoch still speaks against this store's candidacy.
+  const peers = sift(
+    state.peers,
+    (one, node) => heard(one) || named.has(node) || (one.metadata?.epoch ?? 0) > epoch,
+  );
+  const unchanged =
+    subscribers === state.subscribers && contacts === state.contacts && peers === state.peers;
+  return unchanged ? state : { ...state, subscribers, contacts, peers };
+};
