--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -237,6 +237,13 @@
   return news ? pushToNodes(next, old.top, now) : step(next);
 };
 
+/** How far the primary may rely on this registry's vote. */
+const voterReadiness = (state: Registry, now: Moment): FrameOf<'subscribe'>['voter'] => {
+  if (state.stopping) return 'leaving';
+  const abstains = now < abstainsUntil(state.voter);
+  return state.voter.recovering || abstains ? 'recovering' : 'ready';
+};
+
 /** Tells the primary which nodes have their session here and what they report. */
 const subscribe = (state: Registry, now: Moment): Done => {
   const store = primaryHolder(state);
@@ -255,6 +262,7 @@
     send(store.address, {
       kind: 'subscribe',
       registry: state.member,
+      voter: voterReadiness(state, now),
       at: now,
       epoch: state.feed.epoch,
       serial: state.feed.serial,
@@ -410,7 +418,7 @@
     case 'outside':
       return onOutside(state, event.ref, event.call, event.now);
     case 'stop':
-      return step({ ...state, stopping: true });
+      return subscribe({ ...state, stopping: true }, event.now);
   }
 };
 
