Door, line and leg are tried over sockets against an origin that misbehaves byte by byte

RoughOrigin answers late, short, under another id, with surplus answers at once and later, with junk behind or in place of an answer, with false promises, and resets before, amid and after the run. 300 connections pipeline two requests each, some leave, and a stop comes at the end. Judged from the origin's records: TWICE, REFUSED, UNASKED, MIXED, LOST.

Connections now end each of their requests.

--- a/packages/proxy/src/direct/connections.ts
+++ b/packages/proxy/src/direct/connections.ts
@@ -11,6 +11,8 @@
   readonly answer: ServerResponse;
   /** How long the connection may rest after this answer, as its head tells. */
   readonly restMs: number;
+  /** Called once: the answer is handed over, or the connection closed before. */
+  readonly ended: () => void;
 }
 
 interface Connection {
@@ -34,21 +36,31 @@
   #closing = false;
 
   add(socket: Socket): void {
-    this.#connections.set(socket, {
+    const connection: Connection = {
       socket,
       exchanges: [],
       ending: false,
       refusal: undefined,
       bytesAtRest: 0,
+    };
+    this.#connections.set(socket, connection);
+    // A pipelined answer that still waits for its turn does not hear from the server that the connection closed.
+    socket.once('close', () => {
+      this.#connections.delete(socket);
+      for (const exchange of connection.exchanges.splice(0)) exchange.ended();
     });
-    socket.once('close', () => this.#connections.delete(socket));
   }
 
   /** Notes that the head of a request came. Gives false if its connection has told its last answer already. */
-  begin(asked: IncomingMessage, answer: ServerResponse, restMs: number): boolean {
+  begin(
+    asked: IncomingMessage,
+    answer: ServerResponse,
+    restMs: number,
+    ended: () => void,
+  ): boolean {
     const connection = this.#connections.get(asked.socket);
     if (connection === undefined || connection.ending) return false;
-    const exchange: Exchange = { asked, answer, restMs };
+    const exchange: Exchange = { asked, answer, restMs, ended };
     connection.exchanges.push(exchange);
     answer.once('close', () => this.#answered(connection, exchange));
     return true;
@@ -86,7 +98,10 @@
 
   #answered(connection: Connection, exchange: Exchange): void {
     const { exchanges, socket } = connection;
-    exchanges.splice(exchanges.indexOf(exchange), 1);
+    const at = exchanges.indexOf(exchange);
+    if (at < 0) return;
+    exchanges.splice(at, 1);
+    exchange.ended();
     connection.bytesAtRest = socket.bytesRead;
     if (socket.destroyed) return;
     if (connection.refusal !== undefined) {
--- a/packages/proxy/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -451,3 +451,16 @@
   await client.until(() => client.text.endsWith('second'));
   end(stand);
 });
+
+void test('when a client leaves, each of its pipelined requests is broken off and none counts as open', async () => {
+  const stand = await open();
+  const client = await stand.dial();
+  client.send('POST', '/edit/1', 'a', 'body');
+  client.send('POST', '/edit/2', 'b', 'body');
+  await stand.sent(2);
+  client.socket.destroy();
+  await client.closed;
+  await pause(50);
+  assert.deepEqual([stand.legs.map((one) => one.cut), stand.door.open], [[true, true], 0]);
+  end(stand);
+});
--- a/packages/proxy/src/direct/door.ts
+++ b/packages/proxy/src/direct/door.ts
@@ -105,11 +105,14 @@
   }
 
   async #take(asked: IncomingMessage, answer: ServerResponse): Promise<void> {
-    if (!this.#connections.begin(asked, answer, this.#server.keepAliveTimeout)) return;
-    this.open += 1;
-    answer.once('close', () => {
+    const request = { ended: false, leave: (): void => undefined };
+    const end = (): void => {
+      request.ended = true;
       this.open -= 1;
-    });
+      if (!answer.writableFinished) request.leave();
+    };
+    if (!this.#connections.begin(asked, answer, this.#server.keepAliveTimeout, end)) return;
+    this.open += 1;
     const fields = fieldsOf(asked);
     const id = fieldOf(fields, this.#words.id) ?? '';
     const body =
@@ -117,7 +120,7 @@
       asked.headers['transfer-encoding'] === undefined
         ? empty
         : await this.#bodyOf(asked, answer, id);
-    if (body === undefined || answer.destroyed) return;
+    if (body === undefined || request.ended) return;
     const left = Number(fieldOf(fields, this.#words.timeLeft));
     const call: Call = {
       id,
@@ -128,10 +131,7 @@
       body,
       spanMs: Number.isFinite(left) && left > 0 ? left : undefined,
     };
-    const leave = this.#line.serve(call, (word) => this.#tell(answer, call, word));
-    answer.once('close', () => {
-      if (!answer.writableFinished) leave();
-    });
+    request.leave = this.#line.serve(call, (word) => this.#tell(answer, call, word));
   }
 
   async #bodyOf(
--- /dev/null
+++ b/packages/proxy/src/direct/end-to-end.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import { connect } from 'node:net';
+import { test } from 'node:test';
+import {
+  type Dice,
+  roll,
+  toAddress,
+  toAreaName,
+  toGeneration,
+  toIncarnation,
+  toInstanceId,
+  toMoment,
+  toNodeId,
+  toRelease,
+  toServiceName,
+} from '@switchwheel/types';
+import { build, cut, finish } from '@switchwheel/configuration';
+import { type Cabin, Cache, newCabin } from '@switchwheel/proxy-core';
+import { DirectLine, plainBounds, plainWords } from '@switchwheel/routing';
+import { DirectDoor } from './door.js';
+import { Origins } from './leg.js';
+import { RoughOrigin, conducts } from './rough-origin.js';
+
+const service = toServiceName('clips');
+const promises = new Set(['408', '421', '429', '503']);
+const now = (): ReturnType<typeof toMoment> => toMoment(50_000 + performance.now());
+const pause = (ms: number): Promise<void> =>
+  new Promise((done) => {
+    setTimeout(done, ms);
+  });
+
+const cabinOf = (addresses: readonly string[]): Cabin => {
+  const bundle = finish(
+    cut({
+      format: 1,
+      classes: [{ name: 'all', share: 1 }],
+      services: [{ name: 'clips' }],
+      routes: [
+        { name: 'read', prefix: '/read/', methods: ['GET'], service: 'clips', class: 'all' },
+        { name: 'edit', prefix: '/edit/', methods: ['POST'], service: 'clips', class: 'all' },
+      ],
+    }),
+  );
+  assert.ok(bundle.isOk);
+  const { hash, order, pieces } = bundle.value;
+  const texts = order.map((one) => pieces.get(one) ?? '');
+  const built = finish(build(texts, toGeneration(1), hash));
+  assert.ok(built.isOk);
+  const member = {
+    node: toNodeId('e1'),
+    role: 'edge' as const,
+    area: toAreaName('a'),
+    address: toAddress('10.0.0.1:1'),
+    incarnation: toIncarnation(1),
+  };
+  const origins = new Map(
+    addresses.map((address, at) => {
+      const instance = toInstanceId(`o${at}`);
+      const release = toRelease('r1');
+      const state = 'up' as const;
+      return [
+        instance,
+        { service, instance, address: toAddress(address), release, slots: 50, state, at: now() },
+      ];
+    }),
+  );
+  const fresh = newCabin(member, [], { seed: 3 });
+  const berth = { ...fresh.berth, registryHeardAt: now(), origins, members: [member] };
+  return { ...fresh, table: built.value, asOf: now(), berth };
+};
+
+/** A client that pipelines requests on one connection; it may leave before their answers. */
+const pipeline = (
+  port: number,
+  requests: readonly { readonly id: string; readonly method: string }[],
+  leaveMs: number | undefined,
+): Promise<string> =>
+  new Promise((done) => {
+    const parts: Buffer[] = [];
+    const socket = connect(port, '127.0.0.1', () => {
+      for (const [at, { id, method }] of requests.entries()) {
+        const last = at === requests.length - 1 ? 'connection: close\r\n' : '';
+        const path = method === 'GET' ? '/read/x' : '/edit/x';
+        const body = method === 'GET' ? '' : `asked ${id}`;
+        const length = body === '' ? '' : `content-length: ${body.length}\r\n`;
+        socket.write(
+          `${method} ${path} HTTP/1.1\r\nhost: x\r\nswitchwheel-id: ${id}\r\nswitchwheel-deadline-ms: 1500\r\n${last}${length}\r\n${body}`,
+        );
+      }
+      if (leaveMs !== undefined) setTimeout(() => socket.destroy(), leaveMs);
+    });
+    socket.on('data', (part: Buffer) => parts.push(part));
+    socket.on('error', () => undefined);
+    socket.on('close', () => done(Buffer.concat(parts).toString('latin1')));
+  });
+
+/** The answers of one connection: status, id and body of each. */
+const answersIn = (text: string): readonly (readonly string[])[] =>
+  [
+    ...text.matchAll(
+      /HTTP\/1\.1 (\d{3}) [^]*?switchwheel-id: (\S+)[^]*?\r\n\r\n([^]*?)(?=HTTP\/1\.1 |$)/g,
+    ),
+  ].map((found) => found.slice(1));
+
+void test('over real sockets, rough origins and pipelining callers: each answer is its own, nothing runs twice, and a stop loses none', async () => {
+  let dice: Dice = { seed: 11 };
+  const chance = (): number => {
+    const [value, next] = roll(dice);
+    dice = next;
+    return value;
+  };
+  const origins = [1, 2, 3, 4].map(
+    () => new RoughOrigin(() => conducts[Math.floor(chance() * conducts.length)] ?? 'whole'),
+  );
+  const cabin = cabinOf(await Promise.all(origins.map((one) => one.listen())));
+  const line = new DirectLine(
+    { now, cabin: () => cabin },
+    new Cache(1_000_000),
+    new Origins(plainWords),
+    { area: toAreaName('a'), words: plainWords, bounds: plainBounds, most: 1000 },
+    { seed: 7 },
+  );
+  line.learn(cabin);
+  const ticking = setInterval(() => line.tick(now()), 30);
+  let closing = false;
+  const door = new DirectDoor(line, plainWords, { closing: () => closing });
+  // An address that was free a moment ago.
+  const spare = new RoughOrigin(() => 'whole');
+  const address = toAddress(await spare.listen());
+  spare.close();
+  const port = Number(address.split(':')[1]);
+  await door.listen(address);
+
+  const told = new Map<string, string>();
+  let whole = 0;
+  const talk = async (number: number): Promise<void> => {
+    const requests = ['a', 'b'].map((part) => ({
+      id: `t${number}${part}`,
+      method: chance() < 0.5 ? 'POST' : 'GET',
+    }));
+    const leaveMs = chance() < 0.15 ? 1 + chance() * 30 : undefined;
+    const answers = answersIn(await pipeline(port, requests, leaveMs));
+    if (leaveMs === undefined) assert.equal(answers.length, requests.length, `LOST t${number}`);
+    for (const [at, [status = '', id = '', body = '']] of answers.entries()) {
+      assert.equal(id, requests[at]?.id, 'MIXED: the answer to another request');
+      if (status === '200') assert.ok(`body of ${id}`.startsWith(body), `MIXED: ${body}`);
+      if (status === '200' && body === `body of ${id}`) whole += 1;
+      told.set(id, status);
+    }
+  };
+  const talks: Promise<void>[] = [];
+  for (let number = 0; number < 300; number += 1) {
+    talks.push(talk(number));
+    await pause(2);
+  }
+  // A stop: what was read is answered, and no connection stays open.
+  closing = true;
+  await pause(50);
+  door.shut();
+  await Promise.all(talks);
+  assert.equal(door.open, 0);
+
+  const counts = new Map<string, number>();
+  for (const run of origins.flatMap((one) => one.runs)) {
+    counts.set(run.id, (counts.get(run.id) ?? 0) + 1);
+    if (run.method === 'GET') continue;
+    assert.equal(run.body, `asked ${run.id}`, 'UNASKED');
+    assert.equal(counts.get(run.id), 1, `TWICE ${run.id}`);
+    assert.ok(
+      !promises.has(told.get(run.id) ?? ''),
+      `REFUSED ${run.id}: ${told.get(run.id) ?? ''}`,
+    );
+  }
+  assert.ok(whole > 200, `${whole} whole answers`);
+  clearInterval(ticking);
+  door.hang();
+  for (const origin of origins) origin.close();
+});
--- /dev/null
+++ b/packages/proxy/src/direct/rough-origin.ts
@@ -0,0 +1,130 @@
+import { type Server, type Socket, createServer } from 'node:net';
+
+/** What an origin does with one request, at the level of bytes. */
+export const conducts = [
+  'whole',
+  'whole',
+  'whole',
+  'whole',
+  'late',
+  'surplus',
+  'surplus later',
+  'junk behind',
+  'short',
+  'other id',
+  'not run',
+  'false promise',
+  'no answer at all',
+  'reset before',
+  'reset amid',
+  'reset after',
+] as const;
+export type Conduct = (typeof conducts)[number];
+
+/** A request that an origin ran. */
+export interface Run {
+  readonly id: string;
+  readonly method: string;
+  readonly body: string;
+}
+
+const headEnd = '\r\n\r\n';
+
+const answerOf = (id: string, body: string, status = '200 OK', more = ''): string =>
+  `HTTP/1.1 ${status}\r\nswitchwheel-id: ${id}\r\n${more}content-length: ${body.length}${headEnd}${body}`;
+
+/** An origin for tests that misbehaves byte by byte, and writes down what it ran. */
+export class RoughOrigin {
+  readonly runs: Run[] = [];
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #next: () => Conduct;
+
+  constructor(next: () => Conduct) {
+    this.#next = next;
+    this.#server = createServer((socket) => this.#accept(socket));
+  }
+
+  listen(): Promise<string> {
+    return new Promise((done) => {
+      this.#server.listen(0, '127.0.0.1', () => {
+        const bound = this.#server.address();
+        done(`127.0.0.1:${bound !== null && typeof bound === 'object' ? bound.port : 0}`);
+      });
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('close', () => this.#sockets.delete(socket));
+    let read = '';
+    socket.on('data', (bytes: Buffer) => {
+      read += bytes.toString('latin1');
+      const end = read.indexOf(headEnd);
+      if (end < 0) return;
+      const length = Number(/content-length: (\d+)/i.exec(read)?.[1] ?? 0);
+      const body = read.slice(end + headEnd.length);
+      if (body.length < length) return;
+      const head = read.slice(0, end);
+      read = '';
+      this.#serve(socket, head, body);
+    });
+  }
+
+  #serve(socket: Socket, head: string, body: string): void {
+    const id = /switchwheel-id: (\S+)/i.exec(head)?.[1] ?? '';
+    const method = head.slice(0, head.indexOf(' '));
+    const conduct = this.#next();
+    if (conduct === 'reset before') {
+      socket.resetAndDestroy();
+      return;
+    }
+    if (conduct === 'not run') {
+      socket.write(answerOf(id, '', '503 Full', 'switchwheel-unrun: 1\r\n'));
+      return;
+    }
+    this.runs.push({ id, method, body });
+    const whole = answerOf(id, `body of ${id}`);
+    switch (conduct) {
+      case 'late':
+        setTimeout(() => socket.write(whole), 150);
+        break;
+      case 'surplus':
+        socket.write(whole + answerOf(id, 'surplus'));
+        break;
+      case 'surplus later':
+        socket.write(whole);
+        setTimeout(() => socket.write(answerOf(id, 'surplus')), 5);
+        break;
+      case 'junk behind':
+        socket.write(`${whole}this is no answer${headEnd}`);
+        break;
+      case 'short':
+        socket.end(whole.slice(0, -3));
+        break;
+      case 'other id':
+        socket.write(answerOf('somebody', `body of ${id}`));
+        break;
+      case 'false promise':
+        socket.write(answerOf(id, '', '429 Later'));
+        break;
+      case 'no answer at all':
+        socket.write(`this is no answer${headEnd}`);
+        break;
+      case 'reset amid':
+        socket.write(whole.slice(0, -3), () => socket.resetAndDestroy());
+        break;
+      case 'reset after':
+        setTimeout(() => socket.resetAndDestroy(), 5);
+        break;
+      default:
+        socket.write(whole);
+    }
+  }
+}
