--- a/packages/model-checker/src/cluster/invariants.test.ts
+++ b/packages/model-checker/src/cluster/invariants.test.ts
@@ -15,19 +15,19 @@
 
 const violated = (monitor: InvariantMonitor): string | undefined => monitor.violation?.invariant;
 
-test('majorities of electorates that differ by one member intersect', () => {
+void test('majorities of electorates that differ by one member intersect', () => {
   assert.ok(majoritiesIntersect(electorate(0, 0, 1, 2), electorate(1, 0, 1, 2, 3)));
   assert.ok(majoritiesIntersect(electorate(0, 0, 1, 2, 3), electorate(1, 0, 1, 2)));
   assert.ok(majoritiesIntersect(electorate(0, 0, 1, 2, 3, 4), electorate(1, 0, 1, 2, 3)));
 });
 
-test('majorities of electorates that differ by two members need not intersect', () => {
+void test('majorities of electorates that differ by two members need not intersect', () => {
   assert.ok(!majoritiesIntersect(electorate(0, 0, 1, 2), electorate(1, 0, 3, 4)));
   assert.ok(!majoritiesIntersect(electorate(0, 0, 1, 2), electorate(1, 0, 1, 2, 3, 4)));
   assert.ok(!majoritiesIntersect(electorate(0, 0, 1), electorate(1, 2, 3)));
 });
 
-test('a read older than a write confirmed before is a violation, one of a later write is none', () => {
+void test('a read older than a write confirmed before is a violation, one of a later write is none', () => {
   const monitor = new InvariantMonitor();
   monitor.onAcknowledged(7, 'a', true, 10);
   monitor.onRead(7, monitor.highestConfirmed, 20);
@@ -37,7 +37,7 @@
   assert.equal(monitor.violation?.invariant, 'reads are never older than a write confirmed before');
 });
 
-test('two contents acknowledged under one number are a violation', () => {
+void test('two contents acknowledged under one number are a violation', () => {
   const monitor = new InvariantMonitor();
   monitor.onAcknowledged(7, 'a', true, 10);
   monitor.onAcknowledged(7, 'a', false, 20);
@@ -46,7 +46,7 @@
   assert.equal(violated(monitor), 'one content by number');
 });
 
-test('a clone goes its own way', () => {
+void test('a clone goes its own way', () => {
   const monitor = new InvariantMonitor();
   const clone = monitor.clone();
   clone.onAcknowledged(7, 'a', true, 10);
--- a/packages/model-checker/src/explore/bounded.test.ts
+++ b/packages/model-checker/src/explore/bounded.test.ts
@@ -14,7 +14,7 @@
   stopAtFirst: true,
 };
 
-test('no schedule within the bounds breaks an invariant', (context) => {
+void test('no schedule within the bounds breaks an invariant', (context) => {
   const report = search(bounds);
   context.diagnostic(
     `${report.states} states, ${report.placements} placements, ${report.walks} random walks, ${report.confirmedWrites} confirmed writes; deviations within ${bounds.depth} ms, at most ${bounds.faults}`,
--- a/packages/model-checker/src/explore/exhaustive.ts
+++ b/packages/model-checker/src/explore/exhaustive.ts
@@ -86,8 +86,7 @@
   bounds: ExhaustiveBounds,
 ): ExhaustiveResult => {
   const search = new ExhaustiveSearch(layout, bounds);
-  const start = formedCluster(layout);
-  start.ignore(bounds.ignored);
+  const start = formedCluster(layout, bounds.ignored);
   search.explore(start, []);
   const { found, states, runs, confirmedWrites, complete } = search;
   return { found, states, runs, confirmedWrites, complete };
--- a/packages/model-checker/src/explore/random-walk.ts
+++ b/packages/model-checker/src/explore/random-walk.ts
@@ -3,6 +3,7 @@
 import { clockOf } from '../cluster/machine.js';
 import type { Occurrence, Simulation } from '../cluster/simulation.js';
 import { type Deviation, type MessageFault, endOf } from '../schedule/deviation.js';
+import { corpus } from '../schedule/corpus.js';
 import { type ClusterLayout, type Scenario, platformLayout } from '../schedule/scenario.js';
 import { Chooser } from './chooser.js';
 import { type RunResult, formedAt, formedCluster, resultOf, runEnd } from './run.js';
@@ -148,15 +149,16 @@
     const choose = this.#choose;
     const { founders } = this.#simulation.layout;
     const at = formedAt + choose.between(1, 300);
-    if (choose.hit(0.15)) this.#add({ kind: 'join', at, machine: founders });
+    if (choose.hit(0.15)) this.add({ kind: 'join', at, machine: founders });
     if (choose.hit(0.2)) return;
     const leader = leaderOf(this.#simulation);
     const machine = choose.hit(0.7) ? leader : choose.between(0, founders - 1);
     const kind = choose.one<'crash' | 'pause' | 'cut'>('crash', 'pause', 'cut', 'cut');
-    this.#add(machineDeviation(choose, kind, at, machine, founders));
+    this.add(machineDeviation(choose, kind, at, machine, founders));
   }
 
-  #add(deviation: Deviation): void {
+  /** Adds a deviation to the schedule. */
+  add(deviation: Deviation): void {
     this.deviations.push(deviation);
     this.#simulation.deviate(deviation);
   }
@@ -166,7 +168,7 @@
     if (occurrence.at > formedAt + this.#bounds.depth) return;
     if (!this.#choose.hit(interest[occurrence.frame ?? ''] ?? 0)) return;
     const kind = this.#choose.one(...this.#kinds);
-    this.#add(deviationAt(this.#choose, kind, occurrence, this.#simulation.layout.founders));
+    this.add(deviationAt(this.#choose, kind, occurrence, this.#simulation.layout.founders));
   }
 }
 
@@ -175,15 +177,30 @@
   clockRates: clockVariants[choose.between(0, clockVariants.length - 1)] ?? [],
 });
 
+const corpusShare = 0.25;
+const jitter = 120;
+
+/** Now and then a schedule of the corpus, its times moved a little, to deviate from further. */
+const baseOf = (choose: Chooser, seed: number, bounds: WalkBounds): Scenario => {
+  const [first, ...others] = corpus;
+  if (first === undefined || !choose.hit(corpusShare))
+    return { layout: layoutOf(choose, seed, bounds), deviations: [] };
+  const { layout, deviations } = choose.one(first, ...others).scenario;
+  return {
+    layout: { ...layout, seed: 1 + choose.between(0, 5) },
+    deviations: deviations.map((one) => ({ ...one, at: one.at + choose.between(-jitter, jitter) })),
+  };
+};
+
 /** Walks from the formed cluster, deviating at random from the default schedule. */
 export const randomWalk = (seed: number, bounds: WalkBounds): Walk => {
   const choose = new Chooser(seed);
-  const layout = layoutOf(choose, seed, bounds);
-  const simulation = formedCluster(layout);
-  simulation.ignore(bounds.ignored);
+  const { layout, deviations } = baseOf(choose, seed, bounds);
+  const simulation = formedCluster(layout, bounds.ignored);
   const before = simulation.steps;
   const walker = new Walker(simulation, choose, bounds);
-  walker.begin();
+  if (deviations.length === 0) walker.begin();
+  else for (const one of deviations) walker.add(one);
   simulation.observer = (occurrence) => {
     walker.observe(occurrence);
   };
--- a/packages/model-checker/src/explore/run.ts
+++ b/packages/model-checker/src/explore/run.ts
@@ -32,11 +32,15 @@
 const formedClusters = new Map<string, Simulation>();
 
 /** A cluster that stands, from which runs of this layout begin. */
-export const formedCluster = (layout: ClusterLayout): Simulation => {
-  const key = JSON.stringify(layout);
+export const formedCluster = (
+  layout: ClusterLayout,
+  ignored: ReadonlySet<Invariant> = new Set(),
+): Simulation => {
+  const key = JSON.stringify([layout, [...ignored].sort()]);
   const known = formedClusters.get(key);
   if (known !== undefined) return known.clone();
   const simulation = new Simulation(layout);
+  simulation.ignore(ignored);
   simulation.runUntil(formedAt);
   formedClusters.set(key, simulation);
   return simulation.clone();
@@ -54,8 +58,7 @@
   { layout, deviations }: Scenario,
   ignored: ReadonlySet<Invariant> = new Set(),
 ): RunResult => {
-  const simulation = formedCluster(layout);
-  simulation.ignore(ignored);
+  const simulation = formedCluster(layout, ignored);
   const before = simulation.steps;
   for (const one of deviations) simulation.deviate(one);
   simulation.runUntil(runEnd(deviations));
--- a/packages/model-checker/src/explore/search.ts
+++ b/packages/model-checker/src/explore/search.ts
@@ -2,6 +2,8 @@
 import { type Scenario, platformLayout } from '../schedule/scenario.js';
 import { exploreExhaustively, type Found } from './exhaustive.js';
 import { randomWalk } from './random-walk.js';
+import { corpus } from '../schedule/corpus.js';
+import { runScenario } from './run.js';
 
 /** Bounds of a whole search: first all placements of few deviations, then random walks with more. */
 export interface SearchBounds {
@@ -38,6 +40,13 @@
   let placements = 0;
   let confirmedWrites = 0;
   const isOver = (): boolean => bounds.stopAtFirst && found.length > 0;
+  for (const { scenario } of corpus) {
+    const result = runScenario(scenario, bounds.ignored);
+    states += result.states;
+    confirmedWrites += result.confirmedWrites;
+    if (result.violation !== undefined)
+      found.push({ scenario, violation: result.violation, states });
+  }
   for (const members of bounds.members) {
     if (isOver()) break;
     const result = exploreExhaustively(platformLayout(members, bounds.seed), {
--- a/packages/model-checker/src/main.ts
+++ b/packages/model-checker/src/main.ts
@@ -23,6 +23,7 @@
     --first         end with the first violation
     --bugs          take the guards of the list out one by one, and search without each
     --only TEXT     with --bugs: only those with this in their name
+    --part I/N      with --bugs: only the I-th of N parts of the list
 
   Exit codes
     0  nothing found (with --bugs: each found)    1  otherwise    2  wrong use
@@ -40,6 +41,7 @@
       first: { type: 'boolean', default: false },
       bugs: { type: 'boolean', default: false },
       only: { type: 'string', default: '' },
+      part: { type: 'string', default: '1/1' },
     },
   },
 );
@@ -93,7 +95,10 @@
 };
 
 const hunt = async (): Promise<void> => {
-  const chosen = seededBugs.filter((one) => one.name.includes(cli.flags.only));
+  const [part = 1, parts = 1] = cli.flags.part.split('/').map(Number);
+  const chosen = seededBugs.filter(
+    (one, at) => one.name.includes(cli.flags.only) && at % parts === part - 1,
+  );
   let missed = 0;
   await huntSeededBugs(chosen, boundArguments(), ({ bug, invariant, states, scenario }) => {
     if (invariant === undefined) missed += 1;
--- a/packages/simulator/src/guard/copy.ts
+++ b/packages/simulator/src/guard/copy.ts
@@ -46,13 +46,11 @@
   readonly end: number;
 }
 
-const isSpace = (sign: string): boolean => /\s/.test(sign);
-
 /** Every place where a text stands, white space left out of account on both sides. */
 const placesOf = (text: string, sought: string): readonly Place[] => {
   const positions = [...text.matchAll(/\S/gu)].map((one) => one.index);
   const dense = positions.map((at) => text.charAt(at)).join('');
-  const needle = [...sought].filter((sign) => !isSpace(sign)).join('');
+  const needle = sought.replace(/\s/gu, '');
   const places: Place[] = [];
   for (let at = dense.indexOf(needle); at >= 0; at = dense.indexOf(needle, at + 1)) {
     const start = positions[at];
--- a/packages/simulator/src/guard/list.test.ts
+++ b/packages/simulator/src/guard/list.test.ts
@@ -6,12 +6,12 @@
 
 const root = fileURLToPath(new URL('../../../..', import.meta.url));
 
-test('the text of each guard stands once in its built file', () => {
+void test('the text of each guard stands once in its built file', () => {
   const faults = guards.map((one) => faultOf(root, one)).filter((one) => one !== undefined);
   assert.deepEqual(faults, []);
 });
 
-test('no two guards bear one name', () => {
+void test('no two guards bear one name', () => {
   const names = guards.map((one) => one.name);
   assert.deepEqual([...new Set(names)], names);
 });
