--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,3 @@
 export { program, schema } from './boot.js';
 export * from './run.js';
+export type { FailureDomains } from '@switchwheel/replicated-store';
