--- a/packages/simulator/src/run/large-description.test.ts
+++ b/packages/simulator/src/run/large-description.test.ts
@@ -95,7 +95,7 @@
 ] as const;
 
 for (const { routes, pathLength, least } of sizes) {
-  void test(`${routes} routes of ${pathLength} signs are applied, read back equal from each registry, and get to a new store, in frames of bounded size`, () => {
+  void test(`${routes} routes of ${pathLength} signs are applied, read back equal from each registry, and get to a new store, in frames of bounded size`, (context) => {
     const world = new WeighingWorld(layout);
     world.form();
     const description = descriptionOf(routes, pathLength);
@@ -104,7 +104,18 @@
     assert.ok(bytes >= least, `${bytes} bytes`);
     const [first] = world.registries;
     assert.ok(first !== undefined);
+    const appliedFrom = world.agenda.now;
     assert.equal(apply(world, first, 'large', bundle)?.status, 200);
+    const acknowledgedAt = world.agenda.now;
+    assert.ok(
+      world.until(5000, () =>
+        world.edges.every((edge) => edge.state?.cabin.table?.hash === bundle.hash),
+      ),
+      'in force at each edge',
+    );
+    context.diagnostic(
+      `${bytes} bytes: acknowledged after ${Math.round(acknowledgedAt - appliedFrom)} ms, in force ${Math.round(world.agenda.now - acknowledgedAt)} ms later (simulated time)`,
+    );
     world.run(2000);
     for (const [at, registry] of world.registries.entries())
       assertEqualDescription(readBack(world, registry, `read-${at}`), description);
