Nodes ask several registries; an edge denies a route only when sure

Cause, by reading: a node followed one registry, drawn by chance, for up to 1.7 s after that one was cut off, and asked no other meanwhile; a dead one cost 700 ms each. A stale registry's verdicts replaced what a fresh one had told. An edge answered 404 by whatever it ran, though it had started on what disks told or knew that a newer description was wanted of it.

Ruled out: a session with every registry all the time (heartbeats times the size of the core).

Now: while its own registry has no fresh word of the primary a node asks up to three others four times a second, and follows the first that has one. The answer to a heartbeat says which generation the node is to run; an edge answers 404 only if it runs that one, as of two seconds ago at most, and 503 with a time to come back otherwise. Two test fixtures say that their description is the newest; what they expect is as it was.

Before: line.test's new test can't be built without the field that it names; the old line answered 404 in all four cases (one branch, no condition). After: line, door and registry tests 22 of 22.

--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -1,6 +1,7 @@
 import { leaseSpan } from '@switchwheel/election';
 import {
   type Duty,
+  type Generation,
   type Hash,
   type Moment,
   type Step,
@@ -68,6 +69,14 @@
   return offer !== undefined && offer.generation >= known.report.generation ? offer : undefined;
 };
 
+/** The generation that a node is to run: the newest, unless a rollout has not come to it yet. */
+const wantedGeneration = (state: Registry, known: KnownSession): Generation => {
+  const row = state.feed.desired.get(known.member.node);
+  return row === undefined || known.report.phase === 'none'
+    ? (state.feed.current?.generation ?? noGeneration)
+    : row.generation;
+};
+
 /** The reconcile of every message: the offer to send with the answer, if any. */
 const reconcile = (
   state: Registry,
@@ -149,6 +158,7 @@
   at: Moment,
   purged: number,
   offer: Offer | undefined,
+  wanted: Generation,
   releases: ReleaseState[],
   now: Moment,
 ): FrameOf<'heartbeat-reply'> => {
@@ -161,7 +171,7 @@
     epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
-    newest: state.feed.current?.generation ?? noGeneration,
+    wanted,
     purges: state.feed.purges.filter((one) => one.seq > purged),
     floor: state.feed.floor,
     top: state.feed.top,
@@ -201,6 +211,7 @@
       word.at,
       word.purged,
       checked.offer,
+      wantedGeneration(checked.state, known),
       unknownReleases(releaseRecords(checked.state, now), word.releases),
       now,
     ),
@@ -239,6 +250,7 @@
             start,
             purged,
             checked.offer,
+            wantedGeneration(checked.state, known),
             unknownReleases(all, known.releases),
             now,
           ),
--- a/packages/membership/src/session/node-session.ts
+++ b/packages/membership/src/session/node-session.ts
@@ -15,6 +15,7 @@
   roll,
   start,
   step,
+  toMoment,
 } from '@switchwheel/types';
 import {
   type Peer,
@@ -36,6 +37,9 @@
 /** How long a registry may have no fresh word of the primary before the node goes to another, and how long it stays at least. */
 const staleTimeout = 500;
 const sessionTimeout = 1200;
+/** How often a node without a fresh word of the primary asks other registries, and how many at a time. */
+const probeInterval = 250;
+const probeWidth = 3;
 
 interface RegistryLink {
   readonly address: Address;
@@ -51,6 +55,9 @@
   readonly seeds: readonly Address[];
   readonly registryLink: RegistryLink | undefined;
   readonly heartbeatSentAt: Moment;
+  /** When other registries than its own were last asked, and which of them is the next. */
+  readonly probedAt: Moment;
+  readonly probeNext: number;
   /** When any registry was last heard: a session outlives the change of its registry. */
   readonly registryHeardAt: Moment;
   readonly seq: Seq;
@@ -71,6 +78,8 @@
   seeds,
   registryLink: undefined,
   heartbeatSentAt: start,
+  probedAt: toMoment(-probeInterval),
+  probeNext: 0,
   registryHeardAt: start,
   seq: noSeq,
   members: [],
@@ -129,18 +138,16 @@
   readonly releases?: string | undefined;
 }
 
-/** Speaks to the registry now. */
-export const sendHeartbeat = (
+const heartbeatTo = (
   berth: NodeSession,
+  address: Address,
   words: HeartbeatContent,
   now: Moment,
 ): Step<NodeSession, WireEffect> => {
-  if (berth.registryLink === undefined) return step(berth);
   const seq = nextSeq(berth.seq);
-  const next = { ...berth, seq, heartbeatSentAt: now };
   return step(
-    next,
-    send(berth.registryLink.address, {
+    { ...berth, seq },
+    send(address, {
       kind: 'heartbeat',
       member: berth.member,
       seq,
@@ -154,11 +161,65 @@
   );
 };
 
-/** Lets time pass: heartbeats when it is due, goes to another registry when this one is silent or knows nothing new. */
+/** Speaks to the registry now. */
+export const sendHeartbeat = (
+  berth: NodeSession,
+  words: HeartbeatContent,
+  now: Moment,
+): Step<NodeSession, WireEffect> =>
+  berth.registryLink === undefined
+    ? step(berth)
+    : heartbeatTo({ ...berth, heartbeatSentAt: now }, berth.registryLink.address, words, now);
+
+/** Whether this node's registry has a fresh word of the primary, as far as its last answer tells. */
+const followsPrimary = (berth: NodeSession, now: Moment): boolean => {
+  const link = berth.registryLink;
+  return (
+    link?.heard !== undefined && link.staleSince === undefined && now - link.heard < registryTimeout
+  );
+};
+
+/**
+ * Asks some other registries too, while this node's own has no fresh word of the primary: one that
+ * is dead, cut off or without a majority costs no more than a round trip to the others.
+ */
+const probe = (
+  berth: NodeSession,
+  words: HeartbeatContent,
+  now: Moment,
+): Step<NodeSession, WireEffect> => {
+  if (followsPrimary(berth, now) || now - berth.probedAt < probeInterval) return step(berth);
+  const others = knownRegistries(berth).filter((one) => one !== berth.registryLink?.address);
+  const width = Math.min(probeWidth, others.length);
+  const chosen = Array.from({ length: width }, (_, at) => (berth.probeNext + at) % others.length);
+  let next: Step<NodeSession, WireEffect> = step({
+    ...berth,
+    probedAt: now,
+    probeNext: berth.probeNext + width,
+  });
+  for (const at of chosen) {
+    const address = others[at];
+    if (address === undefined) continue;
+    next = join(next.effects, heartbeatTo(next.state, address, words, now));
+  }
+  return next;
+};
+
+/** Lets time pass: heartbeats, and looks for a registry that follows the primary while its own does not. */
 export const tickSession = (
   berth: NodeSession,
   words: HeartbeatContent,
   now: Moment,
+): Step<NodeSession, WireEffect> => {
+  const spoken = tickOwnRegistry(berth, words, now);
+  return join(spoken.effects, probe(spoken.state, words, now));
+};
+
+/** Heartbeats when it is due, goes to another registry when this one is silent or knows nothing new. */
+const tickOwnRegistry = (
+  berth: NodeSession,
+  words: HeartbeatContent,
+  now: Moment,
 ): Step<NodeSession, WireEffect> => {
   if (berth.registryLink === undefined || isSilent(berth.registryLink, now)) {
     const lost =
@@ -209,6 +270,25 @@
   };
 };
 
+/**
+ * The link that an answer belongs to: this node's own registry, or another one that was asked
+ * besides, if that one has a fresh word of the primary and its own has not.
+ */
+const linkFor = (
+  berth: NodeSession,
+  from: Peer,
+  word: FrameOf<'heartbeat-reply'>,
+  now: Moment,
+): RegistryLink | undefined => {
+  const link = berth.registryLink;
+  if (link?.address === from.address) return link;
+  // A push answers no heartbeat; it may come from a registry that this node left.
+  const better = word.age !== undefined && word.at > start && !followsPrimary(berth, now);
+  return better
+    ? { address: from.address, since: now, heard: now, staleSince: undefined }
+    : undefined;
+};
+
 /** Takes in a registry's answer to a heartbeat. */
 export const applyHeartbeatReply = (
   berth: NodeSession,
@@ -216,18 +296,17 @@
   word: FrameOf<'heartbeat-reply'>,
   now: Moment,
 ): NodeSession => {
-  if (berth.registryLink?.address !== from.address) return berth;
+  const link = linkFor(berth, from, word, now);
+  if (link === undefined) return berth;
   const known = berth.electorate;
   const next = word.electorate;
   const fleet = word.fleet ?? berth.fleet;
   const stale =
-    word.age !== undefined || fleet === undefined
-      ? undefined
-      : (berth.registryLink.staleSince ?? now);
+    word.age !== undefined || fleet === undefined ? undefined : (link.staleSince ?? now);
   return {
     ...berth,
     registryHeardAt: now,
-    registryLink: { ...berth.registryLink, heard: now, staleSince: stale },
+    registryLink: { ...link, heard: now, staleSince: stale },
     electorate:
       next !== undefined && (known === undefined || next.serial > known.serial) ? next : known,
     fleet,
--- a/packages/proxy-core/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -5,6 +5,7 @@
   noGeneration,
   put,
   sift,
+  start,
   step,
   toMoment,
 } from '@switchwheel/types';
@@ -52,6 +53,29 @@
 export const mayServe = (state: Cabin, now: Moment): boolean =>
   state.asOf !== undefined && now - state.asOf < cacheLease;
 
+/** How long a node may take its description for the newest without a fresh word of the primary. */
+const currentLease = 2000;
+
+/**
+ * Whether this node may say that there is no route: only if its description is known to be the
+ * one it has to run. Started on what disks told, or out of touch, it can't know.
+ */
+export const knowsAllRoutes = (state: Cabin, now: Moment): boolean =>
+  state.table !== undefined &&
+  state.table.generation >= state.wanted.generation &&
+  state.wanted.asOf !== undefined &&
+  now - state.wanted.asOf < currentLease;
+
+/** Takes in what a registry with a fresh word of the primary says this node has to run. */
+const learnWanted = (known: Cabin['wanted'], word: FrameOf<'heartbeat-reply'>): Cabin['wanted'] => {
+  if (word.age === undefined) return known;
+  const generation = word.wanted > known.generation ? word.wanted : known.generation;
+  // A registry that is behind renews nothing, and neither does a push.
+  if (word.wanted < known.generation || word.at === start) return { ...known, generation };
+  const asOf = toMoment(Math.max(word.at - word.age, known.asOf ?? start));
+  return { generation, asOf };
+};
+
 const reportOf = (state: Cabin, now: Moment): Report => {
   const table = state.table;
   const failed = state.failed;
@@ -204,7 +228,8 @@
   const purged = onPurges(
     {
       ...takeVacant({ ...before, berth }, word, now),
-      verdicts: word.verdicts,
+      verdicts: word.age === undefined ? before.verdicts : word.verdicts,
+      wanted: learnWanted(before.wanted, word),
       releases: learnReleases(before.releases, word.releases),
       releasesAt: word.age === undefined ? before.releasesAt : now,
     },
--- a/packages/proxy-core/src/cabin/state.ts
+++ b/packages/proxy-core/src/cabin/state.ts
@@ -2,10 +2,12 @@
   type Address,
   type Dice,
   type Duty,
+  type Generation,
   type Hash,
   type Moment,
   type Seq,
   type ServiceName,
+  noGeneration,
   noSeq,
   start,
 } from '@switchwheel/types';
@@ -50,6 +52,8 @@
   readonly purged: Seq;
   /** As of when this node is known to have acted on every accepted purge. */
   readonly asOf: Moment | undefined;
+  /** The highest generation that this node is known to have to run, and as of when it is. */
+  readonly wanted: { readonly generation: Generation; readonly asOf: Moment | undefined };
   readonly verdicts: readonly Verdict[];
   /** Which release each service's requests go to, as last told. */
   readonly releases: ReadonlyMap<ServiceName, ReleaseState>;
@@ -98,6 +102,7 @@
   failed: undefined,
   purged: noSeq,
   asOf: undefined,
+  wanted: { generation: noGeneration, asOf: undefined },
   verdicts: [],
   releases: new Map(),
   releasesAt: start,
--- a/packages/proxy-core/src/line/edge.ts
+++ b/packages/proxy-core/src/line/edge.ts
@@ -16,7 +16,7 @@
 import { type Desk, type Slip, bornAt, conditional, cutTarget } from '../cache/desk.js';
 import { handOn, ownFields, tagsOf } from '../cache/fields.js';
 import { Flights } from '../cache/flights.js';
-import { mayServe, takes } from '../cabin/machine.js';
+import { knowsAllRoutes, mayServe, takes } from '../cabin/machine.js';
 import type { ProxyEffect } from '../proxy/state.js';
 import { Links } from './links.js';
 import {
@@ -131,7 +131,12 @@
     const { path } = cutTarget(target);
     if (!path.startsWith('/')) return refuse(fault('malformed', 'a path starts with /', 0));
     const found = match(cabin.table, method, host, path);
-    if (found.found === 'none') return refuse(fault('absent', 'no route', 0));
+    if (found.found === 'none')
+      return refuse(
+        knowsAllRoutes(cabin, this.#cab.now())
+          ? fault('absent', 'no route', 0)
+          : fault('unready', 'no route is known here yet', 300),
+      );
     if (found.found === 'method')
       return refuse({ ...fault('absent', 'no route for this method', 0), allow: found.methods });
     return { track: found.track };
--- a/packages/proxy/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -116,6 +116,7 @@
     ...fresh,
     table: built.value,
     asOf: now,
+    wanted: { generation: built.value.generation, asOf: now },
     berth: { ...fresh.berth, registryHeardAt: now, origins, members: [member] },
   };
   const legs: Stand['legs'] = [];
--- a/packages/routing/src/line/line.test.ts
+++ b/packages/routing/src/line/line.test.ts
@@ -114,6 +114,7 @@
       ...fresh,
       table: built.value,
       asOf: this.now,
+      wanted: { generation: built.value.generation, asOf: this.now },
       berth: { ...fresh.berth, registryHeardAt: this.now, origins: known, members: [member] },
     };
     const legs = {
@@ -327,3 +328,21 @@
   );
   assert.equal(word.inFlightOld, 0);
 });
+
+void test('a route that is not known is denied only while the description is known to be the newest', () => {
+  const bench = new Bench([['o1', 'r1']]);
+  const told = (wanted: Cabin['wanted']): string => {
+    bench.cabin = { ...bench.cabin, wanted };
+    bench.ask('/nowhere/');
+    const word = bench.told.at(-1);
+    return word?.kind === 'fault' ? word.fault : 'none';
+  };
+  const generation = bench.cabin.table?.generation ?? noGeneration;
+  const next = toGeneration(generation + 1);
+  assert.equal(told({ generation, asOf: bench.now }), 'absent');
+  assert.equal(told({ generation: noGeneration, asOf: undefined }), 'unready', 'provisional');
+  assert.equal(told({ generation: next, asOf: bench.now }), 'unready', 'a newer one is known');
+  assert.equal(told({ generation, asOf: toMoment(bench.now - 2000) }), 'unready', 'out of touch');
+  bench.ask('/edit/1', 'POST');
+  assert.equal(bench.sent.length, 1, 'known routes are served all the same');
+});
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -25,6 +25,7 @@
   cutTarget,
   fieldOf,
   handOn,
+  knowsAllRoutes,
 } from '@switchwheel/proxy-core';
 import { Book, type Taste } from '../origin/book.js';
 import {
@@ -174,7 +175,12 @@
     if (cabin.table === undefined) return end(fault('unready', 'this node is not ready', 300));
     const { path } = cutTarget(call.target);
     const found = match(cabin.table, call.method, call.host, path);
-    if (found.found !== 'track') return end(fault('absent', 'no route', 0));
+    if (found.found !== 'track')
+      return end(
+        knowsAllRoutes(cabin, now)
+          ? fault('absent', 'no route', 0)
+          : fault('unready', 'no route is known here yet', 300),
+      );
     const track = found.track;
     const service = pickService(track, this.#roll());
     this.#quota.asked(service, now);
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -76,8 +76,8 @@
     age: v.optional(g.span),
     epoch: g.epoch,
     offer: v.optional(offer),
-    /** The generation of the newest description that the primary told this registry of. */
-    newest: g.generation,
+    /** The generation that the node is to run, by this registry's word of the primary. */
+    wanted: g.generation,
     purges: v.array(purge),
     floor: g.seq,
     top: g.seq,
