Frames expire: a channel drops what waited in it for too long

Cause, by reading: frames queue in a channel without bound in time; after a long cut that TCP outlives, or as a frozen process wakes, old votes, renewals and feeds are delivered.

Now: each frame bears its sender's steady clock. A channel on which all is late for two seconds ends. Protocol 2; a hello of protocol 1 is refused by its number.

--- a/packages/transport/src/channel/channel-pool.ts
+++ b/packages/transport/src/channel/channel-pool.ts
@@ -27,10 +27,16 @@
 const maxQueuedFrames = 256;
 const dialTimeout = 1000;
 
+/** A frame that waits for its channel, and since when. */
+interface WaitingFrame {
+  readonly frame: Frame;
+  readonly sentAt: number;
+}
+
 interface Connection {
   readonly channel: Channel;
   up: boolean;
-  readonly waiting: Frame[];
+  readonly waiting: WaitingFrame[];
 }
 
 /** All control channels of a process: sends frames by address, dials where none stands, loses what can't go. */
@@ -69,7 +75,8 @@
     }
     if (line.up) {
       if (line.channel.backlog < maxBacklogBytes) line.channel.send(frame);
-    } else if (line.waiting.length < maxQueuedFrames) line.waiting.push(frame);
+    } else if (line.waiting.length < maxQueuedFrames)
+      line.waiting.push({ frame, sentAt: performance.now() });
   }
 
   /** Opens a channel of the data lane. */
@@ -96,7 +103,7 @@
     this.#watch(channel);
     channel.on('up', () => {
       line.up = true;
-      for (const frame of line.waiting.splice(0)) channel.send(frame);
+      for (const one of line.waiting.splice(0)) channel.send(one.frame, one.sentAt);
     });
     channel.on('closed', () => {
       if (this.#out.get(to) === line) this.#out.delete(to);
--- a/packages/transport/src/channel/channel.ts
+++ b/packages/transport/src/channel/channel.ts
@@ -4,15 +4,16 @@
 import { Encoder } from 'cbor-x';
 import * as g from '@switchwheel/types';
 import { decode, encode, type Frame } from '../frame/frame.js';
+import { FrameAge, expires, frameLifetime, readStamp, stampFrame } from './frame-age.js';
 import { FrameDecoder, encodeFrame } from './frame-decoder.js';
 import type { Peer } from './wire.js';
 
 /** The generation of the frames; another one is refused plainly. */
-export const protocol = 1;
+export const protocol = 2;
 /** How often each side shows that it is there, and how long it may be silent before the channel is over. */
 export const keepaliveInterval = 500;
 export const silenceTimeout = 2000;
-const keepalive = encodeFrame(new Uint8Array());
+const empty = new Uint8Array();
 const hello = v.object({
   switchwheel: v.literal('hello'),
   protocol: v.number(),
@@ -20,6 +21,8 @@
   node: g.nodeId,
   address: g.address,
   incarnation: g.incarnation,
+  /** The sender's steady clock; absent in the hello of an older protocol, which is refused by its number. */
+  at: v.optional(v.number()),
 });
 type Hello = v.InferOutput<typeof hello>;
 export type Lane = Hello['lane'];
@@ -41,12 +44,19 @@
   #over = false;
   #heard = performance.now();
   #looked = performance.now();
+  readonly #age = new FrameAge();
+  /** Since when every frame that came was too old; undefined while they are not. */
+  #lateSince: number | undefined;
+  #lane: Lane;
+  /** Frames that were dropped as too old. */
+  expired = 0;
 
   constructor(socket: Socket, me: Peer, lane: Lane) {
     super();
     this.#socket = socket;
     socket.setNoDelay(true);
-    const greeting: Hello = { switchwheel: 'hello', protocol, lane, ...me };
+    this.#lane = lane;
+    const greeting: Hello = { switchwheel: 'hello', protocol, lane, at: performance.now(), ...me };
     socket.write(encodeFrame(coder.encode(greeting)));
     socket.on('data', (bytes: Buffer) => this.#take(bytes));
     const timer = setInterval(() => this.#look(), keepaliveInterval);
@@ -72,10 +82,10 @@
     return this.#socket.writableLength;
   }
 
-  /** Hands a frame over; false when the channel is over. */
-  send(frame: Frame): boolean {
+  /** Hands a frame over, with the time at which it was sent; false when the channel is over. */
+  send(frame: Frame, sentAt = performance.now()): boolean {
     if (this.#over || this.#socket.destroyed) return false;
-    this.#socket.write(encodeFrame(encode(frame)));
+    this.#socket.write(encodeFrame(stampFrame(encode(frame), sentAt)));
     return true;
   }
 
@@ -98,7 +108,8 @@
     this.#looked = now;
     if (this.#socket.connecting) return;
     if (now - this.#heard > silenceTimeout) this.terminate('silent');
-    else if (!this.#socket.destroyed) this.#socket.write(keepalive);
+    else if (!this.#socket.destroyed && this.#who !== undefined)
+      this.#socket.write(encodeFrame(stampFrame(empty, now)));
   }
 
   #take(bytes: Buffer): void {
@@ -110,19 +121,38 @@
     }
     for (const body of cut.value) {
       if (this.#socket.destroyed) return;
-      if (body.length === 0) continue;
       if (this.#who === undefined) this.#meet(body);
-      else {
-        const frame = decode(body);
-        if (frame.isErr) {
-          this.terminate(`foreign: ${frame.error.text}`);
-          return;
-        }
-        this.emit('frame', frame.value);
-      }
+      else this.#takeStamped(body);
     }
   }
 
+  /** Takes a frame or a keepalive, if it is not too old. */
+  #takeStamped(bytes: Uint8Array): void {
+    const stamped = readStamp(bytes);
+    if (stamped === undefined) {
+      this.terminate('foreign: no time of sending');
+      return;
+    }
+    const now = performance.now();
+    const late = this.#age.of(stamped.sentAt, now) > frameLifetime;
+    this.#noteLate(late, now);
+    if (stamped.body.length === 0 || this.#socket.destroyed) return;
+    const frame = decode(stamped.body);
+    if (frame.isErr) {
+      this.terminate(`foreign: ${frame.error.text}`);
+      return;
+    }
+    if (late && this.#lane === 'control' && expires(frame.value)) this.expired += 1;
+    else this.emit('frame', frame.value);
+  }
+
+  /** A control channel on which all is late ends: a new one has no backlog, and learns the clocks anew. */
+  #noteLate(late: boolean, now: number): void {
+    this.#lateSince = late ? (this.#lateSince ?? now) : undefined;
+    if (this.#lane === 'control' && now - (this.#lateSince ?? now) > silenceTimeout)
+      this.terminate('late');
+  }
+
   #meet(body: Uint8Array): void {
     let raw: unknown;
     try {
@@ -140,7 +170,9 @@
       this.terminate(`foreign: protocol ${read.output.protocol}, this program speaks ${protocol}`);
       return;
     }
-    const { node, address, incarnation } = read.output;
+    const { node, address, incarnation, at } = read.output;
+    if (at !== undefined) this.#age.of(at, performance.now());
+    if (read.output.lane === 'data') this.#lane = 'data';
     this.#who = { node, address, incarnation };
     this.emit('up', this.#who, read.output.lane);
   }
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -133,6 +133,8 @@
     inSyncSet: v.array(g.nodeId),
     held: v.optional(holder),
     stepDown: v.boolean(),
+    /** With `stepDown`: the epoch was never won, and never will be. */
+    abandoned: v.optional(v.boolean()),
     /** The life of the voter that gave the newest vote in this epoch: a renewal that echoes it proves the win. */
     voterLife: v.optional(g.incarnation),
   }),
