--- a/packages/election/src/candidate/candidate.ts
+++ b/packages/election/src/candidate/candidate.ts
@@ -118,6 +118,7 @@
   renew: boolean,
   stepDown = false,
   preVote = false,
+  abandoned = false,
 ): readonly WireEffect[] =>
   poll.electorate.members.map((one) => {
     const voterLife = renew ? lifeOf(stand, one.node) : undefined;
@@ -136,6 +137,7 @@
       stepDown,
       ...(poll.held === undefined ? {} : { held: { ...poll.held, epoch } }),
       ...(voterLife === undefined ? {} : { voterLife }),
+      ...(abandoned ? { abandoned } : {}),
     });
   });
 
@@ -306,7 +308,9 @@
     const [chance, rest] = roll(dice);
     // What was granted in a round that is lost is given back, so that nobody waits for it to run out.
     const back =
-      own.phase === 'preVote' ? [] : voteRequests(stand, poll, own.epoch, now, true, true);
+      own.phase === 'preVote'
+        ? []
+        : voteRequests(stand, poll, own.epoch, now, true, true, false, true);
     return step(
       {
         stand: {
--- a/packages/election/src/voter/voter.test.ts
+++ b/packages/election/src/voter/voter.test.ts
@@ -103,3 +103,17 @@
   const other = recoverGrants(known, memory(second, 1000, toIncarnation(6)), now);
   assert.equal(other.heardFrom.size, 0, 'what was said to an earlier life');
 });
+
+void test('a round that its candidate gave up leaves the in-sync set as it was; one that may have been won does not', () => {
+  const first = vote(restarted(), request({ renew: true }), after(leaseSpan))[0];
+  const alone = { epoch: toEpoch(6), inSyncSet: [oldHolder] };
+  const asked = vote(first, request(alone), after(1100))[0];
+  const rival = request({ epoch: toEpoch(7), node: newHolder });
+  assert.equal(vote(asked, rival, after(3000))[1].granted, false, 'it may have won alone');
+  const back = request({ ...alone, renew: true, stepDown: true });
+  const resigned = vote(asked, back, after(1200))[0];
+  assert.equal(vote(resigned, rival, after(1300))[1].granted, false, 'it won and resigned');
+  const abandoned = vote(asked, { ...back, abandoned: true }, after(1200))[0];
+  assert.equal(vote(abandoned, rival, after(1300))[1].granted, true);
+  assert.equal(abandoned.grants.get(primary)?.epoch, 6, 'the epoch stays taken');
+});
--- a/packages/election/src/voter/voter.ts
+++ b/packages/election/src/voter/voter.ts
@@ -25,6 +25,8 @@
   readonly until: Moment;
   /** For `primary`: the stores that hold every confirmed write under this epoch. */
   readonly inSyncSet: readonly NodeId[];
+  /** The in-sync set of the grant before: it counts again if the candidate gives its round up. */
+  readonly inSyncSetBefore?: readonly NodeId[] | undefined;
 }
 
 export interface Voter {
@@ -111,6 +113,21 @@
   mine?.epoch === ballot.epoch &&
   mine.node === ballot.node;
 
+/** The grant that a ballot leaves behind. */
+const grantFor = (mine: Grant | undefined, ballot: FrameOf<'vote-request'>, now: Moment): Grant => {
+  const base = { epoch: ballot.epoch, node: ballot.node, lessee: ballot.node };
+  if (ballot.stepDown) {
+    const before = ballot.abandoned === true ? mine?.inSyncSetBefore : undefined;
+    return { ...base, until: now, inSyncSet: before ?? ballot.inSyncSet };
+  }
+  return {
+    ...base,
+    until: later(now, Math.min(ballot.lease, leaseSpan)),
+    inSyncSet: ballot.inSyncSet,
+    inSyncSetBefore: ballot.renew ? mine?.inSyncSetBefore : mine?.inSyncSet,
+  };
+};
+
 /** Takes a ballot: the one place where a voter's memory changes by a vote. */
 export const vote = (
   state: Voter,
@@ -150,14 +167,7 @@
       state,
       { ...base, epoch: ballot.epoch, granted: true, recovering: state.recovering, highest },
     ];
-  const span = ballot.stepDown ? 0 : Math.min(ballot.lease, leaseSpan);
-  const grant: Grant = {
-    epoch: ballot.epoch,
-    node: ballot.node,
-    lessee: ballot.node,
-    until: later(now, span),
-    inSyncSet: ballot.inSyncSet,
-  };
+  const grant = grantFor(mine, ballot, now);
   const provesWin = provesWinOf(state, mine, ballot);
   const next: Voter = {
     ...state,
--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -119,6 +119,8 @@
   if (!hasMajorityContact(state, now)) return true;
   const primaryHeardAt = Math.max(one.since, state.feed.asOf ?? -Infinity);
   if (now - primaryHeardAt <= contactTimeout) return false;
+  // One that restarted where it is cut off does not even know the electorate.
+  if (state.electorate === undefined) return true;
   return !hasMajorityContact(state, now, contactTimeout) || onlyPeersHearPrimary(state);
 };
 
@@ -126,7 +128,8 @@
 export const tickPendingCalls = (state: Registry, now: Moment): Done => {
   let pending = state.pending;
   const effects: RegistryEffect[] = [];
-  const store = primaryHolder(state);
+  // Who holds the duty may be old news: a call leaves once the primary was heard in this life.
+  const store = state.feed.asOf === undefined ? undefined : primaryHolder(state);
   for (const [id, one] of state.pending) {
     if (now - one.since > one.span || isCutOff(state, one, now)) {
       pending = drop(pending, id);
--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -26,7 +26,7 @@
 import { isSettled, releasesDigest } from '../releases/digest.js';
 import type { KnownSession, Registry } from './state.js';
 import { provenHint } from './hints.js';
-import { feedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
+import { servableFeedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
 
 type Done = Step<Registry, WireEffect>;
 const firstRetryDelay = 1000;
@@ -59,7 +59,7 @@
 
 /** What a node is to run, if this registry's word of the primary counts. */
 const desiredOffer = (state: Registry, known: KnownSession, now: Moment): Offer | undefined => {
-  if (feedAge(state, now) === undefined) return offerFromHint(state, known, now);
+  if (servableFeedAge(state, now) === undefined) return offerFromHint(state, known, now);
   const row = state.feed.desired.get(known.member.node);
   // A node that runs nothing yet gets the newest at once.
   const offer =
@@ -162,7 +162,7 @@
   releases: ReleaseState[],
   now: Moment,
 ): FrameOf<'heartbeat-reply'> => {
-  const age = feedAge(state, now);
+  const age = servableFeedAge(state, now);
   return {
     kind: 'heartbeat-reply',
     at,
--- a/packages/membership/src/registry/queries.ts
+++ b/packages/membership/src/registry/queries.ts
@@ -154,6 +154,10 @@
 
 export const primaryHolder = (state: Registry): Holder | undefined => state.holders.get(primary);
 
+/** How old this registry's word of the primary is, where it may be handed out: only in touch with the majority. */
+export const servableFeedAge = (state: Registry, now: Moment): ReturnType<typeof feedAge> =>
+  hasMajorityContact(state, now) ? feedAge(state, now) : undefined;
+
 export const feedAge = (state: Registry, now: Moment): ReturnType<typeof toSpan> | undefined => {
   const asOf = state.feed.asOf;
   if (asOf === undefined) return undefined;
--- a/packages/simulator/src/cast/registry.ts
+++ b/packages/simulator/src/cast/registry.ts
@@ -18,6 +18,8 @@
 /** A registry in the simulation. */
 export class SimRegistry extends Actor {
   readonly #seeds: () => readonly Address[];
+  /** Whether nodes that run nothing may start on what disks hold. */
+  readonly #eager: boolean;
   #store: Store<Registry, RegistryEvent> | undefined;
   #ref = 0;
   readonly #waiting = new Map<number, (told: Told) => void>();
@@ -28,9 +30,11 @@
     address: Address,
     area: string,
     seeds: () => readonly Address[],
+    eager = false,
   ) {
     super(stage, node, address, area);
     this.#seeds = seeds;
+    this.#eager = eager;
   }
 
   get state(): Registry | undefined {
@@ -46,9 +50,8 @@
       door: this.address,
       incarnation: this.incarnation,
     };
-    const first = newRegistry(member, this.#seeds(), this.clock, {
-      seed: Math.floor(this.stage.chance.next() * 4294967296),
-    });
+    const dice = { seed: Math.floor(this.stage.chance.next() * 4294967296) };
+    const first = newRegistry(member, this.#seeds(), this.clock, dice, undefined, this.#eager);
     this.#store = this.makeStore<Registry, RegistryEvent, RegistryEffect>(
       registryStep,
       first,
--- a/packages/simulator/src/world/actor.ts
+++ b/packages/simulator/src/world/actor.ts
@@ -177,6 +177,10 @@
     const other = this.stage.actors.get(to);
     if (other === undefined) return;
     this.stage.meter?.sent(this, other, frame);
+    if (this.stage.net.refuses(this.node, other.node)) {
+      this.later(1, () => this.gone(to));
+      return;
+    }
     const from = this.peer;
     const life = other.life;
     // Now and then what is sent goes through the real coding, so that frames and their checks stay in step.
--- a/packages/simulator/src/world/net.ts
+++ b/packages/simulator/src/world/net.ts
@@ -19,6 +19,9 @@
   readonly #agenda: Agenda;
   readonly #chance: Chance;
   readonly #cuts = new Set<string>();
+  /** What waits in channels whose way is stalled: it arrives, late, once the way is whole. */
+  readonly #stalled = new Map<string, (() => void)[]>();
+  readonly #refused = new Set<string>();
   weather: Weather = fair;
   sent = 0;
 
@@ -31,13 +34,33 @@
     this.#cuts.add(`${from}>${to}`);
   }
 
+  /** Nothing gets through, nobody is told, and all that is sent meanwhile arrives after the healing. */
+  stall(from: string, to: string): void {
+    this.#stalled.set(`${from}>${to}`, []);
+    this.cut(from, to);
+  }
+
+  /** Nothing gets through, and whoever sends is told at once that the channel is over. */
+  refuse(from: string, to: string): void {
+    this.#refused.add(`${from}>${to}`);
+    this.cut(from, to);
+  }
+
+  refuses(from: string, to: string): boolean {
+    return this.#refused.has(`${from}>${to}`);
+  }
+
   /** How many ways are cut. */
   get cuts(): number {
     return this.#cuts.size;
   }
 
   heal(): void {
+    const late = [...this.#stalled.values()].flat();
     this.#cuts.clear();
+    this.#stalled.clear();
+    this.#refused.clear();
+    for (const arrive of late) this.#agenda.after(this.#delay(), arrive);
   }
 
   open(from: string, to: string): boolean {
@@ -53,6 +76,11 @@
   /** Carries something over that may be lost, doubled or overtaken. */
   carry(from: string, to: string, arrive: () => void): void {
     this.sent += 1;
+    const waiting = this.#stalled.get(`${from}>${to}`);
+    if (waiting !== undefined) {
+      waiting.push(arrive);
+      return;
+    }
     if (!this.open(from, to) || this.#chance.hit(this.weather.loss)) return;
     const land = (): void => {
       if (this.open(from, to)) arrive();
--- a/packages/simulator/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -31,6 +31,8 @@
   /** How many machines have a disk; two if it isn't said. */
   readonly stores?: number;
   readonly limits?: ReplicationSettings;
+  /** Whether nodes that run nothing may start on what disks hold. */
+  readonly eager?: boolean;
   readonly services: readonly {
     readonly name: ServiceName;
     readonly origins: number;
@@ -101,7 +103,14 @@
           ? `shield-${at + 1}-registry`
           : `store-${at - layout.shields + 1}-registry`;
       this.registries.push(
-        new SimRegistry(this, toNodeId(name), toAddress(`10.0.0.${at + 1}:1`), area(at), seeds),
+        new SimRegistry(
+          this,
+          toNodeId(name),
+          toAddress(`10.0.0.${at + 1}:1`),
+          area(at),
+          seeds,
+          layout.eager,
+        ),
       );
     }
     for (let at = 0; at < stores; at += 1)
@@ -156,6 +165,22 @@
     return registry;
   }
 
+  /** A new edge with an empty memory, which is told of some registries. */
+  addEdge(name: string, at: number, seeds: readonly Address[]): SimProxy {
+    const edge = new SimProxy(
+      this,
+      'edge',
+      toNodeId(name),
+      toAddress(`10.0.7.${at}:1`),
+      'one',
+      () => seeds,
+      () => this.origins,
+    );
+    this.proxies.push(edge);
+    edge.start();
+    return edge;
+  }
+
   /** A new machine with a blank disk. */
   addStore(name: string, at: number, area = 'one'): SimStore {
     const seeds = this.registries.slice(0, 3).map((one) => one.address);
