--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -33,6 +33,7 @@
   type Registry,
   newRegistry,
 } from './state.js';
+import { piecesOfReads } from './description-read.js';
 import {
   isAlive,
   broadcastTargets,
@@ -210,9 +211,9 @@
     releasesAt: now,
   };
   const kept = new Set(
-    [...feed.offers.values(), ...(feed.current === undefined ? [] : [feed.current])].flatMap(
-      (one) => one.pieces,
-    ),
+    [...feed.offers.values(), ...(feed.current === undefined ? [] : [feed.current])]
+      .flatMap((one) => one.pieces)
+      .concat(piecesOfReads(state)),
   );
   const voter =
     word.electorate === undefined
@@ -237,6 +238,13 @@
   return news ? pushToNodes(next, old.top, now) : step(next);
 };
 
+/** How far the primary may rely on this registry's vote. */
+const voterReadiness = (state: Registry, now: Moment): FrameOf<'subscribe'>['voter'] => {
+  if (state.stopping) return 'leaving';
+  const abstains = now < abstainsUntil(state.voter);
+  return state.voter.recovering || abstains ? 'recovering' : 'ready';
+};
+
 /** Tells the primary which nodes have their session here and what they report. */
 const subscribe = (state: Registry, now: Moment): Done => {
   const store = primaryHolder(state);
@@ -255,6 +263,7 @@
     send(store.address, {
       kind: 'subscribe',
       registry: state.member,
+      voter: voterReadiness(state, now),
       at: now,
       epoch: state.feed.epoch,
       serial: state.feed.serial,
@@ -380,9 +389,9 @@
         ? onStoreWant(state, frame, from.address)
         : onWant(state, from, frame, now);
     case 'piece':
-      return onPiece(state, frame);
+      return onPiece(state, frame, now);
     case 'called':
-      return onCalled(state, frame);
+      return onCalled(state, frame, now);
     case 'bootstrapped':
       return onBootstrapped(state, frame);
     case 'hint':
@@ -412,7 +421,7 @@
     case 'outside':
       return onOutside(state, event.ref, event.call, event.now);
     case 'stop':
-      return step({ ...state, stopping: true });
+      return subscribe({ ...state, stopping: true }, event.now);
   }
 };
 
--- a/packages/simulator/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -33,6 +33,8 @@
   readonly limits?: ReplicationSettings;
   /** Whether nodes that run nothing may start on what disks hold. */
   readonly eager?: boolean;
+  /** The areas of the machines with a disk, in their order; they go round by four if it isn't said. */
+  readonly storeAreas?: readonly string[];
   readonly services: readonly {
     readonly name: ServiceName;
     readonly origins: number;
@@ -107,7 +109,7 @@
           this,
           toNodeId(name),
           toAddress(`10.0.0.${at + 1}:1`),
-          area(at),
+          layout.storeAreas?.[at - layout.shields] ?? area(at),
           seeds,
           layout.eager,
         ),
@@ -119,7 +121,7 @@
           this,
           toNodeId(`store-${at + 1}`),
           toAddress(`10.0.1.${at + 1}:1`),
-          area(at + 1),
+          layout.storeAreas?.[at] ?? area(at + 1),
           seeds,
           layout.limits,
         ),
@@ -151,13 +153,13 @@
   }
 
   /** A new core machine's registry, found by the seeds that are there now. */
-  addRegistry(name: string, at: number): SimRegistry {
+  addRegistry(name: string, at: number, area = 'one'): SimRegistry {
     const seeds = this.registries.slice(0, 3).map((one) => one.address);
     const registry = new SimRegistry(
       this,
       toNodeId(name),
       toAddress(`10.0.9.${at}:1`),
-      'one',
+      area,
       () => seeds,
     );
     this.registries.push(registry);
