--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -1,6 +1,7 @@
 import { leaseSpan } from '@switchwheel/election';
 import {
   type Duty,
+  type Generation,
   type Hash,
   type Moment,
   type Step,
@@ -27,7 +28,7 @@
 import type { RegistryEffect } from './event.js';
 import type { KnownSession, Registry } from './state.js';
 import { provenHint } from './hints.js';
-import { feedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
+import { servableFeedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
 
 type Done = Step<Registry, WireEffect>;
 const firstRetryDelay = 1000;
@@ -60,7 +61,7 @@
 
 /** What a node is to run, if this registry's word of the primary counts. */
 const desiredOffer = (state: Registry, known: KnownSession, now: Moment): Offer | undefined => {
-  if (feedAge(state, now) === undefined) return offerFromHint(state, known, now);
+  if (servableFeedAge(state, now) === undefined) return offerFromHint(state, known, now);
   const row = state.feed.desired.get(known.member.node);
   // A node that runs nothing yet gets the newest at once.
   const offer =
@@ -70,6 +71,14 @@
   return offer !== undefined && offer.generation >= known.report.generation ? offer : undefined;
 };
 
+/** The generation that a node is to run: the newest, unless a rollout has not come to it yet. */
+const wantedGeneration = (state: Registry, known: KnownSession): Generation => {
+  const row = state.feed.desired.get(known.member.node);
+  return row === undefined || known.report.phase === 'none'
+    ? (state.feed.current?.generation ?? noGeneration)
+    : row.generation;
+};
+
 /** The reconcile of every message: the offer to send with the answer, if any. */
 const reconcile = (
   state: Registry,
@@ -151,10 +160,11 @@
   at: Moment,
   purged: number,
   offer: Offer | undefined,
+  wanted: Generation,
   releases: ReleaseState[],
   now: Moment,
 ): FrameOf<'heartbeat-reply'> => {
-  const age = feedAge(state, now);
+  const age = servableFeedAge(state, now);
   return {
     kind: 'heartbeat-reply',
     at,
@@ -163,7 +173,7 @@
     epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
-    newest: state.feed.current?.generation ?? noGeneration,
+    wanted,
     purges: state.feed.purges.filter((one) => one.seq > purged),
     floor: state.feed.floor,
     top: state.feed.top,
@@ -203,6 +213,7 @@
       word.at,
       word.purged,
       checked.offer,
+      wantedGeneration(checked.state, known),
       unknownReleases(releaseRecords(checked.state, now), word.releases),
       now,
     ),
@@ -241,6 +252,7 @@
             start,
             purged,
             checked.offer,
+            wantedGeneration(checked.state, known),
             unknownReleases(all, known.releases),
             now,
           ),
--- a/packages/proxy/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -164,6 +164,7 @@
     ...fresh,
     table: built.value,
     asOf: now,
+    wanted: { generation: built.value.generation, asOf: now },
     berth: { ...fresh.berth, registryHeardAt: now, origins, members: [member] },
   };
   const legs: Stand['legs'] = [];
--- a/packages/simulator/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -33,6 +33,8 @@
   /** How many machines have a disk; two if it isn't said. */
   readonly stores?: number;
   readonly limits?: ReplicationSettings;
+  /** Whether nodes that run nothing may start on what disks hold. */
+  readonly eager?: boolean;
   /** The areas of the machines with a disk, in their order; they go round by four if it isn't said. */
   readonly storeAreas?: readonly string[];
   readonly services: readonly {
@@ -113,6 +115,7 @@
           toAddress(`10.0.0.${at + 1}:1`),
           layout.storeAreas?.[at - layout.shields] ?? area(at),
           seeds,
+          layout.eager,
         ),
       );
     }
@@ -168,6 +171,22 @@
     return registry;
   }
 
+  /** A new edge with an empty memory, which is told of some registries. */
+  addEdge(name: string, at: number, seeds: readonly Address[]): SimProxy {
+    const edge = new SimProxy(
+      this,
+      'edge',
+      toNodeId(name),
+      toAddress(`10.0.7.${at}:1`),
+      'one',
+      () => seeds,
+      () => this.origins,
+    );
+    this.proxies.push(edge);
+    edge.start();
+    return edge;
+  }
+
   /** A new machine with a blank disk. */
   addStore(name: string, at: number, area = 'one'): SimStore {
     const seeds = this.registries.slice(0, 3).map((one) => one.address);
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -76,8 +76,8 @@
     age: v.optional(g.span),
     epoch: g.epoch,
     offer: v.optional(offer),
-    /** The generation of the newest description that the primary told this registry of. */
-    newest: g.generation,
+    /** The generation that the node is to run, by this registry's word of the primary. */
+    wanted: g.generation,
     purges: v.array(purge),
     floor: g.seq,
     top: g.seq,
@@ -133,6 +133,8 @@
     inSyncSet: v.array(g.nodeId),
     held: v.optional(holder),
     stepDown: v.boolean(),
+    /** With `stepDown`: the epoch was never won, and never will be. */
+    abandoned: v.optional(v.boolean()),
     /** The life of the voter that gave the newest vote in this epoch: a renewal that echoes it proves the win. */
     voterLife: v.optional(g.incarnation),
   }),
