--- a/packages/registry/src/run.ts
+++ b/packages/registry/src/run.ts
@@ -57,13 +57,19 @@
   readonly body: string;
 }
 
+/** A registry that runs in this process. */
+export interface RunningRegistry extends Running {
+  /** Tells the primary that this registry's vote is about to go; all else goes on until the stop. */
+  readonly leave: () => void;
+}
+
 /** Starts a registry; `app` makes its door for origins and operators. */
 export const startRegistry = async (
   boot: RegistryBoot,
   log: Log,
   app: (inside: Inside) => Koa,
   { proposal, eager, tickMs }: RegistryWays = {},
-): Promise<Running> => {
+): Promise<RunningRegistry> => {
   const member = {
     node: boot.node,
     role: 'registry' as const,
@@ -142,9 +148,11 @@
     ]),
   );
 
+  const leave = (): void => loop.tell((at) => ({ kind: 'stop', now: at }));
   return {
+    leave,
     stop: async () => {
-      loop.tell((at) => ({ kind: 'stop', now: at }));
+      leave();
       door.shut();
       const until = now() + 4000;
       while (waiting.size > 0 && now() < until) await wait(20);
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -16,6 +16,7 @@
 import * as v from 'valibot';
 import { decideApply } from './apply.js';
 import { type Decision, callResult, earlierResult, noChange, rememberResult } from './decision.js';
+import { piecePuts } from './pieces.js';
 import { decideOrder, decideRelease } from './order.js';
 import { originPuts } from '../origins/origins.js';
 import type { Command, Store } from '../state/state.js';
@@ -129,6 +130,8 @@
   switch (command.kind) {
     case 'apply':
       return decideApply(state, control, command, seq);
+    case 'pieces':
+      return { ...noChange, puts: piecePuts(state, control, command.hashes) };
     case 'purge':
       return decidePurge(control, command, seq);
     case 'electorate': {
