A backup in trouble is replaced by a caught-up learner, never merely left out

Cause: a backup silent for 400 ms was left out by a new epoch and the primary confirmed alone while spares stood by; a spare was not resynced while a write was open. A stalled or full disk is no loss that tolerate counts, so the primary's disk could be wiped next, and the order with it.

Now: every store in touch gets each write and acknowledges it; replaceBackups names caught-up learners in one new epoch; while too few copies stand but a store in reach may catch up, the open write is held and spares are resynced, and later orders wait. A resync takes the stamp away on the disk, a settled stamp is taken only with equal digests, acknowledgements bear the metadata's epoch, a stale range listing is ignored, and a learner named in the newest granted set may be elected by voters that remember.

--- a/packages/replicated-store/src/leadership/candidacy.ts
+++ b/packages/replicated-store/src/leadership/candidacy.ts
@@ -1,16 +1,18 @@
-import { type Moment, type NodeId, type Step, noEpoch, step, toMoment } from '@switchwheel/types';
+import { type Moment, type Step, noEpoch, step, toMoment } from '@switchwheel/types';
 import type { ClusterMetadata, Electorate, Holder, WireEffect } from '@switchwheel/transport';
 import { type ElectionContext, holdsLease, stepDown } from '@switchwheel/election';
-import { type PeerStatus, type Store, ownId } from '../state/state.js';
-import { newerStamp } from '../table/table.js';
+import { type PeerStatus, type Store, noStamp, ownId } from '../state/state.js';
+import { newerStamp, sameStamp } from '../table/table.js';
+import { backupTimeout, chooseCopies } from './copies.js';
 
 /** How fresh a peer's consent must be. */
 const evidenceLimit = 500;
-export const backupTimeout = 650;
 /** How long the primary must be silent before a backup stands. */
 export const primaryTimeout = 700;
 /** How much longer each backup waits than the one before it, so that not all stand at once. */
 const standDelayPerRank = 40;
+/** How much longer a learner waits than the backups before it asks whether it was promoted. */
+const learnerStandDelay = 300;
 /** How long a store without voters that remember waits for those of its in-sync set that do not speak. */
 const silentPeerTimeout = 1400;
 /** How long it waits for others to speak up when one of its in-sync set has lost its disk. */
@@ -19,9 +21,13 @@
 export const isPrimary = (state: Store, now: Moment): boolean =>
   state.serving && holdsLease(state.candidate, now);
 
+/** Whether the table is the state at its stamp: while a resync changes it there is no such stamp. */
+const isClean = (state: Store): boolean => !sameStamp(state.stamp, noStamp);
+
 /** Whether this store holds every confirmed write, as far as it knows. */
 export const inSync = (state: Store): boolean =>
   state.metadata !== undefined &&
+  isClean(state) &&
   state.metadata.inSyncSet.includes(ownId(state)) &&
   state.excludedAtEpoch <= state.metadata.epoch;
 
@@ -102,12 +108,16 @@
     fleet: metadata.fleet,
     electorate,
     held,
-    countRecovering: survivorsProveNoNewerPrimary(state, metadata, now),
+    countRecovering: inSync(state) && survivorsProveNoNewerPrimary(state, metadata, now),
   };
 };
 
-/** The stores in sync that are in touch and whose disks take writes. */
-export const reachableInSync = (state: Store, now: Moment): ClusterMetadata['inSyncSet'] =>
+/** The stores in sync that are in touch, whose disks take writes, and that do not leave. */
+export const reachableInSync = (
+  state: Store,
+  now: Moment,
+  leavingToo = false,
+): ClusterMetadata['inSyncSet'] =>
   (state.metadata?.inSyncSet ?? []).filter((one) => {
     const word = state.peers.get(one);
     return (
@@ -115,38 +125,36 @@
       (word?.metadata !== undefined &&
         word.metadata.fleet === state.metadata?.fleet &&
         !word.full &&
+        (leavingToo || !word.leaving) &&
         now - word.at < backupTimeout)
     );
   });
 
-export const areaOf = (state: Store, node: NodeId): string =>
-  node === ownId(state)
-    ? state.session.member.area
-    : (state.session.members.find((one) => one.node === node)?.area ?? `around ${node}`);
-
-/** The stores to stand with: no more than copies are wanted, in as many areas as there are. */
+/** The stores to stand with: those in sync that are in touch, no more than copies are wanted. */
 export const chooseBackups = (state: Store, now: Moment): ClusterMetadata['inSyncSet'] => {
-  const near = reachableInSync(state, now);
-  if (near.length <= state.settings.copies) return near;
-  const taken = [ownId(state)];
-  while (taken.length < state.settings.copies) {
-    const areas = new Set(taken.map((one) => areaOf(state, one)));
-    const left = near.filter((one) => !taken.includes(one));
-    const next = left.find((one) => !areas.has(areaOf(state, one))) ?? left[0];
-    if (next === undefined) break;
-    taken.push(next);
-  }
-  return taken;
+  const own = [ownId(state)];
+  // What a promoted learner knows of the others is older than the epoch that names it.
+  if (!inSync(state)) return own;
+  return [...chooseCopies(state, own, reachableInSync(state, now))];
 };
 
+/**
+ * Whether this store may be in sync without knowing it: a primary had an epoch granted whose set
+ * names it, and died before the metadata came here. The voters know; they grant nothing to others.
+ */
+const mayBePromoted = (state: Store): boolean =>
+  state.metadata !== undefined && !inSync(state) && isClean(state);
+
 /** Whether this store may and should stand for the duty. */
 export const wantsElection = (state: Store, now: Moment): boolean => {
-  if (state.phase !== 'member' || !inSync(state) || now < state.standDownUntil) return false;
+  if (state.phase !== 'member' || now < state.standDownUntil) return false;
+  if (!inSync(state) && !mayBePromoted(state)) return false;
   const rank = [...reachableInSync(state, now)].sort().indexOf(ownId(state));
+  const delay = rank >= 0 && inSync(state) ? standDelayPerRank * rank : learnerStandDelay;
   return (
     state.backupWrite === undefined &&
     state.primaryWrite === undefined &&
-    now - state.primaryHeardAt > primaryTimeout + standDelayPerRank * rank
+    now - state.primaryHeardAt > primaryTimeout + delay
   );
 };
 
--- /dev/null
+++ b/packages/replicated-store/src/leadership/copies.ts
@@ -0,0 +1,136 @@
+/**
+ * Placement of copies: which stores make up the in-sync set, and how many losses a set bears.
+ *
+ * A set is sufficient if `tolerate` machines, and `failureDomains.tolerate` zones or regions, can be
+ * lost at once with one copy left: it has a machine more, and stands in a domain more.
+ */
+import type { Moment, NodeId } from '@switchwheel/types';
+import { type PeerStatus, type Store, ownId } from '../state/state.js';
+import { sameStamp } from '../table/table.js';
+
+/** How long a store may be silent before it counts as out of reach. */
+export const peerTimeout = 1000;
+/** How long a learner or backup may be silent and still be chosen. */
+export const backupTimeout = 650;
+/** How long a spare that makes no progress is waited for while copies are lacking. */
+const spareStallTimeout = 1500;
+/** How long a new primary waits to hear of the stores that it has not heard yet. */
+const discoveryTime = 700;
+/** How old the last word of a store may be at most for its silence to be known for what it is. */
+const recentlyHeard = 2000;
+
+const knownAreaOf = (state: Store, node: NodeId): Store['session']['member']['area'] | undefined =>
+  node === ownId(state)
+    ? state.session.member.area
+    : state.session.members.find((one) => one.node === node)?.area;
+
+/** The area (zone) of a store; one that is not known counts as an area of its own. */
+export const areaOf = (state: Store, node: NodeId): string =>
+  knownAreaOf(state, node) ?? `around ${node}`;
+
+/** The failure domain of a store, if its area is known. */
+const domainOf = (state: Store, node: NodeId): string | undefined => {
+  const area = knownAreaOf(state, node);
+  return area === undefined ? undefined : (state.settings.failureDomains?.ofArea.get(area) ?? area);
+};
+
+const domainsOf = (state: Store, set: readonly NodeId[]): ReadonlySet<string> =>
+  new Set(set.map((one) => domainOf(state, one)).filter((one) => one !== undefined));
+
+/** Whether a set of copies bears the losses that the settings ask it to bear. */
+export const hasEnoughCopies = (state: Store, set: readonly NodeId[]): boolean =>
+  set.length > state.settings.tolerate &&
+  domainsOf(state, set).size > (state.settings.failureDomains?.tolerate ?? 0);
+
+/** Of some stores the one that spreads a set best: in a new domain, else in a new area. */
+const bestAddition = (
+  state: Store,
+  set: readonly NodeId[],
+  stores: readonly NodeId[],
+): NodeId | undefined => {
+  const domains = domainsOf(state, set);
+  const areas = new Set(set.map((one) => areaOf(state, one)));
+  const inNewDomain = (one: NodeId): boolean => {
+    const domain = domainOf(state, one);
+    return domain !== undefined && !domains.has(domain);
+  };
+  return (
+    stores.find(inNewDomain) ?? stores.find((one) => !areas.has(areaOf(state, one))) ?? stores[0]
+  );
+};
+
+/** Adds stores to a set until it has `copies` members and is sufficient, as far as there are any. */
+export const chooseCopies = (
+  state: Store,
+  kept: readonly NodeId[],
+  stores: readonly NodeId[],
+): readonly NodeId[] => {
+  const set = [...kept];
+  let left = stores.filter((one) => !set.includes(one));
+  while (set.length < state.settings.copies || !hasEnoughCopies(state, set)) {
+    const next = bestAddition(state, set, left);
+    if (next === undefined) break;
+    set.push(next);
+    left = left.filter((one) => one !== next);
+  }
+  return set;
+};
+
+const sameFleet = (state: Store, peer: PeerStatus): boolean =>
+  peer.metadata === undefined || peer.metadata.fleet === state.metadata?.fleet;
+
+/** The stores in reach, with working disks, that are no members of a set. */
+const reachableSpares = (
+  state: Store,
+  set: readonly NodeId[],
+  now: Moment,
+): readonly PeerStatus[] =>
+  [...state.peers.values()].filter(
+    (one) =>
+      !set.includes(one.node) &&
+      !one.full &&
+      !one.leaving &&
+      now - one.at < peerTimeout &&
+      sameFleet(state, one),
+  );
+
+/** The stores outside of a set that hold every confirmed write, by their own word. */
+export const caughtUpLearners = (
+  state: Store,
+  set: readonly NodeId[],
+  now: Moment,
+): readonly NodeId[] =>
+  reachableSpares(state, set, now)
+    .filter(
+      (one) =>
+        now - one.at < backupTimeout &&
+        one.metadata !== undefined &&
+        (sameStamp(one.stamp, state.stamp) || holdsOpenWrite(state, one)),
+    )
+    .map((one) => one.node)
+    .sort();
+
+const holdsOpenWrite = (state: Store, peer: PeerStatus): boolean =>
+  state.primaryWrite !== undefined && sameStamp(peer.stamp, state.primaryWrite.stamp);
+
+/** Whether a store that a new primary knows of has not been heard since it won. */
+const awaitsFirstWord = (state: Store, set: readonly NodeId[], now: Moment): boolean => {
+  const holding = state.candidate.phase;
+  if (holding.phase !== 'holdingLease' || now - holding.won >= discoveryTime) return false;
+  const known = [
+    ...(state.metadata?.stores.map((one) => one.node) ?? []),
+    ...state.session.members.filter((one) => one.role === 'store').map((one) => one.node),
+  ];
+  return known.some(
+    (one) =>
+      !set.includes(one) &&
+      (state.peers.get(one)?.at ?? -Infinity) < Math.max(0, holding.won - recentlyHeard),
+  );
+};
+
+/** Whether a store may soon be taken into a set that is not sufficient. */
+export const awaitsSpare = (state: Store, set: readonly NodeId[], now: Moment): boolean =>
+  awaitsFirstWord(state, set, now) ||
+  reachableSpares(state, set, now).some(
+    (one) => now - Math.max(one.progressAt, state.shortageSince ?? now) < spareStallTimeout,
+  );
--- a/packages/replicated-store/src/primary-write/primary-write.ts
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   type Moment,
   type NodeId,
   type Step,
@@ -16,24 +17,27 @@
   log,
   send,
 } from '@switchwheel/transport';
-import { requestVotes, heldEpoch, holdsLease } from '@switchwheel/election';
+import { heldEpoch, holdsLease } from '@switchwheel/election';
 import { absorbAll } from '@switchwheel/configuration';
 import { decide } from '../command/decide.js';
 import { callReply } from '../command/queue.js';
-import { isPrimary, electionContext, resignFor } from '../leadership/candidacy.js';
+import { isPrimary, resignFor } from '../leadership/candidacy.js';
+import { awaitsSpare, hasEnoughCopies, peerTimeout } from '../leadership/copies.js';
 import { feedAll } from '../feed/feed.js';
 import type { StoreEffect } from '../state/event.js';
 import {
   type CallResult,
   type Command,
+  type PeerStatus,
   type PrimaryWrite,
   type Store,
   ownId,
 } from '../state/state.js';
 import { apply } from '../table/table.js';
+import { noteShortage, replaceBackups } from './replacement.js';
 
 type Done = Step<Store, StoreEffect>;
-/** How long a backup may take before the primary goes on without it. */
+/** How long a backup may take before another store replaces it. */
 export const replicateTimeout = 400;
 /** How long the own disk may make no progress before the duty is given up. */
 export const diskTimeout = 700;
@@ -132,6 +136,7 @@
     compiling: new Map(),
     watches: new Map(),
     engineDueAt: undefined,
+    shortageSince: undefined,
   });
 
 /** Gives the duty up for a while, and with it all that was under way. */
@@ -141,6 +146,28 @@
   return join(resigned.effects, endLeadership({ ...resigned.state, statusSentAt: start }));
 };
 
+interface Batch {
+  readonly batch: readonly Command[];
+  readonly rest: readonly Command[];
+  /** Whether orders wait, as there are too few copies and a store is on its way to become one. */
+  readonly isShort: boolean;
+}
+
+/** What the next write takes; orders wait while a store is on its way into a set too small for them. */
+const nextBatch = (state: Store, metadata: ClusterMetadata, now: Moment): Batch => {
+  const queue = state.commandQueue;
+  const set = metadata.inSyncSet;
+  const isShort = !hasEnoughCopies(state, set) && awaitsSpare(state, set, now);
+  if (!isShort) return { batch: queue.slice(0, maxBatch), rest: queue.slice(maxBatch), isShort };
+  const isOrder = (command: Command): boolean => 'asker' in command;
+  const inner = queue.filter((one) => !isOrder(one));
+  return {
+    batch: inner.slice(0, maxBatch),
+    rest: [...queue.filter(isOrder), ...inner.slice(maxBatch)],
+    isShort,
+  };
+};
+
 /** Takes what waits, in its order, and makes one write of it. */
 export const startWrite = (state: Store, now: Moment): Done => {
   const metadata = state.metadata;
@@ -152,6 +179,8 @@
     !isPrimary(state, now)
   )
     return step(state);
+  const { batch, rest, isShort } = nextBatch(state, metadata, now);
+  if (batch.length === 0) return step(isShort ? noteShortage(state, now) : state);
   const stamp: Stamp = { epoch: heldEpoch(state.candidate), seq: nextSeq(state.stamp.seq) };
   let draft = state.control;
   let electorate = metadata.electorate;
@@ -160,7 +189,7 @@
   const results: CallResult[] = [];
   const rejections: CallResult[] = [];
   const tried: PrimaryWrite['trialReports'][number][] = [];
-  for (const command of state.commandQueue.slice(0, maxBatch)) {
+  for (const command of batch) {
     const decision = decide(next, draft, command, stamp.seq, now);
     draft = absorbAll(draft, decision.puts);
     puts.push(...decision.puts);
@@ -171,7 +200,7 @@
     if (command.kind === 'turn')
       next = { ...next, seen: decision.seen ?? next.seen, opened: decision.opened };
   }
-  next = { ...next, commandQueue: state.commandQueue.slice(maxBatch) };
+  next = { ...next, commandQueue: rest };
   const told = rejections.map(callReply);
   if (puts.length === 0 && results.length === 0 && electorate === metadata.electorate) {
     return step(next, ...told, ...tried.flatMap((one) => trialReplies(draft, one)));
@@ -208,11 +237,21 @@
   return verdict === undefined ? [] : [send(one.to, { kind: 'tried', verdict, at: one.word.at })];
 };
 
-const otherStores = (
+/** Who gets each write: the stores of the metadata, and those in touch that are not in it yet. */
+const learners = (
   state: Store,
   metadata: ClusterMetadata,
-): readonly ClusterMetadata['stores'][number][] =>
-  metadata.stores.filter((one) => one.node !== ownId(state));
+  now: Moment,
+): readonly ClusterMetadata['stores'][number][] => {
+  const named = metadata.stores.filter((one) => one.node !== ownId(state));
+  const others = [...state.peers.values()].filter(
+    (one) =>
+      now - one.at < peerTimeout &&
+      one.metadata?.fleet === metadata.fleet &&
+      !named.some((row) => row.node === one.node),
+  );
+  return [...named, ...others.map(({ node, address }) => ({ node, address }))];
+};
 
 /** The backups that must have a write and have not said so. */
 const unconfirmedBackups = (state: Store, primaryWrite: PrimaryWrite): readonly NodeId[] =>
@@ -220,28 +259,31 @@
     (one) => one !== ownId(state) && !primaryWrite.confirmed.has(one),
   );
 
+const replicateFrame = (primaryWrite: PrimaryWrite): FrameOf<'replicate'> => ({
+  kind: 'replicate',
+  metadata: primaryWrite.metadata,
+  stamp: primaryWrite.stamp,
+  prior: primaryWrite.prior,
+  puts: [...primaryWrite.puts],
+});
+
 const replicateTo = (
-  state: Store,
   primaryWrite: PrimaryWrite,
-  to: readonly NodeId[],
+  to: readonly ClusterMetadata['stores'][number][],
 ): readonly StoreEffect[] => {
-  const frame: FrameOf<'replicate'> = {
-    kind: 'replicate',
-    metadata: primaryWrite.metadata,
-    stamp: primaryWrite.stamp,
-    prior: primaryWrite.prior,
-    puts: [...primaryWrite.puts],
-  };
-  return otherStores(state, primaryWrite.metadata)
-    .filter((one) => to.includes(one.node))
-    .map((one) => send(one.address, frame));
+  const frame = replicateFrame(primaryWrite);
+  return to.map((one) => send(one.address, frame));
 };
-const replicateToAll = (state: Store, primaryWrite: PrimaryWrite): readonly StoreEffect[] =>
-  replicateTo(
-    state,
-    primaryWrite,
-    primaryWrite.metadata.stores.map((one) => one.node),
-  );
+
+const replicateToAll = (
+  state: Store,
+  primaryWrite: PrimaryWrite,
+  now: Moment,
+): readonly StoreEffect[] => replicateTo(primaryWrite, learners(state, primaryWrite.metadata, now));
+
+/** Sends the open write to a store that has just been brought to the state before it. */
+export const replicateOpenWrite = (state: Store, to: Address): readonly StoreEffect[] =>
+  state.primaryWrite?.phase === 'copy' ? [send(to, replicateFrame(state.primaryWrite))] : [];
 
 const keysWithoutNodeChange = ['purge/', 'call/', 'verdict/', 'release/', 'origin/'];
 
@@ -268,6 +310,9 @@
     serving: true,
     readOnly: false,
     diskFull: undefined,
+    shortageSince: hasEnoughCopies(state, primaryWrite.metadata.inSyncSet)
+      ? undefined
+      : (state.shortageSince ?? now),
     lastNodeChange: changesNodes(state, primaryWrite)
       ? primaryWrite.stamp.seq
       : state.lastNodeChange,
@@ -329,8 +374,8 @@
     sent: now,
   };
   const whole = unconfirmedBackups(state, next).length === 0;
-  if (whole) return join(replicateToAll(state, next), commitWrite(state, next, now));
-  return step({ ...state, primaryWrite: next }, ...replicateToAll(state, next));
+  if (whole) return join(replicateToAll(state, next, now), commitWrite(state, next, now));
+  return step({ ...state, primaryWrite: next }, ...replicateToAll(state, next, now));
 };
 
 /** The own disk did not take the write: it never takes effect, unless this disk has had it since before. */
@@ -374,20 +419,46 @@
   return step({ ...next, serving: true, readOnly: state.readOnly || !written }, words, ...rejected);
 };
 
+/** Notes how far a store has come by its acknowledgement. */
+const noteAcknowledged = (state: Store, word: FrameOf<'replicated'>, now: Moment): Store => {
+  const peer = state.peers.get(word.node);
+  if (peer === undefined) return state;
+  const row: PeerStatus = {
+    ...peer,
+    stamp: { epoch: word.epoch, seq: word.seq },
+    full: false,
+    at: now,
+    progressAt: now,
+  };
+  return { ...state, peers: new Map([...state.peers, [word.node, row]]) };
+};
+
+/** A backup that refused a write is no candidate for the next set before it speaks again. */
+const noteRefusal = (state: Store, node: NodeId): Store => {
+  const peer = state.peers.get(node);
+  if (peer === undefined) return state;
+  const row: PeerStatus = { ...peer, full: true };
+  return { ...state, peers: new Map([...state.peers, [node, row]]) };
+};
+
 /** A backup answered a copy: once all in sync have it the write counts. */
-export const onReplicated = (state: Store, word: FrameOf<'replicated'>, now: Moment): Done => {
+export const onReplicated = (before: Store, word: FrameOf<'replicated'>, now: Moment): Done => {
+  const state = word.ok ? noteAcknowledged(before, word, now) : before;
   const primaryWrite = state.primaryWrite;
+  // An acknowledgement under an earlier epoch does not show that this epoch's metadata is on that disk.
   if (
     primaryWrite?.phase !== 'copy' ||
     word.epoch !== primaryWrite.stamp.epoch ||
     word.seq !== primaryWrite.stamp.seq ||
-    !primaryWrite.metadata.inSyncSet.includes(word.node)
+    word.metadataEpoch !== primaryWrite.metadata.epoch
   )
     return step(state);
+  const isRequired = primaryWrite.metadata.inSyncSet.includes(word.node);
+  if (!word.ok && !isRequired) return step(state);
   if (!word.ok)
     return join(
       [log('warn', 'a backup did not take a write', ['store', word.node], ['why', word.text])],
-      excludeBackups(state, [word.node], now),
+      replaceBackups(noteRefusal(state, word.node), [word.node], now),
     );
   if (
     !holdsLease(state.candidate, now) ||
@@ -398,22 +469,10 @@
     ...primaryWrite,
     confirmed: new Set([...primaryWrite.confirmed, word.node]),
   };
-  const whole = unconfirmedBackups(state, next).length === 0;
+  const whole = isRequired && unconfirmedBackups(state, next).length === 0;
   return whole ? commitWrite(state, next, now) : step({ ...state, primaryWrite: next });
 };
 
-/** Asks the voters for an epoch in which these stores are not in sync; the others stay. */
-export const excludeBackups = (state: Store, lost: readonly NodeId[], now: Moment): Done => {
-  const metadata = state.metadata;
-  if (metadata === undefined || !holdsLease(state.candidate, now)) return step(state);
-  const rest = state.candidate.inSyncSet.filter((one) => !lost.includes(one));
-  const asked = requestVotes(state.candidate, electionContext(state, metadata, now), rest, now);
-  return join(
-    [log('warn', 'going on without a backup', ['stores', lost.join(', ')])],
-    step({ ...state, candidate: asked.state }, ...asked.effects),
-  );
-};
-
 /** Lets time pass over a write. */
 export const tickWrite = (state: Store, now: Moment): Done => {
   const primaryWrite = state.primaryWrite;
@@ -446,13 +505,20 @@
   }
   if (state.candidate.phase.phase !== 'holdingLease') return step(state);
   const late = unconfirmedBackups(state, primaryWrite);
-  if (now - primaryWrite.since > replicateTimeout) return excludeBackups(state, late, now);
-  return now - primaryWrite.sent > resendInterval
-    ? step(
-        { ...state, primaryWrite: { ...primaryWrite, sent: now } },
-        ...replicateTo(state, primaryWrite, late),
-      )
-    : step(state);
+  const isLate = now - primaryWrite.since > replicateTimeout;
+  const replaced: Done = isLate ? replaceBackups(state, late, now) : step(state);
+  const open = replaced.state.primaryWrite;
+  if (
+    open === undefined ||
+    replaced.state.candidate.phase.phase !== 'holdingLease' ||
+    now - open.sent <= resendInterval
+  )
+    return replaced;
+  const again = learners(replaced.state, open.metadata, now).filter((one) =>
+    late.includes(one.node),
+  );
+  const resent: Store = { ...replaced.state, primaryWrite: { ...open, sent: now } };
+  return step(resent, ...replaced.effects, ...replicateTo(open, again));
 };
 
 /** This store won: the metadata of its holding is written before anything else. */
--- a/packages/replicated-store/src/resync/resync.ts
+++ b/packages/replicated-store/src/resync/resync.ts
@@ -15,30 +15,26 @@
   type Peer,
   type FrameOf,
   type Put,
+  type Stamp,
   log,
   send,
 } from '@switchwheel/transport';
-import { requestVotes, heldEpoch } from '@switchwheel/election';
+import { heldEpoch } from '@switchwheel/election';
 import { absorbAll } from '@switchwheel/configuration';
-import {
-  areaOf,
-  inSync,
-  reachableInSync,
-  isPrimary,
-  electionContext,
-  primaryTimeout,
-} from '../leadership/candidacy.js';
-import { excludeBackups } from '../primary-write/primary-write.js';
+import { inSync, reachableInSync, isPrimary, primaryTimeout } from '../leadership/candidacy.js';
+import { areaOf, hasEnoughCopies, peerTimeout } from '../leadership/copies.js';
+import { replicateOpenWrite } from '../primary-write/primary-write.js';
+import { replaceBackups, requestInSyncSet } from '../primary-write/replacement.js';
 import type { StoreEffect } from '../state/event.js';
-import { type BackupWrite, type PeerStatus, type Store, ownId } from '../state/state.js';
-import { apply, digests, inRange, sameStamp } from '../table/table.js';
+import { type BackupWrite, type PeerStatus, type Store, noStamp, ownId } from '../state/state.js';
+import { apply, digests, inRange, newerStamp, sameStamp } from '../table/table.js';
 
 type Done = Step<Store, StoreEffect>;
 const statusInterval = 300;
+/** How long a write to this disk may take before the disk counts as one that takes none. */
+const stalledAfter = 1000;
 const resyncBatchBytes = 1024 * 1024;
 const resyncRangesPerReply = 8;
-/** How long a store may be silent before it counts as gone. */
-const peerTimeout = 1000;
 /** How long a spare may make no progress before the next one has its turn. */
 const resyncTurn = 4000;
 /** How long a store out of sync may be silent before it gives up its place in the metadata. */
@@ -81,6 +77,7 @@
     node: ownId(state),
     epoch: backupWrite.stamp.epoch,
     seq: backupWrite.stamp.seq,
+    metadataEpoch: backupWrite.metadata.epoch,
     ok,
     text,
   });
@@ -101,6 +98,25 @@
   };
 };
 
+/** Keeps a write that came while another one is on its way to the disk: a learner would have a gap else. */
+const queueReplicate = (state: Store, from: Peer, word: FrameOf<'replicate'>): Store => {
+  const isKnown = state.replicateQueue.some(
+    (one) =>
+      sameStamp(one.word.stamp, word.stamp) && one.word.metadata.epoch === word.metadata.epoch,
+  );
+  return isKnown || state.replicateQueue.length >= maxQueuedReplicates
+    ? state
+    : { ...state, replicateQueue: [...state.replicateQueue, { from, word }] };
+};
+
+/** Takes the next write that waits, if there is one. */
+const continueReplication = (state: Store, now: Moment): Done => {
+  const [next, ...rest] = state.replicateQueue;
+  if (next === undefined || state.backupWrite !== undefined) return step(state);
+  const taken = onReplicate({ ...state, replicateQueue: rest }, next.from, next.word, now);
+  return join(taken.effects, continueReplication(taken.state, now));
+};
+
 /** The primary copies a write here. */
 export const onReplicate = (
   before: Store,
@@ -116,7 +132,8 @@
   const state = notePrimary(before, word.metadata, now);
   if (sameStamp(state.stamp, word.stamp) && metadata.epoch === word.metadata.epoch)
     return step(state, replicatedFrame(state, wanted, true, ''));
-  if (state.backupWrite !== undefined || state.primaryWrite !== undefined) return step(state);
+  if (state.backupWrite !== undefined) return step(queueReplicate(state, from, word));
+  if (state.primaryWrite !== undefined) return step(state);
   const required = word.metadata.inSyncSet.includes(ownId(state));
   // It may have the write itself already, from before the in-sync set changed.
   const next = sameStamp(state.stamp, word.prior) || sameStamp(state.stamp, word.stamp);
@@ -180,9 +197,11 @@
     control: absorbAll(state.control, backupWrite.puts),
     stamp: backupWrite.stamp,
   };
-  return backupWrite.after === 'replicated'
-    ? step(next, replicatedFrame(state, backupWrite, true, ''))
-    : continueResync(next, now);
+  const resumed =
+    backupWrite.after === 'replicated'
+      ? step(next, replicatedFrame(state, backupWrite, true, ''))
+      : continueResync(next, now);
+  return join(resumed.effects, continueReplication(resumed.state, now));
 };
 
 export const onBackupWriteFailed = (
@@ -198,6 +217,7 @@
     ...state,
     backupWrite: undefined,
     resyncQueue: [],
+    replicateQueue: [],
     diskFull: full ? now : state.diskFull,
   };
   if (backupWrite.after === 'replicated')
@@ -263,7 +283,10 @@
     node: ownId(state),
     stamp: state.stamp,
     primary,
-    full: state.diskFull !== undefined || state.primaryWrite?.phase === 'orphan',
+    full:
+      state.diskFull !== undefined ||
+      state.primaryWrite?.phase === 'orphan' ||
+      (state.backupWrite !== undefined && now - state.backupWrite.since > stalledAfter),
     at: now,
     digests: away ? digests(state.table) : [],
     ...(state.metadata === undefined ? {} : { metadata: state.metadata }),
@@ -327,64 +350,105 @@
   };
 };
 
-/** A peer tells where it stands. */
-export const onPeerStatus = (
+/** When a peer last came closer to the primary's state: its stamp or digests changed, or it is back. */
+const progressOf = (
+  before: PeerStatus | undefined,
+  word: FrameOf<'replica-status'>,
+  now: Moment,
+): Moment => {
+  if (before === undefined || now - before.at >= peerTimeout) return now;
+  const moved =
+    !sameStamp(before.stamp, word.stamp) ||
+    before.full !== word.full ||
+    (word.digests.length > 0 && word.digests.some((one, range) => one !== before.digests[range]));
+  return moved ? now : before.progressAt;
+};
+
+const notePeer = (
   state: Store,
   from: Peer,
   word: FrameOf<'replica-status'>,
   now: Moment,
-): Done => {
-  const row = {
+): Store => {
+  const before = state.peers.get(word.node);
+  const row: PeerStatus = {
     node: word.node,
     address: from.address,
     metadata: word.metadata,
     stamp: word.stamp,
     primary: word.primary,
     full: word.full,
+    leaving: word.leaving === true,
     at: now,
+    digests: word.digests.length > 0 ? word.digests : (before?.digests ?? []),
+    progressAt: progressOf(before, word, now),
   };
   const led =
     word.primary && word.metadata !== undefined ? notePrimary(state, word.metadata, now) : state;
-  const left = !word.primary && state.peers.get(word.node)?.primary === true;
-  const noted: Store = {
+  const left = !word.primary && before?.primary === true;
+  return {
     ...led,
     primaryHeardAt: left ? toMoment(now - primaryTimeout) : led.primaryHeardAt,
     peers: new Map([...state.peers, [word.node, row]]),
   };
+};
+
+/** A peer tells where it stands. */
+export const onPeerStatus = (
+  state: Store,
+  from: Peer,
+  word: FrameOf<'replica-status'>,
+  now: Moment,
+): Done => {
+  const noted = notePeer(state, from, word, now);
   const metadata = state.metadata;
-  if (metadata === undefined || !isPrimary(state, now) || state.primaryWrite !== undefined)
-    return step(noted);
+  if (metadata === undefined || !isPrimary(state, now)) return step(noted);
   if (word.metadata !== undefined && word.metadata.fleet !== metadata.fleet) return step(noted);
-  // A store that counts as in sync and says that it holds nothing has lost its disk: it is left out at once, and then mended.
+  // A store that counts as in sync and says that it holds nothing has lost its disk: it is replaced at once, and then mended.
   if (metadata.inSyncSet.includes(word.node) && word.metadata === undefined)
-    return excludeBackups(noted, [word.node], now);
-  const near = reachableInSync(noted, now);
-  if (
-    metadata.inSyncSet.includes(word.node) ||
-    near.length >= state.settings.copies ||
-    word.digests.length === 0
-  )
-    return step(noted);
-  return resyncSpare(
-    pickSpare(noted, metadata, now),
-    from,
-    word,
-    metadata,
-    [...near, word.node],
-    now,
+    return replaceBackups(noted, [word.node], now);
+  if (metadata.inSyncSet.includes(word.node) || word.digests.length === 0) return step(noted);
+  if (isFollowing(state, word.stamp) && !mayTakeIn(noted, word.node, now)) return step(noted);
+  return resyncSpare(pickSpare(noted, metadata, now), from, word, metadata, now);
+};
+
+/** Whether a store with this stamp has the last confirmed write, or the one that is open. */
+const isFollowing = (state: Store, stamp: Stamp): boolean =>
+  sameStamp(stamp, state.stamp) ||
+  (state.primaryWrite !== undefined && sameStamp(stamp, state.primaryWrite.stamp));
+
+/** Whether copies are lacking, and no write is open that would have to wait for another one. */
+const mayTakeIn = (state: Store, node: NodeId, now: Moment): boolean => {
+  const near = reachableInSync(state, now);
+  return (
+    state.primaryWrite === undefined &&
+    state.peers.get(node)?.leaving !== true &&
+    (near.length < state.settings.copies || !hasEnoughCopies(state, near))
+  );
+};
+
+/** Takes a spare that is equal to this store into the in-sync set. */
+const takeIn = (state: Store, from: Peer, shown: ClusterMetadata, now: Moment): Done => {
+  const stayed = [...reachableInSync(state, now), from.node];
+  const set = hasEnoughCopies(state, stayed)
+    ? stayed
+    : [...reachableInSync(state, now, true), from.node];
+  const next: Store = { ...state, metadata: shown, resyncing: undefined, resyncTried: new Set() };
+  return join(
+    [log('info', 'a spare is mended', ['store', from.node])],
+    requestInSyncSet(next, set, now),
   );
 };
 
-/** Mends the spare whose turn it is, or takes it in once it is equal. */
+/** Mends the spare whose turn it is, or takes it in once it is equal; all have their turn while copies are lacking. */
 const resyncSpare = (
   state: Store,
   from: Peer,
   word: FrameOf<'replica-status'>,
   metadata: ClusterMetadata,
-  inSyncSet: readonly NodeId[],
   now: Moment,
 ): Done => {
-  if (state.resyncing?.node !== word.node) return step(state);
+  if (state.resyncing?.node !== word.node && state.shortageSince === undefined) return step(state);
   const mine = digests(state.table);
   const unlike = mine.flatMap((one, range) => (one === word.digests[range] ? [] : [range]));
   const shown: ClusterMetadata = { ...metadata, stores: withStore(state, from, metadata, now) };
@@ -409,18 +473,14 @@
         kind: 'resync-entries',
         epoch: metadata.epoch,
         metadata: shown,
-        settled: state.stamp,
+        settled: { stamp: state.stamp, digests: mine },
         entries: [],
       }),
+      ...replicateOpenWrite(state, from.address),
     );
   }
   // Equal to the last entry and stamp, and nothing is being written: it is in sync from the next epoch on.
-  const next: Store = { ...state, metadata: shown, resyncing: undefined, resyncTried: new Set() };
-  const asked = requestVotes(state.candidate, electionContext(next, shown, now), inSyncSet, now);
-  return join(
-    [log('info', 'a spare is mended', ['store', word.node])],
-    step({ ...next, candidate: asked.state }, ...asked.effects),
-  );
+  return mayTakeIn(state, word.node, now) ? takeIn(state, from, shown, now) : step(state);
 };
 
 /** Whether a store may be mended by the holder of this epoch. */
@@ -437,6 +497,8 @@
   now: Moment,
 ): Done => {
   if (!acceptsResync(state, word.epoch)) return step(state);
+  // What came here since the listing was made is not in it.
+  if (newerStamp(state.stamp, word.stamp)) return step(state);
   const listed = new Map(word.keys.map((one) => [one.key, one.stamp]));
   const lacking = word.keys.filter((one) => {
     const mine = state.table.get(one.key);
@@ -466,7 +528,7 @@
         after: 'resynced',
         to: from.address,
         metadata: state.metadata,
-        stamp: state.stamp,
+        stamp: noStamp,
         puts,
         stamps: new Map(),
         call: undefined,
@@ -503,6 +565,12 @@
 };
 
 const maxQueuedResyncs = 64;
+const maxQueuedReplicates = 16;
+
+const isEqualTo = (state: Store, theirs: readonly string[]): boolean => {
+  const mine = digests(state.table);
+  return mine.length === theirs.length && mine.every((one, range) => one === theirs[range]);
+};
 
 /** Entries from the primary: they replace what is here, one write after another. */
 export const onResyncEntries = (
@@ -523,8 +591,10 @@
     return step(state);
   const stamps = new Map(word.entries.map((one) => [one.key, one.stamp]));
   const puts = word.entries.map((one) => ({ key: one.key, data: one.data }));
-  // Until it is settled, this store keeps a stamp that no copy can follow.
-  const stamp = word.settled ?? state.stamp;
+  // What was equal when the primary compared may have changed since.
+  if (word.settled !== undefined && !isEqualTo(state, word.settled.digests)) return step(state);
+  // Until it is settled, this store has no stamp: no write can follow, and it does not stand.
+  const stamp = word.settled?.stamp ?? noStamp;
   return startBackupWrite(
     state,
     {
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -1,5 +1,6 @@
 import {
   type Address,
+  type AreaName,
   type CallId,
   type Dice,
   type Epoch,
@@ -100,12 +101,22 @@
   readonly body: string;
 }
 
+/** Parts of the fleet that fail as one. */
+export interface FailureDomains {
+  /** How many of them may be lost at once. */
+  readonly tolerate: number;
+  /** The domain of each area that is not one by itself. */
+  readonly ofArea: ReadonlyMap<AreaName, string>;
+}
+
 /** How many copies of the state a fleet keeps, and how many machines with a disk it may lose at once. */
 export interface ReplicationSettings {
   readonly copies: number;
   readonly tolerate: number;
   /** Whether registries that come become voters, and take the seats of those that are gone, by themselves. */
   readonly follow: boolean;
+  /** Areas, or groups of them, that may be lost as a whole, besides single machines. */
+  readonly failureDomains?: FailureDomains;
   /** Whether the origins that stand are kept on disk. */
   readonly origins?: boolean;
   /** What a release on trial is held to. */
@@ -123,7 +134,7 @@
   readonly since: Moment;
   readonly sent: Moment;
   readonly metadata: ClusterMetadata;
-  /** The backups that have it under this metadata. */
+  /** The stores, learners too, that acknowledged it under this metadata. */
   readonly confirmed: ReadonlySet<NodeId>;
   readonly stamp: Stamp;
   readonly prior: Stamp;
@@ -153,8 +164,14 @@
   readonly metadata: ClusterMetadata | undefined;
   readonly stamp: Stamp;
   readonly primary: boolean;
+  /** Whether its disk takes no writes now: it has no room, or makes no progress. */
   readonly full: boolean;
+  /** Whether it is about to stop. */
+  readonly leaving: boolean;
   readonly at: Moment;
+  readonly digests: readonly string[];
+  /** When it was last seen to come closer to the primary's state, or came back. */
+  readonly progressAt: Moment;
 }
 
 export interface Subscriber {
@@ -199,6 +216,11 @@
     readonly from: Peer;
     readonly word: FrameOf<'resync-entries'>;
   }[];
+  /** Writes of the primary that came while another one was on its way to the disk. */
+  readonly replicateQueue: readonly {
+    readonly from: Peer;
+    readonly word: FrameOf<'replicate'>;
+  }[];
   readonly commandQueue: readonly Command[];
   /** Calls whose description is being compiled: several may bring the same one. */
   readonly compiling: ReadonlyMap<Hash, readonly Extract<Command, { kind: 'apply' }>[]>;
@@ -219,6 +241,8 @@
   readonly resyncTried: ReadonlySet<NodeId>;
   readonly subscribers: ReadonlyMap<NodeId, Subscriber>;
   readonly contacts: ReadonlyMap<NodeId, Contact>;
+  /** Since when this primary has had fewer copies than losses to be tolerated ask for. */
+  readonly shortageSince: Moment | undefined;
   /** The highest epoch that is known to have left this store out. */
   readonly excludedAtEpoch: Epoch;
   /** When a primary was last heard. */
@@ -269,6 +293,7 @@
   primaryWrite: undefined,
   backupWrite: undefined,
   resyncQueue: [],
+  replicateQueue: [],
   commandQueue: [],
   compiling: new Map(),
   receivedPieces: new Map(),
@@ -278,6 +303,7 @@
   resyncTried: new Set(),
   subscribers: new Map(),
   contacts: new Map(),
+  shortageSince: undefined,
   excludedAtEpoch: noEpoch,
   primaryHeardAt: start,
   statusSentAt: start,
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -167,6 +167,8 @@
     node: g.nodeId,
     epoch: g.epoch,
     seq: g.seq,
+    /** The epoch of the metadata that is on the disk with the write. */
+    metadataEpoch: g.epoch,
     ok: v.boolean(),
     text: v.string(),
   }),
@@ -177,6 +179,8 @@
     stamp,
     primary: v.boolean(),
     full: v.boolean(),
+    /** Set once this store was asked to stop: its place among the copies goes to another. */
+    leaving: v.optional(v.boolean()),
     digests: v.array(v.string()),
     at: g.moment,
   }),
@@ -197,7 +201,8 @@
     kind: kind('resync-entries'),
     epoch: g.epoch,
     metadata: clusterMetadata,
-    settled: v.optional(stamp),
+    /** The stamp that the store has from now on, if its digests are these. */
+    settled: v.optional(v.object({ stamp, digests: v.array(v.string()) })),
     entries: v.array(v.object({ key: v.string(), stamp, data: v.string() })),
   }),
   v.object({
