Beyond the wanted number only a copy in a new domain is taken in; a spare ends its turn

Cause: a set short of a zone or region took in every store of the regions that it had already; a spare that had caught up without being taken in kept the turn to be resynced for 4 s. The new test counts the copies of a fleet that has one region only.

--- a/packages/replicated-store/src/leadership/copies.ts
+++ b/packages/replicated-store/src/leadership/copies.ts
@@ -42,33 +42,41 @@
   set.length > state.settings.tolerate &&
   domainsOf(state, set).size > (state.settings.failureDomains?.tolerate ?? 0);
 
-/** Of some stores the one that spreads a set best: in a new domain, else in a new area. */
-const bestAddition = (
+/** Of some stores the one in a failure domain where a set has no member. */
+const inNewDomain = (
   state: Store,
   set: readonly NodeId[],
   stores: readonly NodeId[],
 ): NodeId | undefined => {
   const domains = domainsOf(state, set);
-  const areas = new Set(set.map((one) => areaOf(state, one)));
-  const inNewDomain = (one: NodeId): boolean => {
+  return stores.find((one) => {
     const domain = domainOf(state, one);
     return domain !== undefined && !domains.has(domain);
-  };
-  return (
-    stores.find(inNewDomain) ?? stores.find((one) => !areas.has(areaOf(state, one))) ?? stores[0]
-  );
+  });
+};
+
+const inNewArea = (
+  state: Store,
+  set: readonly NodeId[],
+  stores: readonly NodeId[],
+): NodeId | undefined => {
+  const areas = new Set(set.map((one) => areaOf(state, one)));
+  return stores.find((one) => !areas.has(areaOf(state, one)));
 };
 
-/** Adds stores to a set until it has `copies` members and is sufficient, as far as there are any. */
+/** Adds stores to a set until it has `copies` members and is sufficient, as far as they help. */
 export const chooseCopies = (
   state: Store,
   kept: readonly NodeId[],
   stores: readonly NodeId[],
 ): readonly NodeId[] => {
+  const wanted = Math.max(state.settings.copies, state.settings.tolerate + 1);
   const set = [...kept];
   let left = stores.filter((one) => !set.includes(one));
-  while (set.length < state.settings.copies || !hasEnoughCopies(state, set)) {
-    const next = bestAddition(state, set, left);
+  while (set.length < wanted || !hasEnoughCopies(state, set)) {
+    const spread = inNewDomain(state, set, left);
+    // Beyond the wanted number only a store in a new domain helps.
+    const next = set.length < wanted ? (spread ?? inNewArea(state, set, left) ?? left[0]) : spread;
     if (next === undefined) break;
     set.push(next);
     left = left.filter((one) => one !== next);
--- a/packages/replicated-store/src/resync/resync.ts
+++ b/packages/replicated-store/src/resync/resync.ts
@@ -22,7 +22,7 @@
 import { heldEpoch } from '@switchwheel/election';
 import { absorbAll } from '@switchwheel/configuration';
 import { inSync, reachableInSync, isPrimary, primaryTimeout } from '../leadership/candidacy.js';
-import { areaOf, hasEnoughCopies, peerTimeout } from '../leadership/copies.js';
+import { areaOf, chooseCopies, hasEnoughCopies, peerTimeout } from '../leadership/copies.js';
 import { replicateOpenWrite } from '../primary-write/primary-write.js';
 import { replaceBackups, requestInSyncSet } from '../primary-write/replacement.js';
 import type { StoreEffect } from '../state/event.js';
@@ -408,24 +408,25 @@
   if (metadata.inSyncSet.includes(word.node) && word.metadata === undefined)
     return replaceBackups(noted, [word.node], now);
   if (metadata.inSyncSet.includes(word.node) || word.digests.length === 0) return step(noted);
-  if (isFollowing(state, word.stamp) && !mayTakeIn(noted, word.node, now)) return step(noted);
+  if (isFollowing(state, word.stamp) && !mayTakeIn(noted, word.node, now))
+    return step(endResyncOf(noted, word.node));
   return resyncSpare(pickSpare(noted, metadata, now), from, word, metadata, now);
 };
 
+/** A spare that has caught up leaves its turn to the next. */
+const endResyncOf = (state: Store, node: NodeId): Store =>
+  state.resyncing?.node === node ? { ...state, resyncing: undefined } : state;
+
 /** Whether a store with this stamp has the last confirmed write, or the one that is open. */
 const isFollowing = (state: Store, stamp: Stamp): boolean =>
   sameStamp(stamp, state.stamp) ||
   (state.primaryWrite !== undefined && sameStamp(stamp, state.primaryWrite.stamp));
 
-/** Whether copies are lacking, and no write is open that would have to wait for another one. */
-const mayTakeIn = (state: Store, node: NodeId, now: Moment): boolean => {
-  const near = reachableInSync(state, now);
-  return (
-    state.primaryWrite === undefined &&
-    state.peers.get(node)?.leaving !== true &&
-    (near.length < state.settings.copies || !hasEnoughCopies(state, near))
-  );
-};
+/** Whether a store helps where copies are lacking, and no write is open that would have to wait for it. */
+const mayTakeIn = (state: Store, node: NodeId, now: Moment): boolean =>
+  state.primaryWrite === undefined &&
+  state.peers.get(node)?.leaving !== true &&
+  chooseCopies(state, reachableInSync(state, now), [node]).includes(node);
 
 /** Takes a spare that is equal to this store into the in-sync set. */
 const takeIn = (state: Store, from: Peer, shown: ClusterMetadata, now: Moment): Done => {
--- a/packages/simulator/src/run/replacement-copies.test.ts
+++ b/packages/simulator/src/run/replacement-copies.test.ts
@@ -243,6 +243,18 @@
     }
 });
 
+void test('a domain that is lacking is not made up for by more copies in the others', () => {
+  const ofArea = new Map<AreaName, string>(
+    (['one', 'two', 'three', 'four'] as const).map((area) => [toAreaName(area), 'same']),
+  );
+  const run = fleet(5000, 6, { copies: 3, failureDomains: { tolerate: 1, ofArea } });
+  // At first the operator names all stores; one loss later there are as many as are wanted.
+  for (const backup of backupsOf(run).slice(0, -1)) backup.freeze();
+  acknowledged(run, 100, 'one region');
+  run.world.run(4000);
+  assert.equal(inSync(run).length, 3, inSync(run).join(', '));
+});
+
 void test("only the primary's disk works: it goes on alone, says so, and takes the others in again", () => {
   for (const seed of seeds(3)) {
     const run = fleet(seed, 4, { copies: 3 });
