--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -7,6 +7,7 @@
   drop,
   join,
   later,
+  noGeneration,
   put,
   start,
   step,
@@ -22,7 +23,10 @@
 } from '@switchwheel/transport';
 import { learnHolder } from '../session/node-session.js';
 import { isSettled, releasesDigest } from '../releases/digest.js';
+import { advanceReads } from './description-read.js';
+import type { RegistryEffect } from './event.js';
 import type { KnownSession, Registry } from './state.js';
+import { provenHint } from './hints.js';
 import { feedAge, primaryHolder, memberListFrame, broadcast } from './queries.js';
 
 type Done = Step<Registry, WireEffect>;
@@ -51,24 +55,8 @@
   return { state: { ...state, sessions: put(state.sessions, word.member.node, word) }, news };
 };
 
-/** How long a registry listens for what disks hold before it tells of it. */
-const hintDelay = 250;
-
 const offerFromHint = (state: Registry, known: KnownSession, now: Moment): Offer | undefined =>
-  state.eager && known.report.phase === 'none' && now - state.voter.born > hintDelay
-    ? state.hint?.offer
-    : undefined;
-
-/** Keeps the newest of what disks are known to hold; the origins that a disk tells of are taken for a short time. */
-export const learnHint = (state: Registry, word: FrameOf<'hint'>): Registry => {
-  const known = state.hint;
-  if (state.fleet !== undefined && state.fleet !== word.fleet) return state;
-  const newer =
-    known === undefined ||
-    word.epoch > known.epoch ||
-    (word.epoch === known.epoch && word.offer.generation > known.offer.generation);
-  return newer ? { ...state, hint: word } : state;
-};
+  known.report.phase === 'none' ? provenHint(state, now)?.offer : undefined;
 
 /** What a node is to run, if this registry's word of the primary counts. */
 const desiredOffer = (state: Registry, known: KnownSession, now: Moment): Offer | undefined => {
@@ -175,6 +163,7 @@
     epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
+    newest: state.feed.current?.generation ?? noGeneration,
     purges: state.feed.purges.filter((one) => one.seq > purged),
     floor: state.feed.floor,
     top: state.feed.top,
@@ -285,8 +274,7 @@
       missing.push(hash);
     }
   }
-  const store =
-    feedAge(state, now) === undefined ? (state.hint ?? primaryHolder(state)) : primaryHolder(state);
+  const store = provenHint(state, now) ?? primaryHolder(state);
   if (missing.length > 0 && store !== undefined)
     effects.push(
       send(store.address, { kind: 'piece-request', node: state.member.node, hashes: missing }),
@@ -294,15 +282,20 @@
   return step({ ...state, wanted, asked }, ...effects);
 };
 
-export const onPiece = (state: Registry, word: FrameOf<'piece'>): Done => {
+export const onPiece = (
+  state: Registry,
+  word: FrameOf<'piece'>,
+  now: Moment,
+): Step<Registry, RegistryEffect> => {
   const waiting = [...(state.wanted.get(word.hash) ?? [])];
-  return step(
-    {
-      ...state,
-      pieces: put(state.pieces, word.hash, word.data),
-      wanted: drop(state.wanted, word.hash),
-      asked: drop(state.asked, word.hash),
-    },
-    ...waiting.map((to) => send(to, word)),
+  const next: Registry = {
+    ...state,
+    pieces: put(state.pieces, word.hash, word.data),
+    wanted: drop(state.wanted, word.hash),
+    asked: drop(state.asked, word.hash),
+  };
+  return join(
+    waiting.map((to) => send(to, word)),
+    advanceReads(next, word.hash, now),
   );
 };
--- a/packages/replicated-store/src/primary-write/primary-write.ts
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -47,6 +47,8 @@
 /** How often a full disk is tried again for the metadata of a holding. */
 const fullDiskRetry = 1000;
 const maxBatch = 512;
+/** No more commands join a write once it bears so many characters: it has to fit one frame. */
+const maxBatchCharacters = 1024 * 1024;
 const noReceivedPieces: Store['receivedPieces'] = new Map();
 const noConfirmations: PrimaryWrite['confirmed'] = new Set();
 
@@ -189,10 +191,15 @@
   const results: CallResult[] = [];
   const rejections: CallResult[] = [];
   const tried: PrimaryWrite['trialReports'][number][] = [];
+  let taken = 0;
+  let characters = 0;
   for (const command of batch) {
+    if (characters >= maxBatchCharacters) break;
+    taken += 1;
     const decision = decide(next, draft, command, stamp.seq, now);
     draft = absorbAll(draft, decision.puts);
     puts.push(...decision.puts);
+    for (const one of decision.puts) characters += one.data?.length ?? 0;
     results.push(...decision.results);
     rejections.push(...decision.immediateReplies);
     electorate = decision.electorate ?? electorate;
@@ -200,7 +207,7 @@
     if (command.kind === 'turn')
       next = { ...next, seen: decision.seen ?? next.seen, opened: decision.opened };
   }
-  next = { ...next, commandQueue: rest };
+  next = { ...next, commandQueue: [...batch.slice(taken), ...rest] };
   const told = rejections.map(callReply);
   if (puts.length === 0 && results.length === 0 && electorate === metadata.electorate) {
     return step(next, ...told, ...tried.flatMap((one) => trialReplies(draft, one)));
@@ -285,7 +292,7 @@
 export const replicateOpenWrite = (state: Store, to: Address): readonly StoreEffect[] =>
   state.primaryWrite?.phase === 'copy' ? [send(to, replicateFrame(state.primaryWrite))] : [];
 
-const keysWithoutNodeChange = ['purge/', 'call/', 'verdict/', 'release/', 'origin/'];
+const keysWithoutNodeChange = ['purge/', 'call/', 'number/', 'verdict/', 'release/', 'origin/'];
 
 /** Whether a write may change what nodes are to run, or is the first of its epoch. */
 const changesNodes = (state: Store, primaryWrite: PrimaryWrite): boolean =>
@@ -410,7 +417,11 @@
   };
   const words = log('error', 'the disk refused a write', ['why', text]);
   const heir = [...state.peers.values()].some(
-    (one) => primaryWrite.metadata.inSyncSet.includes(one.node) && !one.full && now - one.at < 1000,
+    (one) =>
+      primaryWrite.metadata.inSyncSet.includes(one.node) &&
+      !one.full &&
+      !one.leaving &&
+      now - one.at < 1000,
   );
   // With a peer in sync whose disk has room the duty goes to it.
   if (!full || heir) return join([words, ...rejected], handOverLeadership(next, 10_000, now));
--- a/packages/replicated-store/src/resync/resync.ts
+++ b/packages/replicated-store/src/resync/resync.ts
@@ -287,6 +287,7 @@
       state.diskFull !== undefined ||
       state.primaryWrite?.phase === 'orphan' ||
       (state.backupWrite !== undefined && now - state.backupWrite.since > stalledAfter),
+    ...(state.leaving === undefined ? {} : { leaving: true }),
     at: now,
     digests: away ? digests(state.table) : [],
     ...(state.metadata === undefined ? {} : { metadata: state.metadata }),
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -58,6 +58,8 @@
       readonly number: Generation | undefined;
       readonly faults: readonly Fault[];
     }
+  /** Pieces of a description that is too large for one write: they are stored before it. */
+  | { readonly kind: 'pieces'; readonly hashes: readonly Hash[] }
   | { readonly kind: 'purge'; readonly asker: Asker; readonly aims: readonly Aim[] }
   | { readonly kind: 'electorate'; readonly asker: Asker; readonly electorate: Electorate }
   | { readonly kind: 'seats'; readonly electorate: Electorate }
@@ -117,6 +119,8 @@
   readonly follow: boolean;
   /** Areas, or groups of them, that may be lost as a whole, besides single machines. */
   readonly failureDomains?: FailureDomains;
+  /** Within which span of a repair or a replacement the next losses are borne, in milliseconds. */
+  readonly syncMs?: number;
   /** Whether the origins that stand are kept on disk. */
   readonly origins?: boolean;
   /** What a release on trial is held to. */
@@ -176,8 +180,9 @@
 
 export interface Subscriber {
   readonly address: Address;
-  /** Since when it has been in touch without a break. */
-  readonly since: Moment;
+  readonly area: AreaName;
+  /** How far its vote may be relied on, by its own word. */
+  readonly voter: FrameOf<'subscribe'>['voter'];
   readonly at: Moment;
   readonly serial: Seq;
   readonly purged: Seq;
@@ -252,8 +257,10 @@
   readonly originsCheckedAt: Moment;
   readonly plannedAt: Moment;
   readonly engineRanAt: Moment;
-  /** When the electorate last followed the registries. */
-  readonly electorateChangedAt: Moment;
+  /** The electorate that this store polls, and since when: votes asked for before count for an older one. */
+  readonly polledElectorate: { readonly serial: Seq; readonly since: Moment };
+  /** Since when this store is leaving, and until when it may take. */
+  readonly leaving: { readonly since: Moment; readonly deadline: Moment } | undefined;
   readonly engineDueAt: Moment | undefined;
   /** The last write that changed what nodes are to run: registries that have it are not told of it again. */
   readonly lastNodeChange: Seq;
@@ -309,7 +316,8 @@
   statusSentAt: start,
   plannedAt: start,
   engineRanAt: start,
-  electorateChangedAt: start,
+  polledElectorate: { serial: noSeq, since: start },
+  leaving: undefined,
   originsCheckedAt: start,
   engineDueAt: undefined,
   lastNodeChange: noSeq,
--- a/packages/store/src/run.ts
+++ b/packages/store/src/run.ts
@@ -42,6 +42,8 @@
   readonly limits?: ReplicationSettings;
   /** How often time is let pass, in milliseconds. */
   readonly tickMs?: number;
+  /** How long a stop may wait until duty and copy stand elsewhere, in milliseconds. */
+  readonly graceMs?: number;
   /** Whether a fleet may be founded on this store. */
   readonly foundable?: boolean;
 }
@@ -152,7 +154,11 @@
       const over = new Promise<void>((done) => {
         stopped = done;
       });
-      loop.tell((at) => ({ kind: 'stop', now: at }));
+      loop.tell((at) => ({
+        kind: 'stop',
+        now: at,
+        ...(boot.graceMs === undefined ? {} : { graceMs: boot.graceMs }),
+      }));
       await over;
       // Last words leave before the channels close.
       await wait(100);
