A write that lasts late brings its metadata with it: a disk's epoch only goes up

Ruled out: the backup's write (it takes the metadata of its write). After: memory follows what the disk has; where the disk refused the rewrite, it keeps the metadata from before.

--- a/packages/replicated-store/src/primary-write/primary-write.ts
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -110,6 +110,8 @@
 const applyLocally = (state: Store, primaryWrite: PrimaryWrite): Store => ({
   ...state,
   primaryWrite: undefined,
+  // What a restart would read: the disk has the metadata of this write, and its epoch only goes up.
+  metadata: primaryWrite.metadata,
   standDownUntil: start,
   stamp: primaryWrite.stamp,
   table: apply(state.table, primaryWrite.puts, primaryWrite.stamp),
@@ -412,6 +414,8 @@
       );
   const next: Store = {
     ...(primaryWrite.onOwnDisk ? applyLocally(state, primaryWrite) : state),
+    // The disk has the write under the metadata from before: it refused the newer one.
+    metadata: state.metadata,
     primaryWrite: undefined,
     diskFull: full ? now : state.diskFull,
   };
