A repeated call is answered once its write lasts; a doubtful call ends within a second

Cause: two calls with one id in one batch: the second was told the kept answer at once, before the write lasted (seen as 'a description is taken whole': 3 !== 0). Since commands are queued and written at the end of the step, they meet in one batch more often. Now an answer of the same write is told with it. A purge sent to a cut-off registry 100 ms after the cut was answered after 1,051 ms, as the primary beside it kept its feed fresh until its lease ended: a call older than 600 ms needs contact within 900 ms.

--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -20,6 +20,8 @@
 const maxPendingCalls = 256;
 /** How long a call waits for a primary that others hear and this registry does not, or without a majority. */
 const contactTimeout = 900;
+/** How old a call is that is ended without such contact, though the primary on this machine still has its lease. */
+const doubtfulAfter = 600;
 
 const startBootstrap = (
   state: Registry,
@@ -118,6 +120,8 @@
  */
 const isCutOff = (state: Registry, one: Pending, now: Moment): boolean => {
   if (!hasMajorityContact(state, now)) return true;
+  if (now - one.since > doubtfulAfter && !hasMajorityContact(state, now, contactTimeout))
+    return true;
   const primaryHeardAt = Math.max(one.since, state.feed.asOf ?? -Infinity);
   if (now - primaryHeardAt <= contactTimeout) return false;
   // One that restarted where it is cut off does not even know the electorate.
--- a/packages/replicated-store/src/command/apply.ts
+++ b/packages/replicated-store/src/command/apply.ts
@@ -130,7 +130,7 @@
   command: ApplyCommand,
   seq: Seq,
 ): Decision => {
-  const again = earlierResult(control, command);
+  const again = earlierResult(control, command, seq);
   if (again !== undefined) return again;
   const now = currentGeneration(control);
   if (command.base !== undefined && command.base !== now) return staleBase(command, now);
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -26,7 +26,7 @@
   command: Extract<Command, { kind: 'purge' }>,
   seq: Seq,
 ): Decision => {
-  const again = earlierResult(control, command);
+  const again = earlierResult(control, command, seq);
   if (again !== undefined) return again;
   const number = nextSeq(topPurge(control));
   const batch: Purge = { seq: number, aims: [...command.aims] };
@@ -135,7 +135,7 @@
     case 'purge':
       return decidePurge(control, command, seq);
     case 'electorate': {
-      const again = earlierResult(control, command);
+      const again = earlierResult(control, command, seq);
       if (again !== undefined) return again;
       if (
         state.metadata !== undefined &&
@@ -170,7 +170,7 @@
     case 'trial':
       return decideTrial(control, command);
     case 'order': {
-      const again = earlierResult(control, command);
+      const again = earlierResult(control, command, seq);
       if (again !== undefined) return again;
       const ordered = decideOrder(state, control, command, now);
       const result = callResult(command, ordered.status, ordered.body);
--- a/packages/replicated-store/src/command/decision.ts
+++ b/packages/replicated-store/src/command/decision.ts
@@ -40,16 +40,17 @@
   ];
 };
 
-/** The answer that a call with this id got before, if it is still kept. */
+/** The answer that a call with this id got before, if it is still kept; told once the write it belongs to lasts. */
 export const earlierResult = (
   control: Control,
   command: Extract<Command, { asker: unknown }>,
+  seq: Seq,
 ): Decision | undefined => {
   const before = control.calls.get(command.asker.id);
-  return before === undefined
-    ? undefined
-    : {
-        ...noChange,
-        immediateReplies: [{ ...command.asker, status: before.status, body: before.body }],
-      };
+  if (before === undefined) return undefined;
+  const answer: CallResult = { ...command.asker, status: before.status, body: before.body };
+  const isInThisWrite = before.seq === seq;
+  return isInThisWrite
+    ? { ...noChange, results: [answer] }
+    : { ...noChange, immediateReplies: [answer] };
 };
