--- a/packages/election/src/candidate/candidate.ts
+++ b/packages/election/src/candidate/candidate.ts
@@ -97,22 +97,24 @@
   inSyncSet,
 });
 
-export const holdsLease = (stand: Candidate, now: Moment): boolean =>
-  stand.phase.phase === 'holdingLease' && now < stand.phase.until;
-export const heldEpoch = (stand: Candidate): Epoch =>
-  stand.phase.phase === 'idle' || stand.phase.phase === 'preVote' ? noEpoch : stand.phase.epoch;
+export const holdsLease = (candidate: Candidate, now: Moment): boolean =>
+  candidate.phase.phase === 'holdingLease' && now < candidate.phase.until;
+export const heldEpoch = (candidate: Candidate): Epoch =>
+  candidate.phase.phase === 'idle' || candidate.phase.phase === 'preVote'
+    ? noEpoch
+    : candidate.phase.epoch;
 
 /** Takes note of an epoch someone else has. */
-export const observeEpoch = (stand: Candidate, epoch: Epoch): Candidate =>
-  epoch > stand.highest ? { ...stand, highest: epoch } : stand;
+export const observeEpoch = (candidate: Candidate, epoch: Epoch): Candidate =>
+  epoch > candidate.highest ? { ...candidate, highest: epoch } : candidate;
 
 /** Which life of a voter gave the newest vote that this holder has of it. */
-const lifeOf = (stand: Candidate, voter: NodeId): Incarnation | undefined =>
-  stand.phase.phase === 'holdingLease' ? stand.phase.votes.get(voter)?.life : undefined;
+const lifeOf = (candidate: Candidate, voter: NodeId): Incarnation | undefined =>
+  candidate.phase.phase === 'holdingLease' ? candidate.phase.votes.get(voter)?.life : undefined;
 
 const voteRequests = (
-  stand: Candidate,
-  poll: ElectionContext,
+  candidate: Candidate,
+  context: ElectionContext,
   epoch: Epoch,
   now: Moment,
   renew: boolean,
@@ -120,22 +122,22 @@
   preVote = false,
   abandoned = false,
 ): readonly WireEffect[] =>
-  poll.electorate.members.map((one) => {
-    const voterLife = renew ? lifeOf(stand, one.node) : undefined;
+  context.electorate.members.map((one) => {
+    const voterLife = renew ? lifeOf(candidate, one.node) : undefined;
     return send(one.address, {
       kind: 'vote-request',
-      fleet: poll.fleet,
-      electorate: poll.electorate,
-      duty: stand.duty,
+      fleet: context.fleet,
+      electorate: context.electorate,
+      duty: candidate.duty,
       epoch,
-      node: stand.me,
+      node: candidate.me,
       at: now,
-      lease: toSpan(stand.lease),
+      lease: toSpan(candidate.lease),
       renew,
       preVote,
-      inSyncSet: [...stand.inSyncSet],
+      inSyncSet: [...candidate.inSyncSet],
       stepDown,
-      ...(poll.held === undefined ? {} : { held: { ...poll.held, epoch } }),
+      ...(context.held === undefined ? {} : { held: { ...context.held, epoch } }),
       ...(voterLife === undefined ? {} : { voterLife }),
       ...(abandoned ? { abandoned } : {}),
     });
@@ -143,68 +145,68 @@
 
 /** Opens a round of ballots for a new epoch; a holder may do so to change the in-sync set. */
 export const requestVotes = (
-  stand: Candidate,
-  poll: ElectionContext,
+  candidate: Candidate,
+  context: ElectionContext,
   inSyncSet: readonly NodeId[],
   now: Moment,
 ): Step<Candidate, WireEffect> => {
-  const epoch = nextEpoch(toEpoch(Math.max(stand.highest, heldEpoch(stand))));
+  const epoch = nextEpoch(toEpoch(Math.max(candidate.highest, heldEpoch(candidate))));
   const next: Candidate = {
-    ...stand,
+    ...candidate,
     highest: epoch,
     inSyncSet,
     phase: { phase: 'requestingVotes', since: now, epoch, votes: new Map(), refusals: new Map() },
   };
-  return step(next, ...voteRequests(next, poll, epoch, now, false));
+  return step(next, ...voteRequests(next, context, epoch, now, false));
 };
 
 /** Asks the voters whether they would vote for this store, before it stands. */
 const startPreVote = (
-  stand: Candidate,
-  poll: ElectionContext,
+  candidate: Candidate,
+  context: ElectionContext,
   now: Moment,
 ): Step<Candidate, WireEffect> => {
-  const epoch = nextEpoch(stand.highest);
+  const epoch = nextEpoch(candidate.highest);
   const next: Candidate = {
-    ...stand,
+    ...candidate,
     phase: { phase: 'preVote', since: now, epoch, votes: new Map(), refusals: new Map() },
   };
-  return step(next, ...voteRequests(next, poll, epoch, now, false, false, true));
+  return step(next, ...voteRequests(next, context, epoch, now, false, false, true));
 };
 
 /** Gives the duty up: the voters are told so that it falls vacant at once. */
 export const stepDown = (
-  stand: Candidate,
-  poll: ElectionContext | undefined,
+  candidate: Candidate,
+  context: ElectionContext | undefined,
   now: Moment,
   rest: number,
 ): Step<Candidate, WireEffect> => {
   const told =
-    poll !== undefined && holdsLease(stand, now)
-      ? voteRequests(stand, poll, heldEpoch(stand), now, true, true)
+    context !== undefined && holdsLease(candidate, now)
+      ? voteRequests(candidate, context, heldEpoch(candidate), now, true, true)
       : [];
-  return step({ ...stand, phase: { phase: 'idle', retry: later(now, rest) } }, ...told);
+  return step({ ...candidate, phase: { phase: 'idle', retry: later(now, rest) } }, ...told);
 };
 
 /** The lease that enough votes give: counted from before the asking. */
-const leaseEnd = (poll: ElectionContext, own: VoteCount, lease: number): Moment | undefined => {
-  const times = poll.electorate.members
+const leaseEnd = (context: ElectionContext, own: VoteCount, lease: number): Moment | undefined => {
+  const times = context.electorate.members
     .map((one) => own.votes.get(one.node))
-    .filter((one) => one !== undefined && (poll.countRecovering || !one.recovering))
+    .filter((one) => one !== undefined && (context.countRecovering || !one.recovering))
     .map((one) => (one === undefined ? 0 : one.at))
     .sort((one, two) => two - one);
-  const last = times[majority(poll.electorate.members.length) - 1];
+  const last = times[majority(context.electorate.members.length) - 1];
   return last === undefined ? undefined : toMoment(last + lease - leaseMargin);
 };
 
 /** Counts a vote. */
 export const countVote = (
-  stand: Candidate,
-  poll: ElectionContext,
+  candidate: Candidate,
+  context: ElectionContext,
   word: FrameOf<'vote'>,
   now: Moment,
 ): Candidate => {
-  const known = observeEpoch(stand, word.highest);
+  const known = observeEpoch(candidate, word.highest);
   const own = known.phase;
   if (
     own.phase === 'idle' ||
@@ -228,7 +230,7 @@
   });
   if (own.phase === 'preVote') return { ...known, phase: { ...own, votes } };
   if (own.phase === 'requestingVotes') {
-    const until = leaseEnd(poll, { epoch: own.epoch, votes }, known.lease);
+    const until = leaseEnd(context, { epoch: own.epoch, votes }, known.lease);
     if (until === undefined || until <= now) return { ...known, phase: { ...own, votes } };
     return {
       ...known,
@@ -244,7 +246,7 @@
   }
   // Once won, a renewal by any voter counts: memory only matters for the winning.
   const until = leaseEnd(
-    { ...poll, countRecovering: true },
+    { ...context, countRecovering: true },
     { epoch: own.epoch, votes },
     known.lease,
   );
@@ -260,12 +262,12 @@
 
 /** How long a round that can't be won any more should wait for the next: until enough leases are over. */
 const retryDelay = (
-  poll: ElectionContext,
+  context: ElectionContext,
   refusals: ReadonlyMap<NodeId, number>,
 ): number | undefined => {
-  const size = poll.electorate.members.length;
+  const size = context.electorate.members.length;
   const need = majority(size);
-  const lefts = poll.electorate.members
+  const lefts = context.electorate.members
     .flatMap((one) => {
       const left = refusals.get(one.node);
       return left === undefined ? [] : [left];
@@ -277,44 +279,44 @@
 
 /** Lets time pass: renews a lease that stands, ends one that is over, opens a round when `keen`. */
 export const tickCandidate = (
-  stand: Candidate,
-  poll: ElectionContext,
-  keen: boolean,
+  candidate: Candidate,
+  context: ElectionContext,
+  wantsElection: boolean,
   dice: Dice,
   now: Moment,
-): Step<{ readonly stand: Candidate; readonly dice: Dice }, WireEffect> => {
-  const own = stand.phase;
+): Step<{ readonly candidate: Candidate; readonly dice: Dice }, WireEffect> => {
+  const own = candidate.phase;
   if (own.phase === 'holdingLease') {
     if (now >= own.until) {
       const [chance, rest] = roll(dice);
       return step({
-        stand: { ...stand, phase: { phase: 'idle', retry: later(now, 50 + 200 * chance) } },
+        candidate: { ...candidate, phase: { phase: 'idle', retry: later(now, 50 + 200 * chance) } },
         dice: rest,
       });
     }
-    if (now - own.asked < stand.lease / 4) return step({ stand, dice });
+    if (now - own.asked < candidate.lease / 4) return step({ candidate, dice });
     return step(
-      { stand: { ...stand, phase: { ...own, asked: now } }, dice },
-      ...voteRequests(stand, poll, own.epoch, now, true),
+      { candidate: { ...candidate, phase: { ...own, asked: now } }, dice },
+      ...voteRequests(candidate, context, own.epoch, now, true),
     );
   }
-  if (own.phase === 'preVote' && leaseEnd(poll, own, stand.lease) !== undefined) {
-    const opened = requestVotes(stand, poll, stand.inSyncSet, now);
-    return { state: { stand: opened.state, dice }, effects: opened.effects };
+  if (own.phase === 'preVote' && leaseEnd(context, own, candidate.lease) !== undefined) {
+    const opened = requestVotes(candidate, context, candidate.inSyncSet, now);
+    return { state: { candidate: opened.state, dice }, effects: opened.effects };
   }
   if (own.phase === 'requestingVotes' || own.phase === 'preVote') {
-    const wait = retryDelay(poll, own.refusals);
-    if (wait === undefined && now - own.since < roundTimeout) return step({ stand, dice });
+    const wait = retryDelay(context, own.refusals);
+    if (wait === undefined && now - own.since < roundTimeout) return step({ candidate, dice });
     const [chance, rest] = roll(dice);
     // What was granted in a round that is lost is given back, so that nobody waits for it to run out.
     const back =
       own.phase === 'preVote'
         ? []
-        : voteRequests(stand, poll, own.epoch, now, true, true, false, true);
+        : voteRequests(candidate, context, own.epoch, now, true, true, false, true);
     return step(
       {
-        stand: {
-          ...stand,
+        candidate: {
+          ...candidate,
           phase: { phase: 'idle', retry: later(now, (wait ?? 50) + 10 + 150 * chance) },
         },
         dice: rest,
@@ -322,7 +324,7 @@
       ...back,
     );
   }
-  if (!keen || now < own.retry) return step({ stand, dice });
-  const opened = startPreVote(stand, poll, now);
-  return { state: { stand: opened.state, dice }, effects: opened.effects };
+  if (!wantsElection || now < own.retry) return step({ candidate, dice });
+  const opened = startPreVote(candidate, context, now);
+  return { state: { candidate: opened.state, dice }, effects: opened.effects };
 };
--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -129,6 +129,43 @@
   return !hasMajorityContact(state, now, contactTimeout) || onlyPeersHearPrimary(state);
 };
 
+/** All who wait for the answer to a call. */
+const callers = (one: Pending): readonly number[] => [one.ref, ...one.repeats];
+
+const notForwarded = (ref: number, id: CallId): RegistryEffect =>
+  reply(ref, 503, {
+    kind: 'rejected',
+    id,
+    text: 'no primary answers now; nothing was changed',
+    retryAfterMs: 1000,
+  });
+
+const outcomeUnknown = (ref: number, id: CallId): RegistryEffect =>
+  reply(ref, 504, {
+    kind: 'unknown',
+    id,
+    text: 'the outcome is not known; ask again with this id',
+  });
+
+/** The same order again while it is under way here waits for the one answer; other content under its id is refused. */
+const joinCall = (
+  state: Registry,
+  ref: number,
+  id: CallId,
+  underWay: Pending,
+  again: Pick<Pending, 'verb' | 'body'>,
+): Done => {
+  const isSame = underWay.verb === again.verb && underWay.body === again.body;
+  const isRead = again.verb === 'ask' || again.verb === 'view';
+  if (!isSame || isRead)
+    return step(
+      state,
+      reply(ref, 409, { kind: 'stale', id, text: 'a call with this id is under way here' }),
+    );
+  const joined: Pending = { ...underWay, repeats: [...underWay.repeats, ref] };
+  return step({ ...state, pending: put(state.pending, id, joined) });
+};
+
 /** Sends waiting calls on to the primary, and ends those whose time is over. */
 export const tickPendingCalls = (state: Registry, now: Moment): Done => {
   let pending = state.pending;
@@ -140,20 +177,10 @@
       pending = drop(pending, id);
       // A call that never left this registry certainly did not run.
       const unrun = one.sent === undefined || one.verb === 'ask' || one.verb === 'view';
-      effects.push(
-        unrun
-          ? reply(one.ref, 503, {
-              kind: 'rejected',
-              id,
-              text: 'no primary answers now; nothing was changed',
-              retryAfterMs: 1000,
-            })
-          : reply(one.ref, 504, {
-              kind: 'unknown',
-              id,
-              text: 'the outcome is not known; ask again with this id',
-            }),
+      const answers = callers(one).map((ref) =>
+        unrun ? notForwarded(ref, id) : outcomeUnknown(ref, id),
       );
+      effects.push(...answers);
     } else if (store !== undefined && now - (one.sent ?? -Infinity) > resendInterval) {
       pending = put(pending, id, { ...one, sent: now });
       effects.push(send(store.address, callFrame(id, one)));
@@ -206,13 +233,11 @@
       state,
       reply(ref, 503, { kind: 'rejected', id, text: 'too many calls wait', retryAfterMs: 1000 }),
     );
-  if (state.pending.has(id))
-    return step(
-      state,
-      reply(ref, 409, { kind: 'stale', id, text: 'a call with this id is under way here' }),
-    );
+  const underWay = state.pending.get(id);
+  if (underWay !== undefined) return joinCall(state, ref, id, underWay, row);
   const one: Pending = {
     ref,
+    repeats: [],
     since: now,
     sent: undefined,
     base: undefined,
@@ -323,7 +348,7 @@
   if (word.status === 200 && readsDescription(open)) return onOfferNamed(state, open, word, now);
   return step(
     { ...state, pending: drop(state.pending, word.id) },
-    replyText(open.ref, word.status, word.body),
+    ...callers(open).map((ref) => replyText(ref, word.status, word.body)),
   );
 };
 
--- a/packages/membership/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -84,6 +84,8 @@
 /** An outside call that waits for the store. */
 export interface Pending {
   readonly ref: number;
+  /** The same order, sent again here while it is under way: answered as the first one is. */
+  readonly repeats: readonly number[];
   readonly since: Moment;
   readonly span: number;
   readonly sent: Moment | undefined;
--- a/packages/membership/src/session/node-session.ts
+++ b/packages/membership/src/session/node-session.ts
@@ -91,18 +91,22 @@
 });
 
 /** The registries that this node knows: those of the fleet, and the seeds while it knows none. */
-export const knownRegistries = (berth: NodeSession): readonly Address[] => {
-  const known = berth.members.filter((one) => one.role === 'registry').map((one) => one.address);
-  return [...new Set([...known, ...berth.seeds])];
+export const knownRegistries = (nodeSession: NodeSession): readonly Address[] => {
+  const known = nodeSession.members
+    .filter((one) => one.role === 'registry')
+    .map((one) => one.address);
+  return [...new Set([...known, ...nodeSession.seeds])];
 };
 
-const switchRegistry = (berth: NodeSession, now: Moment): NodeSession => {
-  const others = knownRegistries(berth).filter((one) => one !== berth.registryLink?.address);
-  const pool = others.length > 0 ? others : knownRegistries(berth);
-  const [chance, dice] = roll(berth.dice);
+const switchRegistry = (nodeSession: NodeSession, now: Moment): NodeSession => {
+  const others = knownRegistries(nodeSession).filter(
+    (one) => one !== nodeSession.registryLink?.address,
+  );
+  const pool = others.length > 0 ? others : knownRegistries(nodeSession);
+  const [chance, dice] = roll(nodeSession.dice);
   const address = pool[Math.floor(chance * pool.length)];
   return {
-    ...berth,
+    ...nodeSession,
     dice,
     registryLink:
       address === undefined
@@ -111,22 +115,22 @@
   };
 };
 
-const isSilent = (moor: RegistryLink, now: Moment): boolean =>
-  now - (moor.heard ?? moor.since) > registryTimeout;
+const isSilent = (registryLink: RegistryLink, now: Moment): boolean =>
+  now - (registryLink.heard ?? registryLink.since) > registryTimeout;
 
 /** Whether this registry has been without word of the primary for too long, and there is another one to go to. */
-const isStale = (berth: NodeSession, moor: RegistryLink, now: Moment): boolean =>
-  moor.staleSince !== undefined &&
-  now - moor.staleSince > staleTimeout &&
-  now - moor.since >= staleTimeout &&
-  knownRegistries(berth).some((one) => one !== moor.address);
+const isStale = (nodeSession: NodeSession, registryLink: RegistryLink, now: Moment): boolean =>
+  registryLink.staleSince !== undefined &&
+  now - registryLink.staleSince > staleTimeout &&
+  now - registryLink.since >= staleTimeout &&
+  knownRegistries(nodeSession).some((one) => one !== registryLink.address);
 
 /** Whether the session stands. */
-export const isConnected = (berth: NodeSession, now: Moment): boolean =>
-  berth.registryHeardAt > start && now - berth.registryHeardAt < sessionTimeout;
+export const isConnected = (nodeSession: NodeSession, now: Moment): boolean =>
+  nodeSession.registryHeardAt > start && now - nodeSession.registryHeardAt < sessionTimeout;
 
-export const highestEpoch = (berth: NodeSession, duty: Duty): Epoch =>
-  berth.holders.get(duty)?.epoch ?? noEpoch;
+export const highestEpoch = (nodeSession: NodeSession, duty: Duty): Epoch =>
+  nodeSession.holders.get(duty)?.epoch ?? noEpoch;
 
 /** What a node adds to its word of itself. */
 export interface HeartbeatContent {
@@ -139,17 +143,17 @@
 }
 
 const heartbeatTo = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   address: Address,
   words: HeartbeatContent,
   now: Moment,
 ): Step<NodeSession, WireEffect> => {
-  const seq = nextSeq(berth.seq);
+  const seq = nextSeq(nodeSession.seq);
   return step(
-    { ...berth, seq },
+    { ...nodeSession, seq },
     send(address, {
       kind: 'heartbeat',
-      member: berth.member,
+      member: nodeSession.member,
       seq,
       at: now,
       report: words.report,
@@ -163,17 +167,22 @@
 
 /** Speaks to the registry now. */
 export const sendHeartbeat = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   words: HeartbeatContent,
   now: Moment,
 ): Step<NodeSession, WireEffect> =>
-  berth.registryLink === undefined
-    ? step(berth)
-    : heartbeatTo({ ...berth, heartbeatSentAt: now }, berth.registryLink.address, words, now);
+  nodeSession.registryLink === undefined
+    ? step(nodeSession)
+    : heartbeatTo(
+        { ...nodeSession, heartbeatSentAt: now },
+        nodeSession.registryLink.address,
+        words,
+        now,
+      );
 
 /** Whether this node's registry has a fresh word of the primary, as far as its last answer tells. */
-const followsPrimary = (berth: NodeSession, now: Moment): boolean => {
-  const link = berth.registryLink;
+const followsPrimary = (nodeSession: NodeSession, now: Moment): boolean => {
+  const link = nodeSession.registryLink;
   return (
     link?.heard !== undefined && link.staleSince === undefined && now - link.heard < registryTimeout
   );
@@ -184,18 +193,24 @@
  * is dead, cut off or without a majority costs no more than a round trip to the others.
  */
 const probe = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   words: HeartbeatContent,
   now: Moment,
 ): Step<NodeSession, WireEffect> => {
-  if (followsPrimary(berth, now) || now - berth.probedAt < probeInterval) return step(berth);
-  const others = knownRegistries(berth).filter((one) => one !== berth.registryLink?.address);
+  if (followsPrimary(nodeSession, now) || now - nodeSession.probedAt < probeInterval)
+    return step(nodeSession);
+  const others = knownRegistries(nodeSession).filter(
+    (one) => one !== nodeSession.registryLink?.address,
+  );
   const width = Math.min(probeWidth, others.length);
-  const chosen = Array.from({ length: width }, (_, at) => (berth.probeNext + at) % others.length);
+  const chosen = Array.from(
+    { length: width },
+    (_, at) => (nodeSession.probeNext + at) % others.length,
+  );
   let next: Step<NodeSession, WireEffect> = step({
-    ...berth,
+    ...nodeSession,
     probedAt: now,
-    probeNext: berth.probeNext + width,
+    probeNext: nodeSession.probeNext + width,
   });
   for (const at of chosen) {
     const address = others[at];
@@ -207,44 +222,48 @@
 
 /** Lets time pass: heartbeats, and looks for a registry that follows the primary while its own does not. */
 export const tickSession = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   words: HeartbeatContent,
   now: Moment,
 ): Step<NodeSession, WireEffect> => {
-  const spoken = tickOwnRegistry(berth, words, now);
+  const spoken = tickOwnRegistry(nodeSession, words, now);
   return join(spoken.effects, probe(spoken.state, words, now));
 };
 
 /** Heartbeats when it is due, goes to another registry when this one is silent or knows nothing new. */
 const tickOwnRegistry = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   words: HeartbeatContent,
   now: Moment,
 ): Step<NodeSession, WireEffect> => {
-  if (berth.registryLink === undefined || isSilent(berth.registryLink, now)) {
+  if (nodeSession.registryLink === undefined || isSilent(nodeSession.registryLink, now)) {
     const lost =
-      berth.registryLink?.heard === undefined
+      nodeSession.registryLink?.heard === undefined
         ? []
         : [
             log('warn', 'registry is silent, going to another', [
               'registry',
-              berth.registryLink.address,
+              nodeSession.registryLink.address,
             ]),
           ];
-    const moved = switchRegistry(berth, now);
+    const moved = switchRegistry(nodeSession, now);
     return join(lost, sendHeartbeat(moved, words, now));
   }
   // The session stands meanwhile: the next registry takes it on where this one had it.
-  if (isStale(berth, berth.registryLink, now))
-    return sendHeartbeat(switchRegistry(berth, now), words, now);
-  return now - berth.heartbeatSentAt >= heartbeatInterval
-    ? sendHeartbeat(berth, words, now)
-    : step(berth);
+  if (isStale(nodeSession, nodeSession.registryLink, now))
+    return sendHeartbeat(switchRegistry(nodeSession, now), words, now);
+  return now - nodeSession.heartbeatSentAt >= heartbeatInterval
+    ? sendHeartbeat(nodeSession, words, now)
+    : step(nodeSession);
 };
 
 /** A channel ended: if it was the registry's, another one is sought at once. */
-export const onRegistryLost = (berth: NodeSession, address: Address, now: Moment): NodeSession =>
-  berth.registryLink?.address === address ? switchRegistry(berth, now) : berth;
+export const onRegistryLost = (
+  nodeSession: NodeSession,
+  address: Address,
+  now: Moment,
+): NodeSession =>
+  nodeSession.registryLink?.address === address ? switchRegistry(nodeSession, now) : nodeSession;
 
 export const learnHolder = (
   holders: ReadonlyMap<Duty, Holder>,
@@ -256,17 +275,17 @@
 
 /** Takes in what a registry tells of the fleet. */
 export const applyMemberList = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   from: Peer,
   word: FrameOf<'member-list'>,
   now: Moment,
 ): NodeSession => {
-  const mine = berth.registryLink?.address === from.address;
+  const mine = nodeSession.registryLink?.address === from.address;
   return {
-    ...berth,
-    members: mine ? word.members : berth.members,
-    origins: forget(learnAll(berth.origins, word.origins, now).origins, now),
-    holders: word.holders.reduce(learnHolder, berth.holders),
+    ...nodeSession,
+    members: mine ? word.members : nodeSession.members,
+    origins: forget(learnAll(nodeSession.origins, word.origins, now).origins, now),
+    holders: word.holders.reduce(learnHolder, nodeSession.holders),
   };
 };
 
@@ -275,15 +294,15 @@
  * besides, if that one has a fresh word of the primary and its own has not.
  */
 const linkFor = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   from: Peer,
   word: FrameOf<'heartbeat-reply'>,
   now: Moment,
 ): RegistryLink | undefined => {
-  const link = berth.registryLink;
+  const link = nodeSession.registryLink;
   if (link?.address === from.address) return link;
   // A push answers no heartbeat; it may come from a registry that this node left.
-  const better = word.age !== undefined && word.at > start && !followsPrimary(berth, now);
+  const better = word.age !== undefined && word.at > start && !followsPrimary(nodeSession, now);
   return better
     ? { address: from.address, since: now, heard: now, staleSince: undefined }
     : undefined;
@@ -291,20 +310,20 @@
 
 /** Takes in a registry's answer to a heartbeat. */
 export const applyHeartbeatReply = (
-  berth: NodeSession,
+  nodeSession: NodeSession,
   from: Peer,
   word: FrameOf<'heartbeat-reply'>,
   now: Moment,
 ): NodeSession => {
-  const link = linkFor(berth, from, word, now);
-  if (link === undefined) return berth;
-  const known = berth.electorate;
+  const link = linkFor(nodeSession, from, word, now);
+  if (link === undefined) return nodeSession;
+  const known = nodeSession.electorate;
   const next = word.electorate;
-  const fleet = word.fleet ?? berth.fleet;
+  const fleet = word.fleet ?? nodeSession.fleet;
   const stale =
     word.age !== undefined || fleet === undefined ? undefined : (link.staleSince ?? now);
   return {
-    ...berth,
+    ...nodeSession,
     registryHeardAt: now,
     registryLink: { ...link, heard: now, staleSince: stale },
     electorate:
--- a/packages/model-checker/src/seeded-bugs/list.ts
+++ b/packages/model-checker/src/seeded-bugs/list.ts
@@ -83,7 +83,7 @@
     name: 'recovering votes do not count',
     rule: 'a primary has every confirmed write',
     file: candidate,
-    from: 'one !== undefined && (poll.countRecovering || !one.recovering)',
+    from: 'one !== undefined && (context.countRecovering || !one.recovering)',
     to: 'one !== undefined',
   },
   {
@@ -111,7 +111,7 @@
     name: 'every backup in sync has it before the answer',
     rule: 'in-sync members hold a confirmed write',
     file: write,
-    from: 'const whole = unconfirmedBackups(state, next).length === 0; return whole ?',
+    from: 'const whole = isRequired && unconfirmedBackups(state, next).length === 0; return whole ?',
     to: 'return true ?',
   },
   {
--- a/packages/proxy-core/src/cabin/duties.ts
+++ b/packages/proxy-core/src/cabin/duties.ts
@@ -37,23 +37,23 @@
   [...shields].sort((one, two) => (weight(service, one.node) < weight(service, two.node) ? -1 : 1));
 
 const shields = (state: Cabin): readonly Member[] => {
-  const near = state.berth.members.filter((one) => one.role === 'shield');
-  return near.some((one) => one.node === state.berth.member.node)
+  const near = state.nodeSession.members.filter((one) => one.role === 'shield');
+  return near.some((one) => one.node === state.nodeSession.member.node)
     ? near
-    : [...near, state.berth.member];
+    : [...near, state.nodeSession.member];
 };
 
 /** This shield's stand towards a service: one that rests if it never stood. */
-const standOf = (state: Cabin, service: ServiceName): Candidate =>
-  state.stands.get(service) ??
-  newCandidate(state.berth.member.node, keeperOf(service), [], keeperLease);
+const candidateOf = (state: Cabin, service: ServiceName): Candidate =>
+  state.candidates.get(service) ??
+  newCandidate(state.nodeSession.member.node, keeperOf(service), [], keeperLease);
 
-const poll = (state: Cabin, service: ServiceName): ElectionContext | undefined => {
-  const { fleet, electorate, member } = state.berth;
+const electionContext = (state: Cabin, service: ServiceName): ElectionContext | undefined => {
+  const { fleet, electorate, member } = state.nodeSession;
   if (fleet === undefined || electorate === undefined) return undefined;
   const held: Holder = {
     duty: keeperOf(service),
-    epoch: highestEpoch(state.berth, keeperOf(service)),
+    epoch: highestEpoch(state.nodeSession, keeperOf(service)),
     node: member.node,
     address: member.address,
     ...(member.door === undefined ? {} : { door: member.door }),
@@ -62,29 +62,30 @@
 };
 
 const heldBy = (state: Cabin, service: ServiceName): Holder | undefined =>
-  state.berth.holders.get(keeperOf(service));
+  state.nodeSession.holders.get(keeperOf(service));
 
 /** Whether this shield should stand now: at once if it is first in order, the others after it in turn. */
-const keen = (state: Cabin, service: ServiceName, now: Moment): boolean => {
+const wantsElection = (state: Cabin, service: ServiceName, now: Moment): boolean => {
   if (state.stopping || state.table === undefined) return false;
   const duty = keeperOf(service);
   const holder = heldBy(state, service);
-  const near = holder !== undefined && state.berth.members.some((one) => one.node === holder.node);
+  const near =
+    holder !== undefined && state.nodeSession.members.some((one) => one.node === holder.node);
   const since = state.vacant.get(duty);
   if (
     holder !== undefined &&
     near &&
-    holder.node !== state.berth.member.node &&
+    holder.node !== state.nodeSession.member.node &&
     since === undefined
   )
     return false;
   const row = order(
     service,
     shields(state).filter(
-      (one) => one.node === state.berth.member.node || holder?.node !== one.node,
+      (one) => one.node === state.nodeSession.member.node || holder?.node !== one.node,
     ),
   );
-  const rank = row.findIndex((one) => one.node === state.berth.member.node);
+  const rank = row.findIndex((one) => one.node === state.nodeSession.member.node);
   return since !== undefined && now - since >= rank * rankSpan;
 };
 
@@ -97,11 +98,11 @@
 ): Done => {
   const was = before.phase.phase === 'holdingLease';
   const is = after.phase.phase === 'holdingLease';
-  const next = { ...state, stands: put(state.stands, service, after) };
+  const next = { ...state, candidates: put(state.candidates, service, after) };
   if (!was && is && holdsLease(after, now))
     return step(
       { ...next, vacant: drop(next.vacant, keeperOf(service)) },
-      { kind: 'kept', service, stand: after },
+      { kind: 'kept', service, candidate: after },
     );
   if (was && !is) return step(next, { kind: 'unkept', service });
   return step(next);
@@ -113,7 +114,7 @@
     const duty = keeperOf(service);
     const holder = heldBy(state, service);
     const open =
-      holder === undefined || !state.berth.members.some((one) => one.node === holder.node);
+      holder === undefined || !state.nodeSession.members.some((one) => one.node === holder.node);
     if (open && !vacant.has(duty)) vacant = put(vacant, duty, now);
   }
   return vacant === state.vacant ? state : { ...state, vacant };
@@ -121,14 +122,14 @@
 
 /** Takes in what a voter says of leases that are over. */
 export const takeVacant = (state: Cabin, word: FrameOf<'heartbeat-reply'>, now: Moment): Cabin => {
-  if (state.berth.member.role !== 'shield') return state;
+  if (state.nodeSession.member.role !== 'shield') return state;
   const told = new Set(word.vacant);
   let vacant = state.vacant;
   for (const service of state.table?.services.keys() ?? []) {
     const duty = keeperOf(service);
     const holder = heldBy(state, service);
     const near =
-      holder !== undefined && state.berth.members.some((one) => one.node === holder.node);
+      holder !== undefined && state.nodeSession.members.some((one) => one.node === holder.node);
     if (told.has(duty)) vacant = vacant.has(duty) ? vacant : put(vacant, duty, now);
     else if (near) vacant = drop(vacant, duty);
   }
@@ -137,18 +138,19 @@
 
 /** Lets time pass over all stands of this shield. */
 export const passDuties = (before: Cabin, now: Moment): Done => {
-  if (before.berth.member.role !== 'shield' || before.table === undefined) return step(before);
+  if (before.nodeSession.member.role !== 'shield' || before.table === undefined)
+    return step(before);
   let next: Done = step(watch(before, now));
   for (const service of before.table.services.keys()) {
     const state = next.state;
-    const own = poll(state, service);
+    const own = electionContext(state, service);
     if (own === undefined) continue;
     const duty = keeperOf(service);
-    const known = standOf(state, service);
-    const stand = observeEpoch(known, highestEpoch(state.berth, duty));
-    if (known.phase.phase === 'holdingLease' && stand.highest > heldEpoch(known)) {
+    const known = candidateOf(state, service);
+    const candidate = observeEpoch(known, highestEpoch(state.nodeSession, duty));
+    if (known.phase.phase === 'holdingLease' && candidate.highest > heldEpoch(known)) {
       // Somebody remembers a higher epoch than the voters that voted: this holding would be fenced off, a new one is stood for.
-      const given = stepDown(stand, own, now, 0);
+      const given = stepDown(candidate, own, now, 0);
       const followed = follow(state, service, known, given.state, now);
       next = join([...next.effects, ...given.effects], {
         ...followed,
@@ -156,21 +158,27 @@
       });
       continue;
     }
-    const passed = tickCandidate(stand, own, keen(state, service, now), state.dice, now);
+    const passed = tickCandidate(
+      candidate,
+      own,
+      wantsElection(state, service, now),
+      state.dice,
+      now,
+    );
     const followed = follow(
       { ...state, dice: passed.state.dice },
       service,
-      stand,
-      passed.state.stand,
+      candidate,
+      passed.state.candidate,
       now,
     );
     next = join([...next.effects, ...passed.effects], followed);
   }
-  for (const [service, stand] of next.state.stands) {
-    if (before.table.services.has(service) || stand.phase.phase === 'idle') continue;
+  for (const [service, candidate] of next.state.candidates) {
+    if (before.table.services.has(service) || candidate.phase.phase === 'idle') continue;
     // The service left the description: its duty is laid down.
-    const given = stepDown(stand, poll(next.state, service), now, 1000);
-    const dropped = { ...next.state, stands: drop(next.state.stands, service) };
+    const given = stepDown(candidate, electionContext(next.state, service), now, 1000);
+    const dropped = { ...next.state, candidates: drop(next.state.candidates, service) };
     next = join(
       [...next.effects, ...given.effects],
       step(dropped, { kind: 'unkept' as const, service }),
@@ -180,18 +188,18 @@
 };
 
 export const onVote = (state: Cabin, word: FrameOf<'vote'>, now: Moment): Done => {
-  const known = state.berth.electorate;
-  const berth =
+  const known = state.nodeSession.electorate;
+  const nodeSession =
     word.electorate !== undefined && (known === undefined || word.electorate.serial > known.serial)
-      ? { ...state.berth, electorate: word.electorate }
-      : state.berth;
-  const base = { ...state, berth };
-  for (const [service, stand] of base.stands) {
-    if (stand.duty !== word.duty) continue;
-    const own = poll(base, service);
+      ? { ...state.nodeSession, electorate: word.electorate }
+      : state.nodeSession;
+  const base = { ...state, nodeSession };
+  for (const [service, candidate] of base.candidates) {
+    if (candidate.duty !== word.duty) continue;
+    const own = electionContext(base, service);
     return own === undefined
       ? step(base)
-      : follow(base, service, stand, countVote(stand, own, word, now), now);
+      : follow(base, service, candidate, countVote(candidate, own, word, now), now);
   }
   return step(base);
 };
@@ -199,21 +207,23 @@
 /** Hands every duty over before a stop: the next in order is told to stand at once. */
 export const handOver = (state: Cabin, now: Moment): Done => {
   let next: Done = step(state);
-  for (const [service, stand] of state.stands) {
-    if (!holdsLease(stand, now)) continue;
-    const heir = order(service, shields(state)).find((one) => one.node !== state.berth.member.node);
-    const given = stepDown(stand, poll(state, service), now, 60_000);
+  for (const [service, candidate] of state.candidates) {
+    if (!holdsLease(candidate, now)) continue;
+    const heir = order(service, shields(state)).find(
+      (one) => one.node !== state.nodeSession.member.node,
+    );
+    const given = stepDown(candidate, electionContext(state, service), now, 60_000);
     const told =
       heir === undefined
         ? []
         : [
             send(heir.address, {
               kind: 'handover' as const,
-              duty: stand.duty,
-              epoch: heldEpoch(stand),
+              duty: candidate.duty,
+              epoch: heldEpoch(candidate),
             }),
           ];
-    const after = { ...next.state, stands: put(next.state.stands, service, given.state) };
+    const after = { ...next.state, candidates: put(next.state.candidates, service, given.state) };
     next = join(
       [...next.effects, ...given.effects, ...told],
       step(after, { kind: 'unkept' as const, service }),
@@ -226,16 +236,16 @@
 export const onHandover = (state: Cabin, word: FrameOf<'handover'>, now: Moment): Done => {
   for (const service of state.table?.services.keys() ?? []) {
     if (keeperOf(service) !== word.duty) continue;
-    const own = poll(state, service);
+    const own = electionContext(state, service);
     if (own === undefined || state.stopping) return step(state);
-    const stand = observeEpoch(standOf(state, service), word.epoch);
-    const passed = tickCandidate(stand, own, true, state.dice, now);
+    const candidate = observeEpoch(candidateOf(state, service), word.epoch);
+    const passed = tickCandidate(candidate, own, true, state.dice, now);
     return step(
       {
         ...state,
         dice: passed.state.dice,
         vacant: put(state.vacant, word.duty, now),
-        stands: put(state.stands, service, passed.state.stand),
+        candidates: put(state.candidates, service, passed.state.candidate),
       },
       ...passed.effects,
     );
@@ -245,7 +255,7 @@
 
 /** The duties held now, as told to registries. */
 export const heldNow = (state: Cabin, now: Moment): Holder[] =>
-  [...state.stands].flatMap(([service, stand]) => {
-    const own = holdsLease(stand, now) ? poll(state, service)?.held : undefined;
-    return own === undefined ? [] : [{ ...own, epoch: heldEpoch(stand) }];
+  [...state.candidates].flatMap(([service, candidate]) => {
+    const own = holdsLease(candidate, now) ? electionContext(state, service)?.held : undefined;
+    return own === undefined ? [] : [{ ...own, epoch: heldEpoch(candidate) }];
   });
--- a/packages/proxy-core/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -44,7 +44,7 @@
 export const takes = (state: Cabin, now: Moment): boolean =>
   state.table !== undefined &&
   state.failed === undefined &&
-  (state.stopping || isConnected(state.berth, now));
+  (state.stopping || isConnected(state.nodeSession, now));
 
 /** Whether this node reports ready: it runs the newest it knows of, its session stands, and it is not stopping. */
 export const isReady = (state: Cabin, now: Moment): boolean => takes(state, now) && !state.stopping;
@@ -120,15 +120,15 @@
 
 const words = (state: Cabin, now: Moment, bye = false): HeartbeatContent => ({
   report: reportOf(state, now),
-  held: [...heldNow(state, now), ...state.berth.holders.values()],
+  held: [...heldNow(state, now), ...state.nodeSession.holders.values()],
   purged: state.purged,
   bye,
   releases: digestOf(state.releases),
 });
 
 const speak = (state: Cabin, now: Moment): Done => {
-  const hailed = sendHeartbeat(state.berth, words(state, now), now);
-  return step({ ...state, berth: hailed.state }, ...hailed.effects);
+  const hailed = sendHeartbeat(state.nodeSession, words(state, now), now);
+  return step({ ...state, nodeSession: hailed.state }, ...hailed.effects);
 };
 
 /** Goes on with an offer once all its pieces are here, or asks for those that are not. */
@@ -146,14 +146,14 @@
       { kind: 'build', offer, texts, before: state.table },
     );
   }
-  const to = state.berth.registryLink?.address;
+  const to = state.nodeSession.registryLink?.address;
   const asked =
     to === undefined
       ? []
       : [
           send(to, {
             kind: 'piece-request',
-            node: state.berth.member.node,
+            node: state.nodeSession.member.node,
             hashes: missing.slice(0, wantMost),
           }),
         ];
@@ -224,10 +224,10 @@
   word: FrameOf<'heartbeat-reply'>,
   now: Moment,
 ): Done => {
-  const berth = applyHeartbeatReply(before.berth, from, word, now);
+  const nodeSession = applyHeartbeatReply(before.nodeSession, from, word, now);
   const purged = onPurges(
     {
-      ...takeVacant({ ...before, berth }, word, now),
+      ...takeVacant({ ...before, nodeSession }, word, now),
       verdicts: word.age === undefined ? before.verdicts : word.verdicts,
       wanted: learnWanted(before.wanted, word),
       releases: learnReleases(before.releases, word.releases),
@@ -240,7 +240,7 @@
     word.age !== undefined &&
     word.at > 0 &&
     state.purged >= word.top &&
-    before.berth.registryLink?.address === from.address
+    before.nodeSession.registryLink?.address === from.address
   ) {
     const asOf = toMoment(word.at - word.age);
     if (state.asOf === undefined || asOf > state.asOf) state = { ...state, asOf };
@@ -322,8 +322,8 @@
 };
 
 const onTick = (state: Cabin, now: Moment): Done => {
-  const drifted = tickSession(state.berth, words(state, now), now);
-  let next: Done = step({ ...state, berth: drifted.state }, ...drifted.effects);
+  const drifted = tickSession(state.nodeSession, words(state, now), now);
+  let next: Done = step({ ...state, nodeSession: drifted.state }, ...drifted.effects);
   const fitting = next.state.fitting;
   if (fitting.phase === 'fetching' && now - fitting.asked >= wantSpan)
     next = join(next.effects, fit(next.state, fitting.offer, now));
@@ -335,7 +335,7 @@
     case 'heartbeat-reply':
       return onHeard(state, from, frame, now);
     case 'member-list':
-      return step({ ...state, berth: applyMemberList(state.berth, from, frame, now) });
+      return step({ ...state, nodeSession: applyMemberList(state.nodeSession, from, frame, now) });
     case 'piece':
       return onPiece(state, frame, now);
     case 'vote':
@@ -373,15 +373,25 @@
     case 'frame':
       return onFrame(state, event.from, event.frame, event.now);
     case 'gone':
-      return step({ ...state, berth: onRegistryLost(state.berth, event.address, event.now) });
+      return step({
+        ...state,
+        nodeSession: onRegistryLost(state.nodeSession, event.address, event.now),
+      });
     case 'built':
       return onBuilt(state, event.offer, event);
     case 'unbuilt':
       return onUnbuilt(state, event);
     case 'stop': {
       const given = handOver({ ...state, stopping: true }, event.now);
-      const bye = sendHeartbeat(given.state.berth, words(given.state, event.now, true), event.now);
-      return join([...given.effects], step({ ...given.state, berth: bye.state }, ...bye.effects));
+      const bye = sendHeartbeat(
+        given.state.nodeSession,
+        words(given.state, event.now, true),
+        event.now,
+      );
+      return join(
+        [...given.effects],
+        step({ ...given.state, nodeSession: bye.state }, ...bye.effects),
+      );
     }
   }
 };
--- a/packages/proxy-core/src/cabin/state.ts
+++ b/packages/proxy-core/src/cabin/state.ts
@@ -43,7 +43,7 @@
 
 /** The control side of a proxy: its session, its description, its purges and its duties. */
 export interface Cabin {
-  readonly berth: NodeSession;
+  readonly nodeSession: NodeSession;
   readonly table: Table | undefined;
   readonly fitting: Fitting;
   readonly pieces: ReadonlyMap<Hash, string>;
@@ -58,7 +58,7 @@
   /** Which release each service's requests go to, as last told. */
   readonly releases: ReadonlyMap<ServiceName, ReleaseState>;
   readonly releasesAt: Moment;
-  readonly stands: ReadonlyMap<ServiceName, Candidate>;
+  readonly candidates: ReadonlyMap<ServiceName, Candidate>;
   /** Since when each duty is seen vacant. */
   readonly vacant: ReadonlyMap<Duty, Moment>;
   readonly stopping: boolean;
@@ -91,11 +91,11 @@
       readonly flush: boolean;
       readonly top: Seq;
     }
-  | { readonly kind: 'kept'; readonly service: ServiceName; readonly stand: Candidate }
+  | { readonly kind: 'kept'; readonly service: ServiceName; readonly candidate: Candidate }
   | { readonly kind: 'unkept'; readonly service: ServiceName };
 
 export const newCabin = (member: Member, seeds: readonly Address[], dice: Dice): Cabin => ({
-  berth: newNodeSession(member, seeds, { seed: dice.seed ^ 0x2545f491 }),
+  nodeSession: newNodeSession(member, seeds, { seed: dice.seed ^ 0x2545f491 }),
   table: undefined,
   fitting: { phase: 'idle' },
   pieces: new Map(),
@@ -106,7 +106,7 @@
   verdicts: [],
   releases: new Map(),
   releasesAt: start,
-  stands: new Map(),
+  candidates: new Map(),
   vacant: new Map(),
   stopping: false,
   dice,
--- a/packages/proxy-core/src/proxy/machine.ts
+++ b/packages/proxy-core/src/proxy/machine.ts
@@ -38,7 +38,7 @@
     ];
   if (effect.kind === 'probe') return [effect];
   if (effect.kind !== 'trial') return [{ ...effect, keeper: name }];
-  const store = state.cabin.berth.holders.get(primary);
+  const store = state.cabin.nodeSession.holders.get(primary);
   if (store === undefined) return [];
   const { service, release, spent, bad, good, seen, state: verdict } = effect;
   const word: FrameOf<'trial'> = {
@@ -50,8 +50,8 @@
     good,
     seen,
     state: verdict,
-    at: state.cabin.berth.heartbeatSentAt,
-    node: state.cabin.berth.member.node,
+    at: state.cabin.nodeSession.heartbeatSentAt,
+    node: state.cabin.nodeSession.member.node,
   };
   return [
     send(store.address, word),
@@ -85,13 +85,13 @@
 const fence = (state: Proxy, now: Moment): Done => {
   let next: Done = step(state);
   for (const [service, name] of state.active) {
-    const stand = state.cabin.stands.get(service);
+    const candidate = state.cabin.candidates.get(service);
     const keeper = state.keepers.get(name);
     if (
-      stand !== undefined &&
+      candidate !== undefined &&
       keeper !== undefined &&
-      holdsLease(stand, now) &&
-      heldEpoch(stand) === keeper.epoch
+      holdsLease(candidate, now) &&
+      heldEpoch(candidate) === keeper.epoch
     )
       continue;
     next = then(next, (one) =>
@@ -129,14 +129,14 @@
     (one) => tellKeeper(one, name, { kind: 'verdicts', now, verdicts: one.cabin.verdicts }),
   );
   return then(taught, (one) =>
-    tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.berth.origins }),
+    tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.nodeSession.origins }),
   );
 };
 
 const onCabinEffect = (state: Proxy, effect: CabinEffect, now: Moment): Done => {
   switch (effect.kind) {
     case 'kept':
-      return openKeeper(state, effect.service, heldEpoch(effect.stand), now);
+      return openKeeper(state, effect.service, heldEpoch(effect.candidate), now);
     case 'unkept':
       return fence(state, now);
     case 'adopt': {
@@ -170,19 +170,21 @@
   let next: Done = step(state);
   const was = before.cabin;
   const is = state.cabin;
-  if (was.berth.holders !== is.berth.holders) {
-    const heights = noteHeights(state.heights, is.berth.holders, now);
+  if (was.nodeSession.holders !== is.nodeSession.holders) {
+    const heights = noteHeights(state.heights, is.nodeSession.holders, now);
     next = then(step({ ...state, heights }), (one) =>
-      tellForward(one, { kind: 'keepers', now, keepers: is.berth.holders }),
+      tellForward(one, { kind: 'keepers', now, keepers: is.nodeSession.holders }),
     );
   }
-  if (was.berth.origins !== is.berth.origins) {
+  if (was.nodeSession.origins !== is.nodeSession.origins) {
     for (const name of state.active.values())
       next = then(next, (one) =>
-        tellKeeper(one, name, { kind: 'origins', now, origins: is.berth.origins }),
+        tellKeeper(one, name, { kind: 'origins', now, origins: is.nodeSession.origins }),
       );
     const up = new Set(
-      [...is.berth.origins.values()].filter((one) => standing(one, now)).map((one) => one.instance),
+      [...is.nodeSession.origins.values()]
+        .filter((one) => standing(one, now))
+        .map((one) => one.instance),
     );
     next = then(next, (one) => step(one, { kind: 'gates', standing: up }));
   }
@@ -208,7 +210,7 @@
   for (const [name, keeper] of next.state.keepers) {
     if (!keeper.closing)
       next = then(next, (one) =>
-        tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.berth.origins }),
+        tellKeeper(one, name, { kind: 'origins', now, origins: one.cabin.nodeSession.origins }),
       );
     next = then(next, (one) => tellKeeper(one, name, { kind: 'tick', now }));
   }
--- a/packages/proxy/src/admin/view.ts
+++ b/packages/proxy/src/admin/view.ts
@@ -6,11 +6,11 @@
   const at = now();
   const { cabin } = proxy;
   return {
-    node: cabin.berth.member.node,
-    role: cabin.berth.member.role,
-    area: cabin.berth.member.area,
+    node: cabin.nodeSession.member.node,
+    role: cabin.nodeSession.member.role,
+    area: cabin.nodeSession.member.area,
     ready: isReady(cabin, at),
-    registry: cabin.berth.registryLink?.address ?? null,
+    registry: cabin.nodeSession.registryLink?.address ?? null,
     generation: cabin.table?.generation ?? 0,
     hash: cabin.table?.hash ?? null,
     fitting: cabin.fitting.phase,
@@ -52,7 +52,7 @@
       })),
     })),
     forwarding: proxy.forward.wagons.size,
-    holders: [...cabin.berth.holders.values()],
-    members: cabin.berth.members.length,
+    holders: [...cabin.nodeSession.holders.values()],
+    members: cabin.nodeSession.members.length,
   };
 };
--- a/packages/proxy/src/direct/door.test.ts
+++ b/packages/proxy/src/direct/door.test.ts
@@ -165,7 +165,7 @@
     table: built.value,
     asOf: now,
     wanted: { generation: built.value.generation, asOf: now },
-    berth: { ...fresh.berth, registryHeardAt: now, origins, members: [member] },
+    nodeSession: { ...fresh.nodeSession, registryHeardAt: now, origins, members: [member] },
   };
   const legs: Stand['legs'] = [];
   const waiting: { readonly many: number; readonly done: () => void }[] = [];
--- a/packages/proxy/src/direct/end-to-end.test.ts
+++ b/packages/proxy/src/direct/end-to-end.test.ts
@@ -65,8 +65,8 @@
     }),
   );
   const fresh = newCabin(member, [], { seed: 3 });
-  const berth = { ...fresh.berth, registryHeardAt: now(), origins, members: [member] };
-  return { ...fresh, table: built.value, asOf: now(), berth };
+  const nodeSession = { ...fresh.nodeSession, registryHeardAt: now(), origins, members: [member] };
+  return { ...fresh, table: built.value, asOf: now(), nodeSession };
 };
 
 /** A client that pipelines requests on one connection; it may leave before their answers. */
--- a/packages/proxy/src/direct/program.ts
+++ b/packages/proxy/src/direct/program.ts
@@ -124,14 +124,14 @@
   const pass = (): void => {
     const one = cabin();
     if (
-      one.berth.origins !== seen?.berth.origins ||
-      one.berth.members !== seen.berth.members ||
+      one.nodeSession.origins !== seen?.nodeSession.origins ||
+      one.nodeSession.members !== seen.nodeSession.members ||
       one.releases !== seen.releases
     )
       line.learn(one);
     seen = one;
     line.tick(now());
-    const store = one.berth.holders.get(primary);
+    const store = one.nodeSession.holders.get(primary);
     if (store === undefined || now() - told < tellMs) return;
     told = now();
     for (const word of line.tell(one)) yard.send(store.address, word);
@@ -139,7 +139,8 @@
   // Ready: a description runs, and the fleet's word of the origins has come.
   const ready = (): boolean => {
     const one = cabin();
-    settled ||= one.table !== undefined && one.failed === undefined && one.berth.members.length > 0;
+    settled ||=
+      one.table !== undefined && one.failed === undefined && one.nodeSession.members.length > 0;
     return settled && one.failed === undefined && !stopping;
   };
   const readyServer = createServer({ keepAliveTimeout: 30_000 }, (asked, answer) => {
--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -180,13 +180,13 @@
 
 const onVote = (state: Store, word: FrameOf<'vote'>, now: Moment): Done => {
   if (state.metadata === undefined) return step(state);
-  const berth =
+  const nodeSession =
     word.electorate === undefined ||
     (state.session.electorate !== undefined &&
       state.session.electorate.serial >= word.electorate.serial)
       ? state.session
       : { ...state.session, electorate: word.electorate };
-  const base = { ...state, session: berth };
+  const base = { ...state, session: nodeSession };
   return onCandidateChange(
     base,
     {
@@ -408,7 +408,7 @@
       [...next.effects, ...passed.effects],
       onCandidateChange(
         base,
-        { ...base, candidate: passed.state.stand, dice: passed.state.dice },
+        { ...base, candidate: passed.state.candidate, dice: passed.state.dice },
         now,
       ),
     );
--- a/packages/routing/src/line/line.test.ts
+++ b/packages/routing/src/line/line.test.ts
@@ -115,7 +115,12 @@
       table: built.value,
       asOf: this.now,
       wanted: { generation: built.value.generation, asOf: this.now },
-      berth: { ...fresh.berth, registryHeardAt: this.now, origins: known, members: [member] },
+      nodeSession: {
+        ...fresh.nodeSession,
+        registryHeardAt: this.now,
+        origins: known,
+        members: [member],
+      },
     };
     const legs = {
       send: (order: LegOrder, ears: LegEars) => {
@@ -155,7 +160,7 @@
     this.cabin = {
       ...this.cabin,
       asOf: this.now,
-      berth: { ...this.cabin.berth, registryHeardAt: this.now },
+      nodeSession: { ...this.cabin.nodeSession, registryHeardAt: this.now },
     };
     this.line.tick(this.now);
   }
@@ -227,7 +232,10 @@
   bench.ask('/clips/1');
   bench.answer(0);
   bench.now = toMoment(bench.now + 1600);
-  bench.cabin = { ...bench.cabin, berth: { ...bench.cabin.berth, registryHeardAt: bench.now } };
+  bench.cabin = {
+    ...bench.cabin,
+    nodeSession: { ...bench.cabin.nodeSession, registryHeardAt: bench.now },
+  };
   bench.ask('/clips/1');
   assert.equal(bench.sent.length, 2, 'its registry has no fresh word');
   bench.answer(1);
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -174,9 +174,10 @@
   /** Takes over what the fleet looks like. */
   learn(cabin: Cabin): void {
     const now = this.#cab.now();
-    this.#edges.note(cabin.berth.members.filter((one) => one.role === 'edge').length, now);
+    this.#edges.note(cabin.nodeSession.members.filter((one) => one.role === 'edge').length, now);
     this.#tallies.note(cabin.releases.values(), now);
-    for (const instance of this.book.learn(cabin.berth.origins, now)) this.#legs.forget(instance);
+    for (const instance of this.book.learn(cabin.nodeSession.origins, now))
+      this.#legs.forget(instance);
   }
 
   /** Takes a whole request on; gives what to call when the caller leaves. */
@@ -198,7 +199,7 @@
 
   /** What this edge counts for orders that stand, for the primary. */
   tell(cabin: Cabin): readonly FrameOf<'tally'>[] {
-    const { node, incarnation } = cabin.berth.member;
+    const { node, incarnation } = cabin.nodeSession.member;
     return [...cabin.releases.values()].flatMap((one) => {
       if (
         one.phase === 'none' ||
@@ -344,11 +345,16 @@
         const out = run.cuts.get(effect.leg);
         run.cuts.delete(effect.leg);
         if (out === undefined) return undefined;
-        const berth = this.book.get(out.instance);
+        const nodeSession = this.book.get(out.instance);
         this.#count(run, out.release, 'cut', between(out.since, now));
         // A leg that is cut took at least this long: a slow origin is known by it.
-        if (berth !== undefined)
-          this.book.ended(berth, Math.max(berth.typicalMs, between(out.since, now)), true, now);
+        if (nodeSession !== undefined)
+          this.book.ended(
+            nodeSession,
+            Math.max(nodeSession.typicalMs, between(out.since, now)),
+            true,
+            now,
+          );
         out.cut();
         return undefined;
       }
@@ -365,7 +371,7 @@
     const release = this.#release(run, extra, now);
     if (release === null)
       return { kind: 'none', now, text: 'no origin of a sound release stands', retryMs: 250 };
-    const berth = this.book.pick(
+    const nodeSession = this.book.pick(
       run.service,
       run.trip.tried,
       run.taste,
@@ -373,8 +379,9 @@
       (one) => release === undefined || one.release === release,
       now,
     );
-    if (berth === undefined) return { kind: 'none', now, text: 'no origin stands', retryMs: 250 };
-    if (extra && run.trip.tried.has(berth.instance))
+    if (nodeSession === undefined)
+      return { kind: 'none', now, text: 'no origin stands', retryMs: 250 };
+    if (extra && run.trip.tried.has(nodeSession.instance))
       return { kind: 'none', now, text: 'no other origin stands', retryMs: 250 };
     if (extra && !this.#quota.extra(run.service, now)) {
       this.bump('budget');
@@ -386,7 +393,7 @@
       return { kind: 'none', now, text: 'the service takes no more just now', retryMs: wait + 20 };
     }
     if (extra) this.bump('extra');
-    return { kind: 'picked', now, instance: berth.instance };
+    return { kind: 'picked', now, instance: nodeSession.instance };
   }
 
   /** The release to send to: any if there is but one, none if only one that was judged bad is left. Further legs try no release. */
@@ -403,11 +410,11 @@
   }
 
   #send(run: Run, leg: number, instance: InstanceId, now: Moment): void {
-    const berth = this.book.get(instance);
-    if (berth === undefined) return;
+    const nodeSession = this.book.get(instance);
+    if (nodeSession === undefined) return;
     const { call, track } = run;
-    this.book.sent(berth);
-    const { release } = berth;
+    this.book.sent(nodeSession);
+    const { release } = nodeSession;
     this.#tallies.sent(run.service, release, track.group);
     const drop = [
       this.#manner.words.timeLeft,
@@ -431,7 +438,7 @@
     const cut = this.#legs.send(
       {
         service: run.service,
-        address: berth.address,
+        address: nodeSession.address,
         instance,
         id: call.id,
         method: call.method,
@@ -451,8 +458,8 @@
             answer.unrun ? 'cut' : answer.status < 500 ? 'good' : 'bad',
             answer.unrun ? 0 : between(now, at),
           );
-          if (answer.unrun) this.book.full(berth, at);
-          else this.book.ended(berth, between(now, at), answer.status < 500, at);
+          if (answer.unrun) this.book.full(nodeSession, at);
+          else this.book.ended(nodeSession, between(now, at), answer.status < 500, at);
           this.#event(run, { kind: 'answered', now: at, leg, answer });
         },
         broke: (sent, text) => {
@@ -460,7 +467,7 @@
           const at = this.#cab.now();
           this.bump(sent ? 'broke' : 'unopened');
           this.#count(run, release, sent ? 'bad' : 'cut', sent ? between(now, at) : 0);
-          this.book.ended(berth, undefined, false, at);
+          this.book.ended(nodeSession, undefined, false, at);
           this.#event(run, { kind: 'broke', now: at, leg, sent, text });
         },
       },
@@ -483,7 +490,7 @@
   #kept(slip: Slip, cabin: Cabin, now: Moment): Entry | undefined {
     // An edge that is cut off from all registries is out of touch, and serves what it has.
     const sure = cabin.asOf !== undefined && between(cabin.asOf, now) < this.#manner.bounds.keptMs;
-    if (!sure && isConnected(cabin.berth, now)) return undefined;
+    if (!sure && isConnected(cabin.nodeSession, now)) return undefined;
     return this.#desk.cache.find(slip.key, slip.fields, now);
   }
 
--- a/packages/routing/src/origin/book.ts
+++ b/packages/routing/src/origin/book.ts
@@ -73,7 +73,7 @@
         one.coldMs === undefined || one.coldMs <= 0 ? start : later(one.at, one.coldMs);
       const known = this.#berths.get(one.instance);
       if (known === undefined) {
-        const berth: Berth = {
+        const nodeSession: Berth = {
           instance: one.instance,
           service: one.service,
           address: one.address,
@@ -87,8 +87,8 @@
           faults: 0,
           barredUntil: start,
         };
-        this.#berths.set(one.instance, berth);
-        this.#services.set(one.service, [...this.of(one.service), berth]);
+        this.#berths.set(one.instance, nodeSession);
+        this.#services.set(one.service, [...this.of(one.service), nodeSession]);
       } else {
         known.address = one.address;
         known.slots = one.slots;
--- a/packages/runtime/src/disk/disk.ts
+++ b/packages/runtime/src/disk/disk.ts
@@ -70,10 +70,19 @@
       rmSync(`${file}-lock`, { force: true });
     }
     this.aside = damaged;
-    writeFileSync(this.#mark, String(damaged === undefined ? tries + 1 : 1), { flush: true });
+    this.#countStart(damaged === undefined ? tries + 1 : 1);
     this.#base = Disk.#open(folder);
   }
 
+  /** Counts the starts that ended while reading; a full disk takes no count, and must not keep a process from starting. */
+  #countStart(starts: number): void {
+    try {
+      writeFileSync(this.#mark, String(starts), { flush: true });
+    } catch {
+      // The start goes on: reading needs no room.
+    }
+  }
+
   static #open(folder: string): RootDatabase<string, string> {
     // Overlapping sync would let a commit be told before it lasts: it is turned off, so that a commit waits for the real sync.
     return open<string, string>({
--- a/packages/simulator/src/cast/proxy.ts
+++ b/packages/simulator/src/cast/proxy.ts
@@ -151,10 +151,10 @@
   override wake(): void {
     const { state, clock } = this;
     const past = [...(state?.active ?? [])].some(([service, name]) => {
-      const stand = state?.cabin.stands.get(service);
+      const candidate = state?.cabin.candidates.get(service);
       return (
-        stand !== undefined &&
-        !holdsLease(stand, clock) &&
+        candidate !== undefined &&
+        !holdsLease(candidate, clock) &&
         (state?.keepers.get(name)?.legs.size ?? 0) > 0
       );
     });
@@ -412,11 +412,12 @@
       case 'leg': {
         const state = this.#store?.state();
         const keeper = state?.keepers.get(effect.keeper);
-        const stand = keeper === undefined ? undefined : state?.cabin.stands.get(keeper.service);
+        const candidate =
+          keeper === undefined ? undefined : state?.cabin.candidates.get(keeper.service);
         if (
-          stand === undefined ||
-          !holdsLease(stand, this.clock) ||
-          heldEpoch(stand) !== keeper?.epoch
+          candidate === undefined ||
+          !holdsLease(candidate, this.clock) ||
+          heldEpoch(candidate) !== keeper?.epoch
         )
           this.stage.breaches.push(
             `${this.node} sent a leg as ${effect.keeper} past its lease at ${Math.round(this.stage.agenda.now)}`,
--- a/packages/simulator/src/direct/run.ts
+++ b/packages/simulator/src/direct/run.ts
@@ -105,7 +105,7 @@
       incarnation: toIncarnation(1),
     };
     const fresh = newCabin(member, [], { seed });
-    this.#cabin = { ...fresh, berth: { ...fresh.berth, members: [member] } };
+    this.#cabin = { ...fresh, nodeSession: { ...fresh.nodeSession, members: [member] } };
     const legs = new SimulatedLegs(this.agenda, this.chance.part(), this.fleet, (target) =>
       this.#revisionOf(target),
     );
@@ -149,8 +149,12 @@
 
   #tick(): void {
     const at = this.#now();
-    const { berth } = this.#cabin;
-    this.#cabin = { ...this.#cabin, asOf: at, berth: { ...berth, registryHeardAt: at } };
+    const { nodeSession } = this.#cabin;
+    this.#cabin = {
+      ...this.#cabin,
+      asOf: at,
+      nodeSession: { ...nodeSession, registryHeardAt: at },
+    };
     this.line.tick(at);
   }
 
@@ -183,7 +187,7 @@
         { ...one, release: toRelease('r1'), slots: 8, state: 'up' as const, at },
       ]),
     );
-    this.#cabin = { ...this.#cabin, berth: { ...this.#cabin.berth, origins } };
+    this.#cabin = { ...this.#cabin, nodeSession: { ...this.#cabin.nodeSession, origins } };
     this.line.learn(this.#cabin);
   }
 
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -102,7 +102,7 @@
     name: 'recovering votes do not count',
     rule: 'lost write',
     file: candidate,
-    from: 'one !== undefined && (poll.countRecovering || !one.recovering)',
+    from: 'one !== undefined && (context.countRecovering || !one.recovering)',
     to: 'one !== undefined',
   },
   {
@@ -130,7 +130,7 @@
     name: 'every backup in sync has it before the answer',
     rule: 'lost write',
     file: primaryWrite,
-    from: 'const whole = unconfirmedBackups(state, next).length === 0; return whole ?',
+    from: 'const whole = isRequired && unconfirmedBackups(state, next).length === 0; return whole ?',
     to: 'return true ?',
   },
   {
@@ -207,8 +207,8 @@
     name: 'a call is answered once',
     rule: 'whole',
     file: decision,
-    from: 'return before === undefined ? undefined : { ...noChange, immediateReplies: [{ ...command.asker, status: before.status, body: before.body }], };',
-    to: 'return undefined;',
+    from: 'if (before === undefined) return undefined; const answer',
+    to: 'if (before !== undefined || before === undefined) return undefined; const answer',
   },
   {
     name: 'a bad verdict stays',
@@ -452,7 +452,7 @@
     name: 'a keeper hands over as it stops',
     rule: 'R11',
     file: 'proxy-core/dist/cabin/duties.js',
-    from: 'if (!holdsLease(stand, now)) continue; const heir',
+    from: 'if (!holdsLease(candidate, now)) continue; const heir',
     to: 'if (true)\n            continue;\n        const heir',
   },
 ];
--- a/packages/simulator/src/rules/bites.test.ts
+++ b/packages/simulator/src/rules/bites.test.ts
@@ -122,8 +122,8 @@
 bites('one holder', (run) => {
   const [one, two] = run.world.shields;
   const held = run.world.shields
-    .flatMap((shield) => [...(shield.state?.cabin.stands.values() ?? [])])
-    .find((stand) => stand.phase.phase === 'holdingLease');
+    .flatMap((shield) => [...(shield.state?.cabin.candidates.values() ?? [])])
+    .find((candidate) => candidate.phase.phase === 'holdingLease');
   assert.ok(one !== undefined && two !== undefined && held !== undefined);
   const service = clips;
   for (const shield of [one, two]) {
@@ -136,7 +136,9 @@
       won: shield.clock,
     };
     Object.assign(shield.state ?? {}, { active: new Map([[service, 'clips#1']]) });
-    Object.assign(shield.state?.cabin ?? {}, { stands: new Map([[service, { ...held, phase }]]) });
+    Object.assign(shield.state?.cabin ?? {}, {
+      candidates: new Map([[service, { ...held, phase }]]),
+    });
     run.rules.step(shield);
   }
 });
--- a/packages/simulator/src/rules/rules.ts
+++ b/packages/simulator/src/rules/rules.ts
@@ -86,11 +86,11 @@
       if (generation !== 0 && generation < before)
         this.#breakOnce('R5', actor.node, `${actor.node} went from ${before} to ${generation}`);
       if (generation > before) this.#highest.set(actor.node, generation);
-      for (const [service, stand] of actor.state?.cabin.stands ?? [])
+      for (const [service, candidate] of actor.state?.cabin.candidates ?? [])
         this.#hold(
-          stand.duty,
+          candidate.duty,
           actor,
-          holdsLease(stand, actor.clock) && actor.state?.active.has(service) === true,
+          holdsLease(candidate, actor.clock) && actor.state?.active.has(service) === true,
         );
     }
     if (actor instanceof SimStore && actor.state !== undefined) {
@@ -134,7 +134,7 @@
         holdsLease(actor.state.candidate, actor.clock)
       );
     if (!(actor instanceof SimProxy)) return false;
-    return [...(actor.state?.cabin.stands.values() ?? [])].some(
+    return [...(actor.state?.cabin.candidates.values() ?? [])].some(
       (one) => one.duty === duty && holdsLease(one, actor.clock),
     );
   }
--- a/packages/simulator/src/run/bounded-state.test.ts
+++ b/packages/simulator/src/run/bounded-state.test.ts
@@ -140,7 +140,7 @@
   assert.deepEqual(growth(before, measure(world)), []);
   assert.ok([...busy].some(([name, size]) => name.endsWith('.origins') && size > 300));
   for (const proxy of world.proxies) {
-    const known = proxy.state?.cabin.berth.origins.size ?? 0;
+    const known = proxy.state?.cabin.nodeSession.origins.size ?? 0;
     assert.ok(known < slack, `${proxy.node} knows ${known} origins`);
   }
 });
--- a/packages/simulator/src/scale/fleet.ts
+++ b/packages/simulator/src/scale/fleet.ts
@@ -133,7 +133,7 @@
       this.nodes.every((one) => one.generation >= 1),
     );
     const known = (): boolean =>
-      this.nodes.every((one) => (one.state?.berth.origins.size ?? 0) >= this.size.origins);
+      this.nodes.every((one) => (one.state?.nodeSession.origins.size ?? 0) >= this.size.origins);
     this.must('all know the origins', 20_000, known);
     // Until each service has its record of releases.
     this.run(2000);
@@ -252,12 +252,14 @@
       this.registries.filter((one) => one.alive).map((one) => [one.address, one] as const),
     );
     return this.nodes.every((one) => {
-      const berth = one.state?.berth;
+      const nodeSession = one.state?.nodeSession;
       const registry =
-        berth?.registryLink === undefined ? undefined : near.get(berth.registryLink.address);
+        nodeSession?.registryLink === undefined
+          ? undefined
+          : near.get(nodeSession.registryLink.address);
       return (
         registry !== undefined &&
-        berth?.registryLink?.heard !== undefined &&
+        nodeSession?.registryLink?.heard !== undefined &&
         registry.state?.sessions.get(one.node)?.registry === registry.node
       );
     });
--- a/packages/store/src/run.ts
+++ b/packages/store/src/run.ts
@@ -51,6 +51,23 @@
 /** Opens the data folder; throws with the reason if it can't be used. */
 export const openData = (folder: string): Disk => new Disk(folder);
 
+/** How often a data folder that can't be opened is tried again. */
+const openRetryMs = 500;
+
+/** Opens the data folder, and waits while its disk takes nothing: the rest of the process serves meanwhile. */
+export const openDataWhenPossible = async (folder: string, log: Log): Promise<Disk> => {
+  for (let tries = 0; ; tries += 1) {
+    try {
+      return openData(folder);
+    } catch (problem) {
+      const why = problem instanceof Error ? problem.message : 'unknown';
+      if (tries === 0)
+        log.write('error', 'the data folder cannot be opened', new Map([['why', why]]));
+      await wait(openRetryMs);
+    }
+  }
+};
+
 /** Starts a store. */
 export const startStore = async (boot: StoreBoot, log: Log, disk: Disk): Promise<Running> => {
   const member = {
