--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -20,9 +20,10 @@
 } from '@switchwheel/transport';
 import { abstainsUntil, recoverGrants, adoptElectorate, vote } from '@switchwheel/election';
 import { learnHolder } from '../session/node-session.js';
-import { forget, learnAll } from '../origins/origins.js';
+import { learnAll } from '../origins/origins.js';
 import { onDeparture, onDepartureAck, tickDepartures } from './departures.js';
 import { tickPendingCalls, onCalled, onBootstrapped, onOutside, onStoreWant } from './calls.js';
+import { forgetGone } from './forget.js';
 import type { RegistryEffect, RegistryEvent } from './event.js';
 import { learnHint } from './hints.js';
 import { learnSession, onHeartbeat, onPiece, onWant, pushToNodes, vacantDuties } from './nodes.js';
@@ -33,6 +34,7 @@
   type Registry,
   newRegistry,
 } from './state.js';
+import { piecesOfReads } from './description-read.js';
 import {
   isAlive,
   broadcastTargets,
@@ -53,8 +55,6 @@
 const memberListInterval = 1000;
 const proposeInterval = 300;
 const bootstrapWindow = 30_000;
-/** How long a session that ended is still told of. */
-const forgetAfter = 600_000;
 
 const onVoteRequest = (
   state: Registry,
@@ -210,9 +210,9 @@
     releasesAt: now,
   };
   const kept = new Set(
-    [...feed.offers.values(), ...(feed.current === undefined ? [] : [feed.current])].flatMap(
-      (one) => one.pieces,
-    ),
+    [...feed.offers.values(), ...(feed.current === undefined ? [] : [feed.current])]
+      .flatMap((one) => one.pieces)
+      .concat(piecesOfReads(state)),
   );
   const voter =
     word.electorate === undefined
@@ -237,6 +237,13 @@
   return news ? pushToNodes(next, old.top, now) : step(next);
 };
 
+/** How far the primary may rely on this registry's vote. */
+const voterReadiness = (state: Registry, now: Moment): FrameOf<'subscribe'>['voter'] => {
+  if (state.stopping) return 'leaving';
+  const abstains = now < abstainsUntil(state.voter);
+  return state.voter.recovering || abstains ? 'recovering' : 'ready';
+};
+
 /** Tells the primary which nodes have their session here and what they report. */
 const subscribe = (state: Registry, now: Moment): Done => {
   const store = primaryHolder(state);
@@ -255,6 +262,7 @@
     send(store.address, {
       kind: 'subscribe',
       registry: state.member,
+      voter: voterReadiness(state, now),
       at: now,
       epoch: state.feed.epoch,
       serial: state.feed.serial,
@@ -303,10 +311,8 @@
       next.effects,
       step(
         {
-          ...next.state,
+          ...forgetGone(next.state, now),
           gossipedAt: now,
-          origins: forget(next.state.origins, now),
-          sessions: sift(next.state.sessions, (one) => now - one.at < forgetAfter),
         },
         ...peerAddresses(next.state, now).map((to) => send(to, word)),
       ),
@@ -380,9 +386,9 @@
         ? onStoreWant(state, frame, from.address)
         : onWant(state, from, frame, now);
     case 'piece':
-      return onPiece(state, frame);
+      return onPiece(state, frame, now);
     case 'called':
-      return onCalled(state, frame);
+      return onCalled(state, frame, now);
     case 'bootstrapped':
       return onBootstrapped(state, frame);
     case 'hint':
@@ -412,7 +418,7 @@
     case 'outside':
       return onOutside(state, event.ref, event.call, event.now);
     case 'stop':
-      return step({ ...state, stopping: true });
+      return subscribe({ ...state, stopping: true }, event.now);
   }
 };
 
--- a/packages/replicated-store/src/command/apply.test.ts
+++ b/packages/replicated-store/src/command/apply.test.ts
@@ -20,7 +20,7 @@
 import { decideApply } from './apply.js';
 import type { Command } from '../state/state.js';
 
-const state = { receivedPieces: new Map() };
+const state = { receivedPieces: new Map(), commandQueue: [] };
 const contents: readonly Hash[] = ['a', 'b', 'c'].map((text) => hashOf(text));
 const contentAt = (at: number): Hash => contents[at % contents.length] ?? hashOf('a');
 
--- a/packages/replicated-store/src/command/decide.ts
+++ b/packages/replicated-store/src/command/decide.ts
@@ -4,10 +4,10 @@
   type Control,
   type NodeRow,
   erase,
-  keptPurges,
   keyOf,
   plan,
   policy as policySchema,
+  surplusPurges,
   topPurge,
   turn,
   write,
@@ -16,6 +16,7 @@
 import * as v from 'valibot';
 import { decideApply } from './apply.js';
 import { type Decision, callResult, earlierResult, noChange, rememberResult } from './decision.js';
+import { piecePuts } from './pieces.js';
 import { decideOrder, decideRelease } from './order.js';
 import { originPuts } from '../origins/origins.js';
 import type { Command, Store } from '../state/state.js';
@@ -34,7 +35,7 @@
     purge: number,
     aims: command.aims.length,
   });
-  const old = control.purges.slice(0, Math.max(0, control.purges.length + 1 - keptPurges));
+  const old = surplusPurges(control.purges, batch);
   return {
     ...noChange,
     results: [result],
@@ -129,6 +130,8 @@
   switch (command.kind) {
     case 'apply':
       return decideApply(state, control, command, seq);
+    case 'pieces':
+      return { ...noChange, puts: piecePuts(state, control, command.hashes) };
     case 'purge':
       return decidePurge(control, command, seq);
     case 'electorate': {
--- a/packages/simulator/src/world/world.ts
+++ b/packages/simulator/src/world/world.ts
@@ -17,6 +17,8 @@
 import { SimProxy } from '../cast/proxy.js';
 import { SimRegistry, type Told } from '../cast/registry.js';
 import { SimStore } from '../cast/store.js';
+import { type ConfigurationWrite, History, type PurgeWrite } from '../history/history.js';
+import { endingOf } from '../history/operators.js';
 import { Tried } from '../rules/tried.js';
 import { type Shape, describe } from './describe.js';
 import { toCallId, toFleetId, toGeneration } from '@switchwheel/types';
@@ -31,6 +33,8 @@
   /** How many machines have a disk; two if it isn't said. */
   readonly stores?: number;
   readonly limits?: ReplicationSettings;
+  /** The areas of the machines with a disk, in their order; they go round by four if it isn't said. */
+  readonly storeAreas?: readonly string[];
   readonly services: readonly {
     readonly name: ServiceName;
     readonly origins: number;
@@ -78,6 +82,8 @@
   readonly origins: SimOrigin[] = [];
   readonly writes: Write[] = [];
   readonly tried = new Tried();
+  /** What operators asked, and what they were told. */
+  readonly history = new History(() => this.agenda.now);
   readonly breaches: string[] = [];
   readonly layout: Layout;
   readonly #revisions = new Map<string, { readonly revision: number; readonly since: number }[]>();
@@ -101,7 +107,13 @@
           ? `shield-${at + 1}-registry`
           : `store-${at - layout.shields + 1}-registry`;
       this.registries.push(
-        new SimRegistry(this, toNodeId(name), toAddress(`10.0.0.${at + 1}:1`), area(at), seeds),
+        new SimRegistry(
+          this,
+          toNodeId(name),
+          toAddress(`10.0.0.${at + 1}:1`),
+          layout.storeAreas?.[at - layout.shields] ?? area(at),
+          seeds,
+        ),
       );
     }
     for (let at = 0; at < stores; at += 1)
@@ -110,7 +122,7 @@
           this,
           toNodeId(`store-${at + 1}`),
           toAddress(`10.0.1.${at + 1}:1`),
-          area(at + 1),
+          layout.storeAreas?.[at] ?? area(at + 1),
           seeds,
           layout.limits,
         ),
@@ -142,13 +154,13 @@
   }
 
   /** A new core machine's registry, found by the seeds that are there now. */
-  addRegistry(name: string, at: number): SimRegistry {
+  addRegistry(name: string, at: number, area = 'one'): SimRegistry {
     const seeds = this.registries.slice(0, 3).map((one) => one.address);
     const registry = new SimRegistry(
       this,
       toNodeId(name),
       toAddress(`10.0.9.${at}:1`),
-      'one',
+      area,
       () => seeds,
     );
     this.registries.push(registry);
@@ -360,7 +372,16 @@
     const bundle = finish(cut(describe(this.layout, mark, shape)));
     if (bundle.isErr) throw new Error(JSON.stringify(bundle.error));
     const order: readonly Hash[] = bundle.value.order;
-    this.#send(write, (registry, done) =>
+    this.#send(write, (registry, done) => {
+      const { hash } = bundle.value;
+      const open = this.history.begin<ConfigurationWrite>({
+        kind: 'write',
+        numbered: false,
+        version: { number: undefined, hash },
+        ending: 'unknown',
+        startedAt: this.agenda.now,
+        endedAt: undefined,
+      });
       registry.call(
         {
           verb: 'apply',
@@ -370,9 +391,13 @@
           order,
           pieces: bundle.value.pieces,
         },
-        done,
-      ),
-    );
+        (told) => {
+          const number = told.status === 200 ? parseNumber(told.body, 'generation') : undefined;
+          open.end({ ending: endingOf(told.status), version: { number, hash } });
+          done(told);
+        },
+      );
+    });
     return write;
   }
 
@@ -391,9 +416,20 @@
       revisions: new Map(paths.map((path) => [path, this.revisionOf(path)])),
     };
     this.writes.push(write);
-    this.#send(write, (registry, done) =>
-      registry.call({ verb: 'purge', id: write.id, aims }, done),
-    );
+    this.#send(write, (registry, done) => {
+      const open = this.history.begin<PurgeWrite>({
+        kind: 'purge',
+        number: undefined,
+        ending: 'unknown',
+        startedAt: this.agenda.now,
+        endedAt: undefined,
+      });
+      registry.call({ verb: 'purge', id: write.id, aims }, (told) => {
+        const number = told.status === 200 ? parseNumber(told.body, 'purge') : undefined;
+        open.end({ ending: endingOf(told.status), number });
+        done(told);
+      });
+    });
     return write;
   }
 }
