--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -138,7 +138,7 @@
   readonly since: Moment;
   readonly sent: Moment;
   readonly metadata: ClusterMetadata;
-  /** The backups that have it under this metadata. */
+  /** The stores, learners too, that acknowledged it under this metadata. */
   readonly confirmed: ReadonlySet<NodeId>;
   readonly stamp: Stamp;
   readonly prior: Stamp;
@@ -168,9 +168,14 @@
   readonly metadata: ClusterMetadata | undefined;
   readonly stamp: Stamp;
   readonly primary: boolean;
+  /** Whether its disk takes no writes now: it has no room, or makes no progress. */
   readonly full: boolean;
+  /** Whether it is about to stop. */
   readonly leaving: boolean;
   readonly at: Moment;
+  readonly digests: readonly string[];
+  /** When it was last seen to come closer to the primary's state, or came back. */
+  readonly progressAt: Moment;
 }
 
 export interface Subscriber {
@@ -216,6 +221,11 @@
     readonly from: Peer;
     readonly word: FrameOf<'resync-entries'>;
   }[];
+  /** Writes of the primary that came while another one was on its way to the disk. */
+  readonly replicateQueue: readonly {
+    readonly from: Peer;
+    readonly word: FrameOf<'replicate'>;
+  }[];
   readonly commandQueue: readonly Command[];
   /** Calls whose description is being compiled: several may bring the same one. */
   readonly compiling: ReadonlyMap<Hash, readonly Extract<Command, { kind: 'apply' }>[]>;
@@ -236,6 +246,8 @@
   readonly resyncTried: ReadonlySet<NodeId>;
   readonly subscribers: ReadonlyMap<NodeId, Subscriber>;
   readonly contacts: ReadonlyMap<NodeId, Contact>;
+  /** Since when this primary has had fewer copies than losses to be tolerated ask for. */
+  readonly shortageSince: Moment | undefined;
   /** The highest epoch that is known to have left this store out. */
   readonly excludedAtEpoch: Epoch;
   /** When a primary was last heard. */
@@ -288,6 +300,7 @@
   primaryWrite: undefined,
   backupWrite: undefined,
   resyncQueue: [],
+  replicateQueue: [],
   commandQueue: [],
   compiling: new Map(),
   receivedPieces: new Map(),
@@ -297,6 +310,7 @@
   resyncTried: new Set(),
   subscribers: new Map(),
   contacts: new Map(),
+  shortageSince: undefined,
   excludedAtEpoch: noEpoch,
   primaryHeardAt: start,
   statusSentAt: start,
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -76,8 +76,8 @@
     age: v.optional(g.span),
     epoch: g.epoch,
     offer: v.optional(offer),
-    /** The generation of the newest description that the primary told this registry of. */
-    newest: g.generation,
+    /** The generation that the node is to run, by this registry's word of the primary. */
+    wanted: g.generation,
     purges: v.array(purge),
     floor: g.seq,
     top: g.seq,
@@ -133,6 +133,8 @@
     inSyncSet: v.array(g.nodeId),
     held: v.optional(holder),
     stepDown: v.boolean(),
+    /** With `stepDown`: the epoch was never won, and never will be. */
+    abandoned: v.optional(v.boolean()),
     /** The life of the voter that gave the newest vote in this epoch: a renewal that echoes it proves the win. */
     voterLife: v.optional(g.incarnation),
   }),
@@ -178,6 +180,8 @@
     node: g.nodeId,
     epoch: g.epoch,
     seq: g.seq,
+    /** The epoch of the metadata that is on the disk with the write. */
+    metadataEpoch: g.epoch,
     ok: v.boolean(),
     text: v.string(),
   }),
@@ -210,7 +214,8 @@
     kind: kind('resync-entries'),
     epoch: g.epoch,
     metadata: clusterMetadata,
-    settled: v.optional(stamp),
+    /** The stamp that the store has from now on, if its digests are these. */
+    settled: v.optional(v.object({ stamp, digests: v.array(v.string()) })),
     entries: v.array(v.object({ key: v.string(), stamp, data: v.string() })),
   }),
   v.object({
