Sight: pieces that are asked for and not held are logged and counted; metrics on the platform

Logs could not tell whether a stall of pieces is the primary's (hypothesis A), the registry's (B) or the edge's (C). The store now logs and counts requests for pieces that its table does not hold, and says whether they belong to the description in force; an edge that waits over 600 ms for pieces says for how many and whom it asked. No change of logic.

--- a/packages/proxy-core/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -16,6 +16,7 @@
   type Offer,
   type ReleaseState,
   type Report,
+  type WireEffect,
   log,
   send,
 } from '@switchwheel/transport';
@@ -37,6 +38,8 @@
 const wantSpan = 300;
 /** How many pieces are asked for at a time: the next ones when these are here. */
 const wantMost = 64;
+/** How long pieces of an offer may fail to come before that is logged. */
+const lateFetchSpan = 600;
 /** How long a cache may serve after it last was known to hold all purges. */
 export const cacheLease = 1500;
 
@@ -321,12 +324,29 @@
   );
 };
 
+/** Tells that pieces of an offer do not come, and who was asked for them. */
+const lateFetch = (
+  state: Cabin,
+  fetching: Extract<Cabin['fitting'], { phase: 'fetching' }>,
+  now: Moment,
+): WireEffect =>
+  log(
+    'warn',
+    'pieces of an offer do not come',
+    ['generation', fetching.offer.generation],
+    ['missing', fetching.offer.pieces.filter((one) => !state.pieces.has(one)).length],
+    ['forMs', Math.round(now - fetching.since)],
+    ['asked', state.nodeSession.registryLink?.address ?? 'nobody'],
+  );
+
 const onTick = (state: Cabin, now: Moment): Done => {
   const drifted = tickSession(state.nodeSession, words(state, now), now);
   let next: Done = step({ ...state, nodeSession: drifted.state }, ...drifted.effects);
   const fitting = next.state.fitting;
-  if (fitting.phase === 'fetching' && now - fitting.asked >= wantSpan)
-    next = join(next.effects, fit(next.state, fitting.offer, now));
+  if (fitting.phase === 'fetching' && now - fitting.asked >= wantSpan) {
+    const late = now - fitting.since >= lateFetchSpan ? [lateFetch(state, fitting, now)] : [];
+    next = join([...next.effects, ...late], fit(next.state, fitting.offer, now));
+  }
   return join(next.effects, passDuties(next.state, now));
 };
 
--- a/packages/proxy/src/direct/program.ts
+++ b/packages/proxy/src/direct/program.ts
@@ -16,9 +16,12 @@
   type Running,
   inSlices,
   isWireEffect,
+  metricsText,
+  metricsType,
   newDice,
   newIncarnation,
   now,
+  plainReading,
   runLoop,
   wait,
 } from '@switchwheel/runtime';
@@ -34,6 +37,8 @@
   readonly door: Address;
   /** Where the platform asks whether this edge is ready, and at which path. */
   readonly ready: { readonly address: Address; readonly path: string };
+  /** At which path of the same address this edge tells its readings. */
+  readonly metricsPath: string;
   readonly cacheBytes: number;
   readonly words: Words;
   readonly bounds: Bounds;
@@ -143,7 +148,23 @@
       one.table !== undefined && one.failed === undefined && one.nodeSession.members.length > 0;
     return settled && one.failed === undefined && !stopping;
   };
+  const metrics = (): string => {
+    const one = cabin();
+    return metricsText([
+      plainReading('generation', one.table?.generation ?? 0),
+      plainReading('wanted_generation', one.wanted.generation),
+      plainReading('origins', one.nodeSession.origins.size),
+      plainReading('requests_open', line.open),
+      plainReading('loop_lag_worst_ms', Math.round(loop.lag())),
+      plainReading('memory_bytes', process.memoryUsage.rss()),
+      ...[...line.counts].map(([name, value]) => plainReading(`requests_${name}_total`, value)),
+    ]);
+  };
   const readyServer = createServer({ keepAliveTimeout: 30_000 }, (asked, answer) => {
+    if (asked.method === 'GET' && asked.url === boot.metricsPath) {
+      answer.writeHead(200, { 'content-type': metricsType }).end(metrics());
+      return;
+    }
     const known = asked.method === 'GET' && asked.url === boot.ready.path;
     answer.writeHead(!known ? 404 : ready() ? 200 : 503, ['content-length', '0']).end();
   });
--- a/packages/registry/src/outside/app.ts
+++ b/packages/registry/src/outside/app.ts
@@ -15,7 +15,7 @@
 } from '@switchwheel/types';
 import { type Fault, build, cut, readInto } from '@switchwheel/configuration';
 import type { Outside } from '@switchwheel/membership';
-import { inSlices, readBody } from '@switchwheel/runtime';
+import { inSlices, metricsType, readBody } from '@switchwheel/runtime';
 import { announcement, electorateForm, foundForm, purgeForm, releaseForm } from './forms.js';
 
 /** Hands a call to the machine; settles with its answer. */
@@ -188,7 +188,7 @@
         ctx.body = { ready: ready() };
         return;
       case 'GET /metrics':
-        ctx.type = 'text/plain; version=0.0.4';
+        ctx.type = metricsType;
         ctx.body = metrics();
         return;
       case 'POST /v1/origins': {
--- a/packages/replicated-store/src/command/calls.ts
+++ b/packages/replicated-store/src/command/calls.ts
@@ -15,7 +15,7 @@
   serviceName,
   step,
 } from '@switchwheel/types';
-import { type Peer, type Electorate, type FrameOf, aim, send } from '@switchwheel/transport';
+import { type Peer, type Electorate, type FrameOf, aim, log, send } from '@switchwheel/transport';
 import { bundleHash, hashOf } from '@switchwheel/configuration';
 import { isPrimary } from '../leadership/candidacy.js';
 import { callReply, enqueue } from './queue.js';
@@ -310,12 +310,29 @@
   return next;
 };
 
+/** Tells of pieces that were asked for and that the table does not hold. */
+const missedPieces = (state: Store, from: Peer, hashes: readonly Hash[]): readonly StoreEffect[] =>
+  hashes.map((hash) =>
+    log(
+      'warn',
+      'asked for a piece that the table does not hold',
+      ['piece', hash],
+      ['from', from.node],
+      ['inForce', state.control.stored?.offer.pieces.includes(hash) === true ? 'yes' : 'no'],
+    ),
+  );
+
 /** A registry lacks pieces of the description in force. */
-export const onWant = (state: Store, from: Peer, word: FrameOf<'piece-request'>): Done =>
-  step(
-    state,
-    ...word.hashes.flatMap((one): readonly StoreEffect[] => {
-      const data = state.control.pieces.get(one);
-      return data === undefined ? [] : [send(from.address, { kind: 'piece', hash: one, data })];
-    }),
+export const onWant = (state: Store, from: Peer, word: FrameOf<'piece-request'>): Done => {
+  const sent = word.hashes.flatMap((hash): readonly StoreEffect[] => {
+    const data = state.control.pieces.get(hash);
+    return data === undefined ? [] : [send(from.address, { kind: 'piece', hash, data })];
+  });
+  const missed = word.hashes.filter((hash) => !state.control.pieces.has(hash));
+  if (missed.length === 0) return step(state, ...sent);
+  return step(
+    { ...state, missedPieceRequests: state.missedPieceRequests + missed.length },
+    ...sent,
+    ...missedPieces(state, from, missed),
   );
+};
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -269,6 +269,8 @@
   readonly seen: Seen;
   readonly opened: Moment | undefined;
   readonly diskFull: Moment | undefined;
+  /** How many pieces were asked for here that the table did not hold. */
+  readonly missedPieceRequests: number;
   readonly standDownUntil: Moment;
   readonly nextId: number;
   readonly dice: Dice;
@@ -325,6 +327,7 @@
   seen: new Map(),
   opened: undefined,
   diskFull: undefined,
+  missedPieceRequests: 0,
   standDownUntil: start,
   nextId: 1,
   dice,
--- a/packages/runtime/src/http/admin.ts
+++ b/packages/runtime/src/http/admin.ts
@@ -12,6 +12,9 @@
   return `switchwheel_${one.name}${labels === '' ? '' : `{${labels}}`} ${one.value}`;
 };
 
+/** The media type of readings as text. */
+export const metricsType = 'text/plain; version=0.0.4';
+
 /** Readings as scrapers take them. */
 export const metricsText = (readings: readonly Reading[]): string =>
   `${readings.map(line).join('\n')}\n`;
@@ -21,6 +24,12 @@
   value,
 });
 
+/** A reading with one more label, to tell programs apart that share a process. */
+export const withLabel = (one: Reading, name: string, value: string): Reading => ({
+  ...one,
+  labels: new Map([...one.labels, [name, value]]),
+});
+
 /** The door for whoever runs the machine: live, ready, metrics and the state as it stands. */
 export const adminApp = (
   ready: () => boolean,
@@ -39,7 +48,7 @@
         ctx.body = { ready: ctx.status === 200 };
         return;
       case '/metrics':
-        ctx.type = 'text/plain; version=0.0.4';
+        ctx.type = metricsType;
         ctx.body = metricsText(readings());
         return;
       default:
--- a/packages/store/src/run.ts
+++ b/packages/store/src/run.ts
@@ -20,6 +20,7 @@
   adminApp,
   inSlices,
   isWireEffect,
+  metricsText,
   newDice,
   newIncarnation,
   now,
@@ -27,6 +28,7 @@
   plainReading as plain,
   runLoop,
   wait,
+  withLabel,
 } from '@switchwheel/runtime';
 import { changeOf, findOn } from './rows.js';
 
@@ -68,8 +70,14 @@
   }
 };
 
+/** A store that runs in this process. */
+export interface RunningStore extends Running {
+  /** Its readings as scrapers take them, for a program that shows them beside its own. */
+  readonly metrics: () => string;
+}
+
 /** Starts a store. */
-export const startStore = async (boot: StoreBoot, log: Log, disk: Disk): Promise<Running> => {
+export const startStore = async (boot: StoreBoot, log: Log, disk: Disk): Promise<RunningStore> => {
   const member = {
     node: boot.node,
     role: 'store' as const,
@@ -145,6 +153,9 @@
       plain('epoch', one.metadata?.epoch ?? 0),
       plain('writes_waiting', one.commandQueue.length),
       plain('disk_full', one.diskFull === undefined ? 0 : 1),
+      plain('generation', one.control.stored?.offer.generation ?? 0),
+      plain('pieces', one.control.pieces.size),
+      plain('piece_requests_missed_total', one.missedPieceRequests),
       plain('loop_lag_worst_ms', worstLag),
       plain('foreign_channels_total', yard.foreign),
       plain('memory_bytes', process.memoryUsage.rss()),
@@ -167,6 +178,7 @@
   );
 
   return {
+    metrics: () => metricsText(readings().map((one) => withLabel(one, 'program', 'store'))),
     stop: async () => {
       const over = new Promise<void>((done) => {
         stopped = done;
