--- /dev/null
+++ b/packages/simulator/src/run/racing-orders.test.ts
@@ -0,0 +1,101 @@
+/**
+ * Orders that race, and a later one that returns to a content from before: whatever an order was found to have when it
+ * came in, it still has when it is put in force. Otherwise the description in force lacks a piece, and no node can run it.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type Generation, toCallId, toGeneration } from '@switchwheel/types';
+import { type Bundle, cut, finish } from '@switchwheel/configuration';
+import type { SimRegistry, Told } from '../cast/registry.js';
+import { describe } from '../world/describe.js';
+import { type Scene, close, scene } from './stage.js';
+
+/** How long a confirmed description may take to be in force on every node. */
+const inForceLimit = 1500;
+/** Orders of a pair leave this far apart, in milliseconds: the second comes in at each stage of the first. */
+const offsets = [0, 1, 2, 3, 4, 6, 8, 10, 12, 15, 18, 22, 26, 30];
+const firstMark = 10;
+const secondMark = 11;
+const racingMark = 12;
+
+const bundleOf = (run: Scene, mark: number): Bundle => {
+  const bundle = finish(cut(describe(run.world.layout, mark)));
+  if (bundle.isErr) throw new Error(JSON.stringify(bundle.error));
+  return bundle.value;
+};
+
+/** An order on its way, and what it was told. */
+interface Order {
+  readonly number: Generation;
+  told: Told | undefined;
+}
+
+const send = (run: Scene, registry: SimRegistry, number: number, mark: number): Order => {
+  const order: Order = { number: toGeneration(number), told: undefined };
+  const id = toCallId(`order-${number}`);
+  const { hash, order: pieces, pieces: texts } = bundleOf(run, mark);
+  registry.call(
+    {
+      verb: 'apply',
+      id,
+      base: undefined,
+      number: order.number,
+      hash,
+      order: pieces,
+      pieces: texts,
+    },
+    (told) => {
+      order.told = told;
+    },
+  );
+  return order;
+};
+
+const registryAt = (run: Scene, at: number): SimRegistry => {
+  const found = run.world.registries[at % run.world.registries.length];
+  if (found === undefined) throw new Error('no registry');
+  return found;
+};
+
+const apply = (run: Scene, number: number, mark: number): void => {
+  const order = send(run, registryAt(run, 0), number, mark);
+  run.world.until(5000, () => order.told !== undefined);
+  assert.equal(order.told?.status, 200, `order ${number}`);
+};
+
+/** Whether every proxy runs a generation. */
+const isInForce = (run: Scene, number: number): boolean =>
+  run.world.proxies.every((one) => one.state?.cabin.table?.generation === number);
+
+const missingPieces = (run: Scene): number => {
+  const control = run.world.primary()?.state?.control;
+  assert.ok(control?.stored !== undefined);
+  return control.stored.offer.pieces.filter((one) => !control.pieces.has(one)).length;
+};
+
+for (const offset of offsets) {
+  void test(`an order that returns to an earlier content, ${offset} ms after one that drops it, is in force in time`, () => {
+    const run = scene(700 + offset, 2, {
+      edges: 3,
+      shields: 2,
+      stores: 3,
+      limits: { copies: 3, tolerate: 1, follow: false },
+    });
+    apply(run, 2, firstMark);
+    assert.ok(run.world.until(inForceLimit, () => isInForce(run, 2)));
+    apply(run, 3, secondMark);
+    assert.ok(run.world.until(inForceLimit, () => isInForce(run, 3)));
+    const dropping = send(run, registryAt(run, 0), 4, racingMark);
+    run.world.run(offset);
+    const returning = send(run, registryAt(run, 1), 5, firstMark);
+    run.world.until(5000, () => dropping.told !== undefined && returning.told !== undefined);
+    assert.equal(returning.told?.status, 200);
+    assert.equal(dropping.told?.status, 200);
+    assert.equal(missingPieces(run), 0, 'the table holds each piece of the description in force');
+    assert.ok(
+      run.world.until(inForceLimit, () => isInForce(run, 5)),
+      'in force in time',
+    );
+    assert.deepEqual(close(run), []);
+  });
+}
