An order keeps the pieces it was found to have until it is written; invariant and repair

Until the order was written, another order's write could drop that piece as unused: the drop spared queued orders, not those being compiled, nor those that came in while the dropping write was on its way to the disks. The order was then put in force without the piece; nodes waited for it until the next order brought it again. Class: a check whose result is relied on later, without a hold on what was checked. Ruled out by the added logs: the registry holding requests back, the edge not asking again. Mend: an order under way holds the text of each of its pieces, received or found; what the table lost meanwhile is written again with the order. An order that all the same lacks a piece is refused with 503 and changes nothing. Invariants, checked after each event, logged, counted, told as a reading, and a breach in every simulated run: the table of a store in sync holds each piece of the description in force; an order keeps its pieces. A fleet that has such a description on its disks is repaired: the primary asks the registries for the piece.

--- a/packages/membership/src/registry/calls.ts
+++ b/packages/membership/src/registry/calls.ts
@@ -352,20 +352,17 @@
   );
 };
 
-/** The store lacks pieces of a description that came in here. */
+/** The store lacks pieces of a description: one that came in here, or the one in force. */
 export const onStoreWant = (
   state: Registry,
   word: FrameOf<'piece-request'>,
   to: Parameters<typeof send>[0],
 ): Done => {
   const effects: RegistryEffect[] = [];
+  const sources = [...[...state.pending.values()].map((one) => one.pieces), state.pieces];
   for (const hash of word.hashes) {
-    for (const one of state.pending.values()) {
-      const data = one.pieces.get(hash);
-      if (data === undefined) continue;
-      effects.push(send(to, { kind: 'piece', hash, data }));
-      break;
-    }
+    const data = sources.find((one) => one.has(hash))?.get(hash);
+    if (data !== undefined) effects.push(send(to, { kind: 'piece', hash, data }));
   }
   return step(state, ...effects);
 };
--- a/packages/replicated-store/src/command/apply.test.ts
+++ b/packages/replicated-store/src/command/apply.test.ts
@@ -20,8 +20,12 @@
 import { decideApply } from './apply.js';
 import type { Command } from '../state/state.js';
 
-const state = { receivedPieces: new Map(), commandQueue: [] };
-const contents: readonly Hash[] = ['a', 'b', 'c'].map((text) => hashOf(text));
+const texts = ['a', 'b', 'c'];
+const state = {
+  heldPieces: new Map(texts.map((text) => [hashOf(text), text])),
+  commandQueue: [],
+};
+const contents: readonly Hash[] = texts.map((text) => hashOf(text));
 const contentAt = (at: number): Hash => contents[at % contents.length] ?? hashOf('a');
 
 const commandOf = (
--- a/packages/replicated-store/src/command/apply.ts
+++ b/packages/replicated-store/src/command/apply.ts
@@ -13,11 +13,11 @@
 import type { Put } from '@switchwheel/transport';
 import { type Control, erase, keptNumbers, keyOf, write } from '@switchwheel/configuration';
 import { type Decision, callResult, earlierResult, noChange, rememberResult } from './decision.js';
-import { piecePuts, unusedPieces } from './pieces.js';
+import { missingPieces, piecePuts, unusedPieces } from './pieces.js';
 import type { Command, Store } from '../state/state.js';
 
 type ApplyCommand = Extract<Command, { kind: 'apply' }>;
-type ApplyState = Pick<Store, 'receivedPieces' | 'commandQueue'>;
+type ApplyState = Pick<Store, 'heldPieces' | 'commandQueue'>;
 
 const currentGeneration = (control: Control): Generation =>
   control.stored?.offer.generation ?? noGeneration;
@@ -99,6 +99,22 @@
     .map((one) => erase(keyOf.rollout(one))),
 ];
 
+/** How long an operator waits before an order that lost its pieces is sent again. */
+const lostPiecesRetryMs = 200;
+
+/** A piece that the order was found to have is neither in the table nor held: the order is not put in force. */
+const lostPieces = (command: ApplyCommand): Decision => ({
+  ...noChange,
+  immediateReplies: [
+    callResult(command, 503, {
+      kind: 'rejected',
+      text: 'a piece of the description was lost on its way; nothing was changed',
+      retryAfterMs: lostPiecesRetryMs,
+    }),
+  ],
+  violations: ['order-keeps-pieces'],
+});
+
 const accept = (
   state: ApplyState,
   control: Control,
@@ -107,6 +123,8 @@
   seq: Seq,
 ): Decision => {
   const { hash, order } = command;
+  if (missingPieces(state, order).some((one) => !control.pieces.has(one)))
+    return lostPieces(command);
   const result = callResult(command, 200, { kind: 'accepted', generation, hash });
   const offer = { generation, hash, pieces: [...order] };
   return {
--- a/packages/replicated-store/src/command/calls.ts
+++ b/packages/replicated-store/src/command/calls.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {
+  type CallId,
   type Hash,
   type Moment,
   type Step,
@@ -19,7 +20,8 @@
 import { bundleHash, hashOf } from '@switchwheel/configuration';
 import { isPrimary } from '../leadership/candidacy.js';
 import { callReply, enqueue } from './queue.js';
-import { piecesCommands, releasePieces } from './pieces.js';
+import { holdPieces, missingPieces, piecesCommands, releasePieces } from './pieces.js';
+import { storeLackingPiece } from './repair.js';
 import type { StoreEffect } from '../state/event.js';
 import { type Command, type Store, ownId } from '../state/state.js';
 import { view, viewRelease } from './view.js';
@@ -56,17 +58,12 @@
   }
 };
 
-const missingPieces = (state: Store, order: readonly Hash[]): readonly Hash[] =>
-  order.filter((one) => !state.control.pieces.has(one) && !state.receivedPieces.has(one));
-
 /** Has the description compiled with the nodes' own code once all its pieces are here. */
 const compile = (state: Store, command: ApplyCommand): Done => {
   const others = state.compiling.get(command.hash) ?? [];
   const next = { ...state, compiling: put(state.compiling, command.hash, [...others, command]) };
   if (others.length > 0) return step(next);
-  const texts = command.order.map(
-    (one) => state.control.pieces.get(one) ?? state.receivedPieces.get(one) ?? '',
-  );
+  const texts = command.order.map((one) => state.heldPieces.get(one) ?? '');
   return step(next, { kind: 'compile', hash: command.hash, texts });
 };
 
@@ -91,13 +88,16 @@
   );
 };
 
-const onApply = (state: Store, command: ApplyCommand, now: Moment): Done => {
-  const open =
-    state.awaitingPieces.has(command.asker.id) ||
-    [...state.compiling.values()].flat().some((one) => one.asker.id === command.asker.id) ||
-    state.commandQueue.some((one) => one.kind === 'apply' && one.asker.id === command.asker.id) ||
-    (state.primaryWrite?.results.some((one) => one.id === command.asker.id) ?? false);
-  if (open) return step(state);
+/** Whether this very order is on its way already. */
+const isUnderWay = (state: Store, { asker }: ApplyCommand): boolean =>
+  state.awaitingPieces.has(asker.id) ||
+  [...state.compiling.values()].flat().some((one) => one.asker.id === asker.id) ||
+  state.commandQueue.some((one) => one.kind === 'apply' && one.asker.id === asker.id) ||
+  (state.primaryWrite?.results.some((one) => one.id === asker.id) ?? false);
+
+const onApply = (before: Store, command: ApplyCommand, now: Moment): Done => {
+  if (isUnderWay(before, command)) return step(before);
+  const state = holdPieces(before, command.order);
   const missing = missingPieces(state, command.order);
   if (missing.length === 0) return compile(state, command);
   return askPieces(state, { command, since: now }, missing, now);
@@ -235,33 +235,29 @@
   };
 };
 
+/** Goes on with an order that waits for pieces, once those that it asked for last are here. */
+const advanceOrder = (state: Store, id: CallId, one: Lacking, now: Moment): Done => {
+  const missing = missingPieces(state, one.command.order);
+  if (missing.length > 0) return askPieces(state, one, missing, now);
+  return compile({ ...state, awaitingPieces: drop(state.awaitingPieces, id) }, one.command);
+};
+
 /** A piece of a description came in. */
 export const onPiece = (state: Store, word: FrameOf<'piece'>, now: Moment): Done => {
-  if (state.receivedPieces.has(word.hash) || hashOf(word.data) !== word.hash) return step(state);
-  let next: Store = { ...state, receivedPieces: put(state.receivedPieces, word.hash, word.data) };
-  const effects: StoreEffect[] = [];
+  if (state.heldPieces.has(word.hash) || hashOf(word.data) !== word.hash) return step(state);
+  const held = { ...state, heldPieces: put(state.heldPieces, word.hash, word.data) };
+  let next = storeLackingPiece(held, word.hash);
   for (const [id, one] of state.awaitingPieces) {
-    if (one.awaited > 1 || !one.command.order.includes(word.hash)) {
-      if (one.command.order.includes(word.hash))
-        next = {
-          ...next,
-          awaitingPieces: put(next.awaitingPieces, id, {
-            ...one,
-            awaited: one.awaited - 1,
-            asked: now,
-          }),
-        };
-      continue;
-    }
-    const missing = missingPieces(next, one.command.order);
-    const done =
-      missing.length > 0
-        ? askPieces(next, one, missing, now)
-        : compile({ ...next, awaitingPieces: drop(next.awaitingPieces, id) }, one.command);
-    next = done.state;
-    effects.push(...done.effects);
+    if (!one.command.order.includes(word.hash)) continue;
+    if (one.awaited > 1) {
+      const row = { ...one, awaited: one.awaited - 1, asked: now };
+      next = step(
+        { ...next.state, awaitingPieces: put(next.state.awaitingPieces, id, row) },
+        ...next.effects,
+      );
+    } else next = join(next.effects, advanceOrder(next.state, id, one, now));
   }
-  return step(next, ...effects);
+  return next;
 };
 
 /** Queues a description, and before it the writes that store the pieces of a large one. */
@@ -301,10 +297,7 @@
         step({ ...next.state, awaitingPieces: drop(next.state.awaitingPieces, id) }, told),
       );
     } else if (now - one.asked > askPiecesInterval) {
-      next = join(
-        next.effects,
-        askPieces(next.state, one, missingPieces(next.state, one.command.order), now),
-      );
+      next = join(next.effects, advanceOrder(next.state, id, one, now));
     }
   }
   return next;
--- a/packages/replicated-store/src/command/decision.ts
+++ b/packages/replicated-store/src/command/decision.ts
@@ -1,5 +1,5 @@
 /** What deciding a command yields, and what all deciders share: answers and the answers kept by call id. */
-import type { Seq } from '@switchwheel/types';
+import type { Invariant, Seq } from '@switchwheel/types';
 import type { Electorate, Put } from '@switchwheel/transport';
 import { type Control, erase, keptCalls, keyOf, write } from '@switchwheel/configuration';
 import type { CallResult, Command } from '../state/state.js';
@@ -11,6 +11,8 @@
   /** Told at once: nothing is written for them. */
   readonly immediateReplies: readonly CallResult[];
   readonly electorate?: Electorate;
+  /** Invariants that were found broken on the way. */
+  readonly violations?: readonly Invariant[];
 }
 /** A command that changes nothing and answers nobody. */
 export const noChange: Decision = { puts: [], results: [], immediateReplies: [] };
--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -49,6 +49,8 @@
   primaryTimeout,
 } from './leadership/candidacy.js';
 import { enqueue } from './command/queue.js';
+import { tickRepair } from './command/repair.js';
+import { checkInvariants } from './invariant/invariants.js';
 import { copiesStandElsewhere, mayHandOver, successors } from './leadership/leaving.js';
 import { feedOne } from './feed/feed.js';
 import {
@@ -335,6 +337,7 @@
   let next = join(seated.effects, markOffline(seated.state, now));
   if (now - next.state.plannedAt >= planInterval)
     next = join(next.effects, enqueue({ ...next.state, plannedAt: now }, { kind: 'plan' }));
+  next = join(next.effects, tickRepair(next.state, now));
   next = join(next.effects, tickReleases(next.state, now));
   next = join(next.effects, tickOrigins(next.state, now));
   const due = next.state.engineDueAt;
@@ -537,5 +540,6 @@
 /** The store: one function for every change of its state. What an event queued is written at its end. */
 export const storeStep = (state: Store, event: StoreEvent): Done => {
   const handled = onEvent(state, event);
-  return join(handled.effects, startWrite(handled.state, event.now));
+  const written = join(handled.effects, startWrite(handled.state, event.now));
+  return join(written.effects, checkInvariants(state, written.state));
 };
--- a/packages/replicated-store/src/primary-write/primary-write.ts
+++ b/packages/replicated-store/src/primary-write/primary-write.ts
@@ -1,5 +1,6 @@
 import {
   type Address,
+  type Invariant,
   type Moment,
   type NodeId,
   type Step,
@@ -24,6 +25,7 @@
 import { isPrimary, resignFor } from '../leadership/candidacy.js';
 import { awaitsSpare, hasEnoughCopies, peerTimeout } from '../leadership/copies.js';
 import { feedAll } from '../feed/feed.js';
+import { noteViolations } from '../invariant/invariants.js';
 import type { StoreEffect } from '../state/event.js';
 import {
   type CallResult,
@@ -49,7 +51,7 @@
 const maxBatch = 512;
 /** No more commands join a write once it bears so many characters: it has to fit one frame. */
 const maxBatchCharacters = 1024 * 1024;
-const noReceivedPieces: Store['receivedPieces'] = new Map();
+const noHeldPieces: Store['heldPieces'] = new Map();
 const noConfirmations: PrimaryWrite['confirmed'] = new Set();
 
 const diskWrite = (
@@ -192,6 +194,7 @@
   const puts: Put[] = [];
   const results: CallResult[] = [];
   const rejections: CallResult[] = [];
+  const violations: Invariant[] = [];
   const tried: PrimaryWrite['trialReports'][number][] = [];
   let taken = 0;
   let characters = 0;
@@ -205,12 +208,14 @@
     results.push(...decision.results);
     rejections.push(...decision.immediateReplies);
     electorate = decision.electorate ?? electorate;
+    violations.push(...(decision.violations ?? []));
     if (command.kind === 'trial') tried.push({ to: command.to, word: command.word });
     if (command.kind === 'turn')
       next = { ...next, seen: decision.seen ?? next.seen, opened: decision.opened };
   }
-  next = { ...next, commandQueue: [...batch.slice(taken), ...rest] };
-  const told = rejections.map(callReply);
+  const noted = noteViolations(next, violations);
+  next = { ...noted.state, commandQueue: [...batch.slice(taken), ...rest] };
+  const told = [...noted.effects, ...rejections.map(callReply)];
   if (puts.length === 0 && results.length === 0 && electorate === metadata.electorate) {
     return step(next, ...told, ...tried.flatMap((one) => trialReplies(draft, one)));
   }
@@ -346,10 +351,10 @@
   const idle =
     next.awaitingPieces.size === 0 &&
     next.compiling.size === 0 &&
-    !next.commandQueue.some((one) => one.kind === 'apply');
+    !next.commandQueue.some((one) => one.kind === 'apply' || one.kind === 'pieces');
   const planned = {
     ...next,
-    receivedPieces: idle ? noReceivedPieces : next.receivedPieces,
+    heldPieces: idle ? noHeldPieces : next.heldPieces,
     engineDueAt: due,
     plannedAt: stored || first ? now : next.plannedAt,
     commandQueue: [...commands, ...next.commandQueue],
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -12,8 +12,10 @@
   type Release,
   type Seq,
   type ServiceName,
+  type Violations,
   noEpoch,
   noSeq,
+  noViolations,
   primary,
   start,
 } from '@switchwheel/types';
@@ -229,7 +231,11 @@
   readonly commandQueue: readonly Command[];
   /** Calls whose description is being compiled: several may bring the same one. */
   readonly compiling: ReadonlyMap<Hash, readonly Extract<Command, { kind: 'apply' }>[]>;
-  readonly receivedPieces: ReadonlyMap<Hash, string>;
+  /**
+   * The text of each piece that an order under way relies on, whether it was received for it or stood in the table:
+   * another order's write may drop it from the table before this one is written.
+   */
+  readonly heldPieces: ReadonlyMap<Hash, string>;
   readonly awaitingPieces: ReadonlyMap<
     CallId,
     {
@@ -269,8 +275,12 @@
   readonly seen: Seen;
   readonly opened: Moment | undefined;
   readonly diskFull: Moment | undefined;
+  /** When registries were last asked for pieces that the description in force lacks. */
+  readonly repairAskedAt: Moment;
   /** How many pieces were asked for here that the table did not hold. */
   readonly missedPieceRequests: number;
+  /** How often each invariant was found broken here. */
+  readonly violations: Violations;
   readonly standDownUntil: Moment;
   readonly nextId: number;
   readonly dice: Dice;
@@ -305,7 +315,7 @@
   replicateQueue: [],
   commandQueue: [],
   compiling: new Map(),
-  receivedPieces: new Map(),
+  heldPieces: new Map(),
   awaitingPieces: new Map(),
   peers: new Map(),
   resyncing: undefined,
@@ -327,7 +337,9 @@
   seen: new Map(),
   opened: undefined,
   diskFull: undefined,
+  repairAskedAt: start,
   missedPieceRequests: 0,
+  violations: noViolations,
   standDownUntil: start,
   nextId: 1,
   dice,
--- a/packages/simulator/src/rules/rules.ts
+++ b/packages/simulator/src/rules/rules.ts
@@ -99,6 +99,8 @@
         actor,
         actor.state.serving && holdsLease(actor.state.candidate, actor.clock),
       );
+      for (const [invariant, count] of actor.state.violations)
+        this.#breakOnce('invariant', `${actor.node} ${invariant}`, `${invariant} ${count} times`);
       const offer = actor.state.control.stored?.offer;
       if (actor.state.serving && offer !== undefined) {
         const known = this.#hashes.get(offer.generation);
--- /dev/null
+++ b/packages/simulator/src/run/description-repair.test.ts
@@ -0,0 +1,71 @@
+/**
+ * A fleet whose disks hold a description in force without one of its pieces, as an earlier version could leave them: the
+ * invariant finds it, registries give the piece back, and a node that starts with nothing runs the description.
+ */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Hash } from '@switchwheel/types';
+import { keyOf } from '@switchwheel/configuration';
+import { type Scene, scene } from './stage.js';
+
+const generation = 2;
+const inForceLimit = 2500;
+
+const offerOf = (run: Scene): { readonly generation: number; readonly pieces: readonly Hash[] } => {
+  const offer = run.world.primary()?.state?.control.stored?.offer;
+  assert.ok(offer !== undefined);
+  return offer;
+};
+
+/** Takes a piece off every disk, as if its write had never been told to keep it. */
+const erasePiece = (run: Scene, hash: Hash): void => {
+  const key = keyOf.piece(hash);
+  for (const { disk } of run.world.stores) {
+    const kept = disk.synced.map((write) => ({
+      ...write,
+      sets: write.sets.filter((one) => one.key !== key),
+    }));
+    disk.synced.splice(0, disk.synced.length, ...kept);
+  }
+};
+
+const runsEverywhere = (run: Scene): boolean =>
+  run.world.proxies.every((one) => one.state?.cabin.table?.generation === generation);
+
+const violations = (run: Scene): number =>
+  run.world.stores.reduce(
+    (sum, one) => sum + (one.state?.violations.get('description-whole') ?? 0),
+    0,
+  );
+
+for (const seed of [801, 802, 803]) {
+  void test(`a piece that no disk holds is told as a violation and comes back from a registry, seed ${seed}`, () => {
+    const run = scene(seed, 2, {
+      edges: 3,
+      shields: 2,
+      stores: 3,
+      limits: { copies: 3, tolerate: 1, follow: false },
+    });
+    run.world.apply(11);
+    assert.ok(run.world.until(3000, () => runsEverywhere(run)));
+    const lost = offerOf(run).pieces.at(-1);
+    assert.ok(lost !== undefined);
+    assert.equal(violations(run), 0);
+    for (const store of run.world.stores) store.kill();
+    erasePiece(run, lost);
+    for (const store of run.world.stores) store.start();
+    assert.ok(
+      run.world.until(5000, () => violations(run) > 0),
+      'the violation is counted',
+    );
+    const isWhole = (): boolean => run.world.primary()?.state?.control.pieces.has(lost) === true;
+    assert.ok(run.world.until(8000, isWhole), 'the piece is in the table again');
+    const [edge] = run.world.edges;
+    edge?.kill();
+    edge?.start();
+    assert.ok(
+      run.world.until(inForceLimit, () => runsEverywhere(run)),
+      'a new start runs it',
+    );
+  });
+}
--- a/packages/store/src/run.ts
+++ b/packages/store/src/run.ts
@@ -1,4 +1,10 @@
-import { type Address, type AreaName, type NodeId, toGeneration } from '@switchwheel/types';
+import {
+  type Address,
+  type AreaName,
+  type NodeId,
+  toGeneration,
+  totalViolations,
+} from '@switchwheel/types';
 import { type WireEffect, ChannelPool } from '@switchwheel/transport';
 import {
   type ReplicationSettings,
@@ -156,6 +162,7 @@
       plain('generation', one.control.stored?.offer.generation ?? 0),
       plain('pieces', one.control.pieces.size),
       plain('piece_requests_missed_total', one.missedPieceRequests),
+      plain('invariant_violations_total', totalViolations(one.violations)),
       plain('loop_lag_worst_ms', worstLag),
       plain('foreign_channels_total', yard.foreign),
       plain('memory_bytes', process.memoryUsage.rss()),
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -10,3 +10,4 @@
 export * from './store/step.js';
 export * from './store/store.js';
 export * from './failure/failure.js';
+export * from './invariant/violations.js';
