An edge that runs a replaced description refuses; denials and offers go by the newest one

Class: a fence that is measured against something that lags behind the confirmation. Mend: registries tell the newest confirmed generation and for how long they have known it; a node denies routes only by that one, and from nine tenths of apply_s on answers nothing by an older one, as long as it has a fresh word of the primary; a roll-out holds the newest offer back for 800 ms at the most. apply_s is read from the settings. Invariants besides: no registry is told of an older description than one it was told as confirmed; no node goes back within a life.

--- a/packages/membership/src/registry/machine.ts
+++ b/packages/membership/src/registry/machine.ts
@@ -1,8 +1,10 @@
 import {
   type Moment,
   type Step,
+  countViolations,
   earlier,
   join,
+  noGeneration,
   noSeq,
   put,
   sift,
@@ -14,6 +16,7 @@
   type Peer,
   type Frame,
   type FrameOf,
+  type Offer,
   type WireEffect,
   log,
   send,
@@ -178,6 +181,9 @@
   );
 };
 
+const isNewerOffer = (next: Offer | undefined, known: Offer | undefined): boolean =>
+  next !== undefined && next.generation > (known?.generation ?? noGeneration);
+
 const onFeed = (state: Registry, word: FrameOf<'feed'>, now: Moment): Done => {
   if (word.epoch < state.feed.epoch) return step(state);
   if (state.fleet !== undefined && state.fleet !== word.fleet)
@@ -202,6 +208,7 @@
     offers:
       word.desired === undefined ? old.offers : new Map(word.offers.map((one) => [one.hash, one])),
     current: word.current ?? old.current,
+    currentSince: isNewerOffer(word.current, old.current) ? now : old.currentSince,
     purges,
     floor: word.floor,
     top: word.top,
@@ -234,9 +241,24 @@
     feed.top !== old.top ||
     feed.epoch !== old.epoch ||
     feed.current?.generation !== old.current?.generation;
-  return news ? pushToNodes(next, old.top, now) : step(next);
+  const checked = checkConfirmed(next, old.current, feed.current);
+  const told: Done = news ? pushToNodes(checked.state, old.top, now) : step(checked.state);
+  return join(checked.effects, told);
 };
 
+/** A primary that tells of an older description than the one before has lost a confirmed order. */
+const checkConfirmed = (
+  state: Registry,
+  known: Offer | undefined,
+  told: Offer | undefined,
+): Done =>
+  (told?.generation ?? noGeneration) >= (known?.generation ?? noGeneration)
+    ? step(state)
+    : step(
+        { ...state, violations: countViolations(state.violations, ['confirmed-kept']) },
+        log('error', 'an invariant is broken', ['invariant', 'confirmed-kept']),
+      );
+
 /** How far the primary may rely on this registry's vote. */
 const voterReadiness = (state: Registry, now: Moment): FrameOf<'subscribe'>['voter'] => {
   if (state.stopping) return 'leaving';
--- a/packages/membership/src/registry/nodes.ts
+++ b/packages/membership/src/registry/nodes.ts
@@ -5,6 +5,7 @@
   type Hash,
   type Moment,
   type Step,
+  between,
   drop,
   join,
   later,
@@ -34,6 +35,8 @@
 const firstRetryDelay = 1000;
 const longestRetryDelay = 15_000;
 const resendInterval = 400;
+/** How long a roll-out may hold the newest description back from a node in touch, whatever the primary's row names. */
+const longestRolloutHold = 800;
 
 const isNewer = (known: KnownSession | undefined, word: KnownSession): boolean =>
   known === undefined ||
@@ -62,22 +65,17 @@
 /** What a node is to run, if this registry's word of the primary counts. */
 const desiredOffer = (state: Registry, known: KnownSession, now: Moment): Offer | undefined => {
   if (servableFeedAge(state, now) === undefined) return offerFromHint(state, known, now);
-  const row = state.feed.desired.get(known.member.node);
+  const { current, currentSince, desired, offers } = state.feed;
+  const row = desired.get(known.member.node);
+  const held = row !== undefined && now - currentSince < longestRolloutHold;
   // A node that runs nothing yet gets the newest at once.
-  const offer =
-    row === undefined || known.report.phase === 'none'
-      ? state.feed.current
-      : state.feed.offers.get(row.hash);
+  const offer = held && known.report.phase !== 'none' ? offers.get(row.hash) : current;
   return offer !== undefined && offer.generation >= known.report.generation ? offer : undefined;
 };
 
-/** The generation that a node is to run: the newest, unless a rollout has not come to it yet. */
-const wantedGeneration = (state: Registry, known: KnownSession): Generation => {
-  const row = state.feed.desired.get(known.member.node);
-  return row === undefined || known.report.phase === 'none'
-    ? (state.feed.current?.generation ?? noGeneration)
-    : row.generation;
-};
+/** The newest confirmed generation: a node that runs an older one may not deny a route, and not go on with its own for long. */
+const newestGeneration = (state: Registry): Generation =>
+  state.feed.current?.generation ?? noGeneration;
 
 /** The reconcile of every message: the offer to send with the answer, if any. */
 const reconcile = (
@@ -160,7 +158,6 @@
   at: Moment,
   purged: number,
   offer: Offer | undefined,
-  wanted: Generation,
   releases: ReleaseState[],
   now: Moment,
 ): FrameOf<'heartbeat-reply'> => {
@@ -173,7 +170,8 @@
     epoch: state.feed.epoch,
     ...(age === undefined ? {} : { age }),
     ...(offer === undefined ? {} : { offer }),
-    wanted,
+    newest: newestGeneration(state),
+    newestAge: between(state.feed.currentSince, now),
     purges: state.feed.purges.filter((one) => one.seq > purged),
     floor: state.feed.floor,
     top: state.feed.top,
@@ -213,7 +211,6 @@
       word.at,
       word.purged,
       checked.offer,
-      wantedGeneration(checked.state, known),
       unknownReleases(releaseRecords(checked.state, now), word.releases),
       now,
     ),
@@ -252,7 +249,6 @@
             start,
             purged,
             checked.offer,
-            wantedGeneration(checked.state, known),
             unknownReleases(all, known.releases),
             now,
           ),
--- a/packages/membership/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -12,8 +12,10 @@
   type Moment,
   type NodeId,
   type Seq,
+  type Violations,
   noEpoch,
   noSeq,
+  noViolations,
   start,
 } from '@switchwheel/types';
 import type {
@@ -57,6 +59,8 @@
   >;
   readonly offers: ReadonlyMap<Hash, Offer>;
   readonly current: Offer | undefined;
+  /** When the current offer was first heard of here. */
+  readonly currentSince: Moment;
   readonly purges: readonly Purge[];
   readonly floor: Seq;
   readonly top: Seq;
@@ -73,6 +77,7 @@
   desired: new Map(),
   offers: new Map(),
   current: undefined,
+  currentSince: start,
   purges: [],
   floor: noSeq,
   top: noSeq,
@@ -172,6 +177,8 @@
   /** Duties that were vacant at the last look. */
   readonly vacantDuties: ReadonlySet<Duty>;
   readonly stopping: boolean;
+  /** How often each invariant was found broken here. */
+  readonly violations: Violations;
   readonly dice: Dice;
 }
 
@@ -209,5 +216,6 @@
   memberListSentAt: start,
   vacantDuties: new Set(),
   stopping: false,
+  violations: noViolations,
   dice,
 });
--- a/packages/proxy-core/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -1,11 +1,11 @@
 import {
   type Moment,
   type Step,
+  countViolations,
   join,
   noGeneration,
   put,
   sift,
-  start,
   step,
   toMoment,
 } from '@switchwheel/types';
@@ -32,6 +32,7 @@
 } from '@switchwheel/membership';
 import { hashOf } from '@switchwheel/configuration';
 import { handOver, heldNow, onHandover, onVote, passDuties, takeVacant } from './duties.js';
+import { learnNewest, noteInForce } from './newest.js';
 import type { Cabin, CabinEffect, CabinEvent } from './state.js';
 
 type Done = Step<Cabin, CabinEffect>;
@@ -56,29 +57,6 @@
 export const mayServe = (state: Cabin, now: Moment): boolean =>
   state.asOf !== undefined && now - state.asOf < cacheLease;
 
-/** How long a node may take its description for the newest without a fresh word of the primary. */
-const currentLease = 2000;
-
-/**
- * Whether this node may say that there is no route: only if its description is known to be the
- * one it has to run. Started on what disks told, or out of touch, it can't know.
- */
-export const knowsAllRoutes = (state: Cabin, now: Moment): boolean =>
-  state.table !== undefined &&
-  state.table.generation >= state.wanted.generation &&
-  state.wanted.asOf !== undefined &&
-  now - state.wanted.asOf < currentLease;
-
-/** Takes in what a registry with a fresh word of the primary says this node has to run. */
-const learnWanted = (known: Cabin['wanted'], word: FrameOf<'heartbeat-reply'>): Cabin['wanted'] => {
-  if (word.age === undefined) return known;
-  const generation = word.wanted > known.generation ? word.wanted : known.generation;
-  // A registry that is behind renews nothing, and neither does a push.
-  if (word.wanted < known.generation || word.at === start) return { ...known, generation };
-  const asOf = toMoment(Math.max(word.at - word.age, known.asOf ?? start));
-  return { generation, asOf };
-};
-
 const reportOf = (state: Cabin, now: Moment): Report => {
   const table = state.table;
   const failed = state.failed;
@@ -232,7 +210,7 @@
     {
       ...takeVacant({ ...before, nodeSession }, word, now),
       verdicts: word.age === undefined ? before.verdicts : word.verdicts,
-      wanted: learnWanted(before.wanted, word),
+      newest: learnNewest(before.newest, word, before.table?.generation ?? noGeneration, now),
       releases: learnReleases(before.releases, word.releases),
       releasesAt: word.age === undefined ? before.releasesAt : now,
     },
@@ -277,6 +255,15 @@
 ): Done => {
   const fitting = state.fitting;
   if (fitting.phase === 'idle' || fitting.offer.generation !== offer.generation) return step(state);
+  if (event.table.generation < (state.table?.generation ?? noGeneration))
+    return step(
+      {
+        ...state,
+        fitting: { phase: 'idle' },
+        violations: countViolations(state.violations, ['generation-rises']),
+      },
+      log('error', 'an invariant is broken', ['invariant', 'generation-rises']),
+    );
   const keep = new Set(offer.pieces);
   const spans =
     fitting.phase === 'compiling'
@@ -288,6 +275,7 @@
   const next: Cabin = {
     ...state,
     table: event.table,
+    newest: noteInForce(state.newest, event.table.generation),
     fitting: { phase: 'idle' },
     failed: undefined,
     pieces: sift(state.pieces, (_, hash) => keep.has(hash)),
--- a/packages/proxy-core/src/cabin/state.ts
+++ b/packages/proxy-core/src/cabin/state.ts
@@ -2,13 +2,13 @@
   type Address,
   type Dice,
   type Duty,
-  type Generation,
   type Hash,
   type Moment,
   type Seq,
   type ServiceName,
-  noGeneration,
+  type Violations,
   noSeq,
+  noViolations,
   start,
 } from '@switchwheel/types';
 import type {
@@ -23,6 +23,7 @@
 import type { Candidate } from '@switchwheel/election';
 import { type NodeSession, newNodeSession } from '@switchwheel/membership';
 import type { Fault, Table } from '@switchwheel/configuration';
+import { type Newest, noNewest } from './newest.js';
 
 /** What a node is doing about an offered description. */
 export type Fitting =
@@ -52,8 +53,7 @@
   readonly purged: Seq;
   /** As of when this node is known to have acted on every accepted purge. */
   readonly asOf: Moment | undefined;
-  /** The highest generation that this node is known to have to run, and as of when it is. */
-  readonly wanted: { readonly generation: Generation; readonly asOf: Moment | undefined };
+  readonly newest: Newest;
   readonly verdicts: readonly Verdict[];
   /** Which release each service's requests go to, as last told. */
   readonly releases: ReadonlyMap<ServiceName, ReleaseState>;
@@ -62,6 +62,8 @@
   /** Since when each duty is seen vacant. */
   readonly vacant: ReadonlyMap<Duty, Moment>;
   readonly stopping: boolean;
+  /** How often each invariant was found broken here. */
+  readonly violations: Violations;
   readonly dice: Dice;
 }
 
@@ -102,12 +104,13 @@
   failed: undefined,
   purged: noSeq,
   asOf: undefined,
-  wanted: { generation: noGeneration, asOf: undefined },
+  newest: noNewest,
   verdicts: [],
   releases: new Map(),
   releasesAt: start,
   candidates: new Map(),
   vacant: new Map(),
   stopping: false,
+  violations: noViolations,
   dice,
 });
--- a/packages/proxy-core/src/index.ts
+++ b/packages/proxy-core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './cabin/state.js';
 export * from './cabin/machine.js';
+export * from './cabin/newest.js';
 export { order } from './cabin/duties.js';
 export * from './keeper/state.js';
 export * from './keeper/keeper.js';
--- a/packages/proxy-core/src/line/edge.ts
+++ b/packages/proxy-core/src/line/edge.ts
@@ -16,7 +16,8 @@
 import { type Desk, type Slip, bornAt, conditional, cutTarget } from '../cache/desk.js';
 import { handOn, ownFields, tagsOf } from '../cache/fields.js';
 import { Flights } from '../cache/flights.js';
-import { knowsAllRoutes, mayServe, takes } from '../cabin/machine.js';
+import { mayServe, takes } from '../cabin/machine.js';
+import { isOverdue, knowsAllRoutes } from '../cabin/newest.js';
 import type { ProxyEffect } from '../proxy/state.js';
 import { Links } from './links.js';
 import {
@@ -30,6 +31,11 @@
 } from './port.js';
 import { type Outcome, Trip } from './trip.js';
 
+/** Within which span after its confirmation a description has to be in force on every node in touch. */
+const applySpan = 2000;
+/** When a caller is told to come back by an edge whose description is replaced. */
+const overdueRetryMs = 200;
+
 /** A request on its way through the filters of an edge. */
 interface Pass {
   readonly call: Call;
@@ -128,6 +134,8 @@
     };
     if (cabin.table === undefined || !takes(cabin, this.#cab.now()))
       return refuse(fault('unready', 'this node is not ready', 1000));
+    if (isOverdue(cabin, this.#cab.now(), applySpan))
+      return refuse(fault('unready', 'a newer description is on its way here', overdueRetryMs));
     const { path } = cutTarget(target);
     if (!path.startsWith('/')) return refuse(fault('malformed', 'a path starts with /', 0));
     const found = match(cabin.table, method, host, path);
--- a/packages/proxy/src/direct/program.ts
+++ b/packages/proxy/src/direct/program.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import { type Address, type AreaName, type NodeId, primary } from '@switchwheel/types';
+import { type Address, type AreaName, type NodeId, primary, totalViolations } from '@switchwheel/types';
 import { type WireEffect, ChannelPool, splitAddress } from '@switchwheel/transport';
 import { build } from '@switchwheel/configuration';
 import { type Bounds, DirectLine, type Words } from '@switchwheel/routing';
@@ -152,7 +152,8 @@
     const one = cabin();
     return metricsText([
       plainReading('generation', one.table?.generation ?? 0),
-      plainReading('wanted_generation', one.wanted.generation),
+      plainReading('newest_generation', one.newest.generation),
+      plainReading('invariant_violations_total', totalViolations(one.violations)),
       plainReading('origins', one.nodeSession.origins.size),
       plainReading('requests_open', line.open),
       plainReading('loop_lag_worst_ms', Math.round(loop.lag())),
--- a/packages/registry/src/run.ts
+++ b/packages/registry/src/run.ts
@@ -1,5 +1,5 @@
 import type Koa from 'koa';
-import type { Address, AreaName, NodeId } from '@switchwheel/types';
+import { type Address, type AreaName, type NodeId, totalViolations } from '@switchwheel/types';
 import { type WireEffect, ChannelPool } from '@switchwheel/transport';
 import {
   type Outside,
@@ -128,6 +128,7 @@
       plain('pieces', one.pieces.size),
       plain('pieces_wanted', one.wanted.size),
       plain('calls_pending', one.pending.size),
+      plain('invariant_violations_total', totalViolations(one.violations)),
       plain('voter_recovering', one.voter.recovering ? 1 : 0),
       plain('loop_lag_worst_ms', worstLag),
       plain('foreign_channels_total', yard.foreign),
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -25,6 +25,7 @@
   cutTarget,
   fieldOf,
   handOn,
+  isOverdue,
   knowsAllRoutes,
 } from '@switchwheel/proxy-core';
 import { Book, type Taste } from '../origin/book.js';
@@ -115,6 +116,8 @@
 /** What is left to the caller when this edge gives up. */
 const marginMs = 15;
 const shortWait = 120;
+/** When a caller is told to come back by an edge whose description is replaced. */
+const overdueRetryMs = 200;
 /** When a caller is told to come back by an edge that stops; another one answers it. */
 const stoppedRetryMs = 100;
 /** How old the word of the primary may be for a trial to go on. */
@@ -230,6 +233,8 @@
     };
     if (this.#stopped) return end(fault('rejected', 'this node is stopping', stoppedRetryMs));
     if (cabin.table === undefined) return end(fault('unready', 'this node is not ready', 300));
+    if (isOverdue(cabin, now, this.#manner.bounds.applyMs))
+      return end(fault('unready', 'a newer description is on its way here', overdueRetryMs));
     const { path } = cutTarget(call.target);
     const found = match(cabin.table, call.method, call.host, path);
     if (found.found !== 'track')
--- a/packages/routing/src/line/port.ts
+++ b/packages/routing/src/line/port.ts
@@ -38,6 +38,8 @@
   readonly ceilingOver: number;
   /** How long what is kept may be told after this edge last was known to have heard of every purge. */
   readonly keptMs: number;
+  /** Within which span after its confirmation a description has to be in force. */
+  readonly applyMs: number;
 }
 export const plainBounds: Bounds = {
   extraShare: 0.2,
@@ -46,6 +48,7 @@
   ceilingWindowMs: 5000,
   ceilingOver: 1.1,
   keptMs: 1500,
+  applyMs: 2000,
 };
 
 /** A request as it came from a caller, with its whole body; names of fields as they came. */
--- a/packages/simulator/src/run/storm.test.ts
+++ b/packages/simulator/src/run/storm.test.ts
@@ -35,6 +35,7 @@
     'places lost and replaced',
     ['lose an area', 'replace a registry', 'kill everything', 'stop all in turn', 'apply'],
   ],
+  ['primaries frozen amid writes', ['freeze store', 'apply', 'purge']],
 ];
 for (const [at, [name, only]] of narrow.entries()) {
   void test(`a storm of ${name}`, () => {
--- a/packages/transport/src/frame/control.ts
+++ b/packages/transport/src/frame/control.ts
@@ -76,8 +76,9 @@
     age: v.optional(g.span),
     epoch: g.epoch,
     offer: v.optional(offer),
-    /** The generation that the node is to run, by this registry's word of the primary. */
-    wanted: g.generation,
+    /** The newest confirmed generation, and how long ago this registry first heard of it. */
+    newest: g.generation,
+    newestAge: g.span,
     purges: v.array(purge),
     floor: g.seq,
     top: g.seq,
--- a/packages/types/src/invariant/violations.ts
+++ b/packages/types/src/invariant/violations.ts
@@ -8,7 +8,11 @@
   /** The table of a store in sync holds each piece of the description in force. */
   | 'description-whole'
   /** An order that is about to be put in force still has each piece that it was found to have. */
-  | 'order-keeps-pieces';
+  | 'order-keeps-pieces'
+  /** No primary tells a registry of a description that is older than one it was told as confirmed. */
+  | 'confirmed-kept'
+  /** Within one life a node puts no older description in force than it runs. */
+  | 'generation-rises';
 
 /** How often each invariant was found broken by this process. */
 export type Violations = ReadonlyMap<Invariant, number>;
