Edges of an area share objects where each one's part of a rate can't fill a cache

Mend: rendezvous hashing gives each object an owner among the edges of an area; where a service is scarce (a part under 5 a second, or one that ran out in the last 5 s) an edge asks the owner first, which tells what it keeps or fetches by the caller's id. Age and the last purge outlived travel along. An owner that is silent, stopping, on another description, out of its part, or over three tenths of its link is done without; what it may have sent counts as the first try.

--- a/packages/proxy-core/src/cabin/machine.ts
+++ b/packages/proxy-core/src/cabin/machine.ts
@@ -360,6 +360,11 @@
           frame.verdict,
         ],
       });
+    // The data side of an edge takes these.
+    case 'object-request':
+    case 'object':
+    case 'object-status':
+      return step(state);
     default:
       return step(
         state,
--- a/packages/proxy/src/direct/program.ts
+++ b/packages/proxy/src/direct/program.ts
@@ -1,6 +1,12 @@
 import { createServer } from 'node:http';
-import { type Address, type AreaName, type NodeId, primary, totalViolations } from '@switchwheel/types';
-import { type WireEffect, ChannelPool, splitAddress } from '@switchwheel/transport';
+import {
+  type Address,
+  type AreaName,
+  type NodeId,
+  primary,
+  totalViolations,
+} from '@switchwheel/types';
+import { type WireEffect, ChannelPool, isObjectFrame, splitAddress } from '@switchwheel/transport';
 import { build } from '@switchwheel/configuration';
 import { type Bounds, DirectLine, type Words } from '@switchwheel/routing';
 import {
@@ -40,6 +46,8 @@
   /** At which path of the same address this edge tells its readings. */
   readonly metricsPath: string;
   readonly cacheBytes: number;
+  /** The rate of this machine's link; infinite if it is not known. */
+  readonly linkBytesPerSecond: number;
   readonly words: Words;
   readonly bounds: Bounds;
   /** How long a stop may take in all, in milliseconds. */
@@ -117,9 +125,19 @@
     { now, cabin },
     cache,
     legs,
-    { area: boot.area, words: boot.words, bounds: boot.bounds, most: mostOpen },
+    {
+      area: boot.area,
+      words: boot.words,
+      bounds: boot.bounds,
+      most: mostOpen,
+      peers: { send: (to, frame) => yard.send(to, frame) },
+      linkBytesPerSecond: boot.linkBytesPerSecond,
+    },
     newDice(),
   );
+  yard.on('frame', (from, frame) => {
+    if (isObjectFrame(frame)) line.hearPeer(from.address, frame);
+  });
   let stopping = false;
   const door = new DirectDoor(line, boot.words, { closing: () => stopping });
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,3 +5,6 @@
 export * from './line/port.js';
 export * from './line/quota.js';
 export * from './line/line.js';
+export * from './sharing/owner.js';
+export * from './sharing/sharing.js';
+export * from './sharing/uploads.js';
--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   type AreaName,
   type Dice,
   type InstanceId,
@@ -12,7 +13,7 @@
   roll,
   tally,
 } from '@switchwheel/types';
-import type { Fields, FrameOf } from '@switchwheel/transport';
+import type { Fields, FrameOf, ObjectFrame } from '@switchwheel/transport';
 import { type Track, chooseRelease, match, pickService } from '@switchwheel/configuration';
 import { isConnected } from '@switchwheel/membership';
 import {
@@ -46,6 +47,14 @@
   type Word,
   type Words,
 } from './port.js';
+import {
+  type ObjectOutcome,
+  type ObjectQuery,
+  ObjectSharing,
+  type PeerPort,
+  type SharedObject,
+} from '../sharing/sharing.js';
+import { Uploads } from '../sharing/uploads.js';
 import { Edges, Quota } from './quota.js';
 import { type Outcome, Tallies } from '../release/tally.js';
 
@@ -56,6 +65,10 @@
   readonly bounds: Bounds;
   /** Requests under way at the most; more are told to come back. */
   readonly most: number;
+  /** The way to other edges, where objects are shared with them. */
+  readonly peers?: PeerPort;
+  /** The rate of this machine's link, where it is known. */
+  readonly linkBytesPerSecond?: number;
 }
 
 /** A request that waits for another one's fetch of the same object. */
@@ -63,6 +76,8 @@
   readonly call: Call;
   readonly tell: Tell;
   readonly until: Moment;
+  /** Whether another edge asks. */
+  readonly forPeer: boolean;
   /** Set once it has been told, or its caller has left. */
   gone: boolean;
   /** What to call when the caller leaves after the request was sent on by itself. */
@@ -102,6 +117,21 @@
   left: boolean;
 }
 
+/** How a request is taken on. */
+interface Serving {
+  /** When its time is over, for one that waited for another one's fetch in vain. */
+  readonly latest?: Moment;
+  /** Whether another edge asks: its own callers count there, and nobody else is asked for it. */
+  readonly forPeer: boolean;
+}
+
+type ObjectAnswer = Parameters<ObjectSharing['tell']>[2];
+
+/** Fields of a request on which a kept object may depend, besides those that its route names. */
+const commonVary: ReadonlySet<string> = new Set(['accept', 'accept-encoding', 'accept-language']);
+const isVaryField = (name: string, track: Track): boolean =>
+  commonVary.has(name) || track.cache?.vary.includes(name) === true;
+
 const tagsIn = (fields: Fields, name: string): readonly string[] =>
   (fieldOf(fields, name) ?? '').split(/[\s,]+/).filter((one) => one !== '');
 
@@ -116,6 +146,8 @@
 /** What is left to the caller when this edge gives up. */
 const marginMs = 15;
 const shortWait = 120;
+/** When a caller is told to come back whose object its owner could not fetch. */
+const ownerRetryMs = 250;
 /** When a caller is told to come back by an edge whose description is replaced. */
 const overdueRetryMs = 200;
 /** When a caller is told to come back by an edge that stops; another one answers it. */
@@ -145,6 +177,8 @@
   readonly #runs = new Map<number, Run>();
   readonly #flights = new Map<string, Flight>();
   readonly #tallies = new Tallies();
+  readonly #sharing: ObjectSharing | undefined;
+  readonly #uploads: Uploads;
   #dice: Dice;
   #epoch = 0;
   #last = 0;
@@ -156,6 +190,9 @@
     this.#legs = legs;
     this.#manner = manner;
     this.#quota = new Quota(manner.bounds, this.#edges);
+    this.#uploads = new Uploads(manner.linkBytesPerSecond ?? Infinity);
+    const self = cab.cabin().nodeSession.member.address;
+    this.#sharing = manner.peers === undefined ? undefined : new ObjectSharing(manner.peers, self);
     this.book = new Book(dice);
     this.#dice = dice;
   }
@@ -177,7 +214,11 @@
   /** Takes over what the fleet looks like. */
   learn(cabin: Cabin): void {
     const now = this.#cab.now();
-    this.#edges.note(cabin.nodeSession.members.filter((one) => one.role === 'edge').length, now);
+    const edges = cabin.nodeSession.members.filter((one) => one.role === 'edge');
+    this.#edges.note(edges.length, now);
+    this.#sharing?.learn(
+      edges.filter((one) => one.area === this.#manner.area).map((one) => one.address),
+    );
     this.#tallies.note(cabin.releases.values(), now);
     for (const instance of this.book.learn(cabin.nodeSession.origins, now))
       this.#legs.forget(instance);
@@ -185,11 +226,19 @@
 
   /** Takes a whole request on; gives what to call when the caller leaves. */
   serve(call: Call, tell: Tell): () => void {
-    return this.#serve(call, tell, undefined);
+    return this.#serve(call, tell, { forPeer: false });
+  }
+
+  /** Takes a frame of another edge on. */
+  hearPeer(from: Address, frame: ObjectFrame): void {
+    const now = this.#cab.now();
+    if (frame.kind === 'object-request') this.#serveObject(from, frame);
+    else this.#sharing?.hear(from, frame, now);
   }
 
   /** Lets time pass: what is late may get another origin, what is over is told. */
   tick(now: Moment): void {
+    this.#sharing?.tick(now);
     for (const run of [...this.#runs.values()]) {
       this.#expireWaiters(run.flight, now);
       if (now >= run.trip.until) this.#event(run, { kind: 'expired', now });
@@ -223,8 +272,40 @@
     return many;
   }
 
-  /** Takes a request on; `latest` is given for one that waited in vain, and is when its time is over. */
-  #serve(call: Call, tell: Tell, latest: Moment | undefined): () => void {
+  /** Answers another edge with an object that this one owns: kept, or fetched if this edge's part allows it. */
+  #serveObject(to: Address, asked: FrameOf<'object-request'>): void {
+    const answer = (word: ObjectAnswer): void =>
+      this.#sharing?.tell(to, asked.id, word, this.#cab.now());
+    const table = this.#cab.cabin().table;
+    const isShared = table?.tracks.get(asked.route)?.cache !== undefined;
+    const now = this.#cab.now();
+    if (!isShared || table.generation !== asked.generation || !this.#uploads.reserve(now)) {
+      answer('refused');
+      return;
+    }
+    this.bump('peer_asked');
+    const progress = { told: false };
+    const call: Call = {
+      id: asked.callerId,
+      method: 'GET',
+      host: asked.host,
+      target: asked.target,
+      fields: [...asked.fields, [this.#manner.words.id, asked.callerId]],
+      body: Buffer.alloc(0),
+      spanMs: asked.left,
+    };
+    const tell: Tell = (word) => {
+      progress.told = true;
+      const isObject = word.kind === 'kept' && word.entry.status === 200;
+      this.#uploads.settle(isObject ? word.entry.body.length : 0);
+      answer(isObject ? { ...word.entry, purged: word.purged } : 'refused');
+    };
+    this.#serve(call, tell, { forPeer: true });
+    if (!progress.told) answer('fetching');
+  }
+
+  /** Takes a request on: a caller's, one that waited for a fetch in vain, or one of another edge. */
+  #serve(call: Call, tell: Tell, { latest, forPeer }: Serving): () => void {
     const now = this.#cab.now();
     const cabin = this.#cab.cabin();
     const end = (word: Word): (() => void) => {
@@ -245,21 +326,21 @@
       );
     const track = found.track;
     const service = pickService(track, this.#roll());
-    if (latest === undefined) this.#quota.asked(service, now);
+    if (latest === undefined && !forPeer) this.#quota.asked(service, now);
     const until = latest ?? deadlineOf(call, track, now);
     const slip = this.#desk.slip(track, call.method, call.host, call.target, call.fields);
     const kept = slip === undefined ? undefined : this.#kept(slip, cabin, now);
     if (kept !== undefined) {
       this.bump('kept');
-      return end({ kind: 'kept', entry: kept, at: now });
+      return end({ kind: 'kept', entry: kept, purged: cabin.purged });
     }
     // The answer to a HEAD request has no body: it can be neither kept nor shared as the object.
     const fetched = call.method === 'GET' ? slip : undefined;
     const flight = this.#flightFor(fetched, now);
-    if (flight !== undefined) return this.#join(flight, { call, tell, until });
+    if (flight !== undefined) return this.#join(flight, { call, tell, until, forPeer });
     if (this.#runs.size >= this.#manner.most)
       return end(fault('rejected', 'too many requests are under way', 300));
-    return this.#start({ call, track, service, slip: fetched, tell, until }, now);
+    return this.#start({ call, track, service, slip: fetched, tell, until, forPeer }, now);
   }
 
   /** The fetch that a request may wait for, if there is one that is young enough and no purge came since. */
@@ -270,7 +351,7 @@
     return between(flight.since, now) < oldest ? flight : undefined;
   }
 
-  #join(flight: Flight, one: Pick<Waiter, 'call' | 'tell' | 'until'>): () => void {
+  #join(flight: Flight, one: Pick<Waiter, 'call' | 'tell' | 'until' | 'forPeer'>): () => void {
     const waiter: Waiter = { ...one, gone: false, leave: undefined };
     flight.waiters.push(waiter);
     this.bump('joined');
@@ -289,12 +370,17 @@
   }
 
   #start(
-    one: Pick<Run, 'call' | 'track' | 'service' | 'slip' | 'tell'> & { readonly until: Moment },
+    one: Pick<Run, 'call' | 'track' | 'service' | 'slip' | 'tell'> & {
+      readonly until: Moment;
+      readonly forPeer: boolean;
+    },
     now: Moment,
   ): () => void {
     const { track, call } = one;
     this.#last += 1;
-    const most = track.origins ?? (track.repeatable ? 3 : 2);
+    const allowed = track.origins ?? (track.repeatable ? 3 : 2);
+    // An owner tries once: what further tries there may be are the asking edge's.
+    const most = one.forPeer ? 1 : allowed;
     const flight: Flight | undefined =
       one.slip === undefined ? undefined : { since: now, epoch: this.#epoch, waiters: [] };
     const run: Run = {
@@ -309,12 +395,12 @@
       cuts: new Map(),
       births: new Map(),
       trip: newTrip(track.repeatable, most, one.until),
-      lateAt: later(now, this.#lateSpan(one.service, track)),
+      lateAt: undefined,
       left: false,
     };
     this.#runs.set(run.number, run);
     if (one.slip !== undefined && flight !== undefined) this.#flights.set(one.slip.flight, flight);
-    this.#event(run, { kind: 'start', now });
+    if (one.forPeer || !this.#askOwner(run, now)) this.#begin(run, now);
     return () => {
       run.left = true;
       // Others may wait for what can be kept: it goes on without its caller.
@@ -322,6 +408,96 @@
     };
   }
 
+  /** Sends a request to an origin for the first time. */
+  #begin(run: Run, now: Moment): void {
+    run.lateAt = later(now, this.#lateSpan(run.service, run.track));
+    this.#event(run, { kind: 'start', now });
+  }
+
+  /** Asks the edge that owns the object, where this edge's own part of the rate is too small to fetch all of them. */
+  #askOwner(run: Run, now: Moment): boolean {
+    const { slip, track, call } = run;
+    const cabin = this.#cab.cabin();
+    const service = cabin.table?.services.get(run.service);
+    if (slip === undefined || cabin.table === undefined || service === undefined) return false;
+    if (!this.#quota.isScarce(service, now)) return false;
+    const owner = this.#sharing?.ownerOf(slip.flight, now);
+    if (owner === undefined) return false;
+    const query: ObjectQuery = {
+      callerId: call.id,
+      generation: cabin.table.generation,
+      route: track.name,
+      host: call.host,
+      target: call.target,
+      fields: slip.fields.filter(([name]) => isVaryField(name, track)),
+      left: between(now, run.trip.until),
+    };
+    this.bump('owner_asked');
+    this.#sharing?.ask(owner, query, now, (outcome) => this.#onShared(run, outcome));
+    return true;
+  }
+
+  /** The owner of an object told it, or this edge is on its own. */
+  #onShared(run: Run, outcome: ObjectOutcome): void {
+    if (run.trip.phase === 'over') return;
+    const now = this.#cab.now();
+    if (!outcome.found) {
+      this.#beginAfterOwner(run, outcome.mayHaveFetched, now);
+      return;
+    }
+    const { object } = outcome;
+    const entry = this.#entryOf(run, object, now);
+    if (entry === undefined) {
+      this.#beginAfterOwner(run, false, now);
+      return;
+    }
+    this.bump('owner_told');
+    run.trip = { ...run.trip, phase: 'over' };
+    this.#runs.delete(run.number);
+    this.#settle(run, { kind: 'kept', entry, purged: object.purged });
+  }
+
+  /** Goes on without the owner; what it may have sent to an origin counts as a first try of the request. */
+  #beginAfterOwner(run: Run, mayHaveFetched: boolean, now: Moment): void {
+    this.bump('owner_silent');
+    if (!mayHaveFetched) {
+      this.#begin(run, now);
+      return;
+    }
+    if (run.trip.most > 1 && this.#quota.extra(run.service, now)) {
+      run.trip = { ...run.trip, most: run.trip.most - 1 };
+      this.#begin(run, now);
+      return;
+    }
+    this.bump('budget');
+    run.trip = { ...run.trip, phase: 'over' };
+    this.#runs.delete(run.number);
+    this.#settle(run, fault('lost', 'the object could not be fetched', ownerRetryMs));
+  }
+
+  /** A shared object as an entry of this edge's own cache; none if it is too old, or was purged since. */
+  #entryOf(run: Run, object: SharedObject, now: Moment): Entry | undefined {
+    const { slip } = run;
+    if (slip === undefined) return undefined;
+    const lifetime = slip.track.cache?.lifetimeMs ?? 0;
+    const tags = tagsIn(object.fields, this.#manner.words.tags);
+    const isOld = between(object.born, now) >= lifetime;
+    if (isOld || this.#desk.cache.purgedSince(slip.key, tags, object.purged)) return undefined;
+    const entry: Entry = {
+      key: slip.key,
+      vary: new Map(),
+      status: 200,
+      fields: object.fields,
+      body: object.body,
+      digest: '',
+      born: object.born,
+      lifetime,
+      tags,
+    };
+    this.#desk.cache.store(entry, slip.fields, slip.track.cache?.vary ?? [], object.purged, now);
+    return entry;
+  }
+
   #lateSpan(service: ServiceName, track: Track): number {
     return Math.max(3 * this.book.typical(service), Math.min(400, track.goalMs ?? 400), 60);
   }
@@ -500,16 +676,23 @@
   }
 
   #told(run: Run, told: Told, now: Moment): void {
+    this.#settle(run, this.#wordOf(run, told, now));
+  }
+
+  /** Ends a request: its caller and those who waited for its fetch are told. */
+  #settle(run: Run, word: Word): void {
     const { slip, flight } = run;
     if (slip !== undefined && this.#flights.get(slip.flight) === flight)
       this.#flights.delete(slip.flight);
-    const word = this.#wordOf(run, told, now);
     if (!run.left) this.#say(run.tell, word);
     for (const waiter of flight?.waiters ?? []) {
       if (waiter.gone) continue;
       waiter.gone = true;
       if (word.kind === 'kept') this.#say(waiter.tell, word);
-      else waiter.leave = this.#serve(waiter.call, waiter.tell, waiter.until);
+      else {
+        const serving = { latest: waiter.until, forPeer: waiter.forPeer };
+        waiter.leave = this.#serve(waiter.call, waiter.tell, serving);
+      }
     }
   }
 
@@ -534,7 +717,7 @@
     };
     if (entry.lifetime > 0)
       this.#desk.cache.store(entry, slip.fields, slip.track.cache?.vary ?? [], birth.purged, now);
-    return { kind: 'kept', entry, at: now };
+    return { kind: 'kept', entry, purged: birth.purged };
   }
 
   #say(tell: Tell, word: Word): void {
--- a/packages/routing/src/line/port.ts
+++ b/packages/routing/src/line/port.ts
@@ -1,4 +1,4 @@
-import type { Address, InstanceId, Kind, Moment, ServiceName } from '@switchwheel/types';
+import type { Address, InstanceId, Kind, Moment, Seq, ServiceName } from '@switchwheel/types';
 import type { Fields } from '@switchwheel/transport';
 import type { Cabin, Entry } from '@switchwheel/proxy-core';
 import type { Answer } from '../trip/trip.js';
@@ -70,7 +70,12 @@
       readonly text: string;
       readonly retryMs: number;
     }
-  | { readonly kind: 'kept'; readonly entry: Entry; readonly at: Moment }
+  /** An object that may be shared, and the last purge that it is known to have outlived. */
+  | {
+      readonly kind: 'kept';
+      readonly entry: Entry;
+      readonly purged: Seq;
+    }
   | { readonly kind: 'answer'; readonly answer: Answer };
 export type Tell = (word: Word) => void;
 
--- a/packages/routing/src/line/quota.ts
+++ b/packages/routing/src/line/quota.ts
@@ -1,10 +1,14 @@
-import { type Moment, type ServiceName, earlier } from '@switchwheel/types';
+import { type Moment, type ServiceName, earlier, later, start } from '@switchwheel/types';
 import type { Service } from '@switchwheel/configuration';
 import { type Bucket, type Rate, earn, fill, newBucket, take, waitOf } from '../bucket/bucket.js';
 import type { Bounds } from './port.js';
 
 /** How long an edge that is no longer seen still counts: its quota may be in use. */
 const memorySpan = 30_000;
+/** How long a service counts as scarce after this edge's part of its rate ran out. */
+const scarceSpan = 5000;
+/** Fetches a second below which an edge can't fill a cache by itself. */
+const leastFillingRate = 5;
 
 /** How many edges share what a service may be sent: the most seen of late. */
 export class Edges {
@@ -34,6 +38,8 @@
   readonly #edges: Edges;
   readonly #extra = new Map<ServiceName, Bucket>();
   readonly #rate = new Map<ServiceName, Bucket>();
+  /** Until when a service counts as one whose part ran out here. */
+  readonly #scarceUntil = new Map<ServiceName, Moment>();
 
   constructor(bounds: Bounds, edges: Edges) {
     this.#bounds = bounds;
@@ -67,9 +73,20 @@
     const bucket = this.#rate.get(service.name) ?? newBucket(now);
     const next = take(bucket, rate, now);
     this.#rate.set(service.name, next ?? fill(bucket, rate, now));
+    if (next === undefined) this.#scarceUntil.set(service.name, later(now, scarceSpan));
     return next === undefined ? Math.max(1, waitOf(bucket, rate, now)) : 0;
   }
 
+  /**
+   * Whether this edge's part of a service's rate is too small to fetch what its callers ask for: it ran out
+   * of late, or would fill a cache too slowly.
+   */
+  isScarce(service: Service, now: Moment): boolean {
+    if (service.perSecond === undefined) return false;
+    if (this.#ceilingRate(service.perSecond).perSecond < leastFillingRate) return true;
+    return (this.#scarceUntil.get(service.name) ?? start) > now;
+  }
+
   /** How many connections this edge may have to one origin. */
   room(service: Service): number {
     return service.connections === undefined
--- a/packages/transport/src/channel/channel-pool.ts
+++ b/packages/transport/src/channel/channel-pool.ts
@@ -1,7 +1,7 @@
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { EventEmitter } from 'eventemitter3';
 import type { Address } from '@switchwheel/types';
-import type { Frame } from '../frame/frame.js';
+import { type Frame, isObjectFrame } from '../frame/frame.js';
 import { Channel, type Lane } from './channel.js';
 import type { Peer } from './wire.js';
 
@@ -27,6 +27,9 @@
 const maxQueuedFrames = 256;
 const dialTimeout = 1000;
 
+/** Edges speak to each other of objects only. */
+const laneOf = (frame: Frame): Lane => (isObjectFrame(frame) ? 'objects' : 'control');
+
 /** A frame that waits for its channel, and since when. */
 interface WaitingFrame {
   readonly frame: Frame;
@@ -67,7 +70,8 @@
   }
 
   send(to: Address, frame: Frame): void {
-    const line = this.#out.get(to) ?? (this.#in.has(to) ? undefined : this.#dial(to));
+    const line =
+      this.#out.get(to) ?? (this.#in.has(to) ? undefined : this.#dial(to, laneOf(frame)));
     if (line === undefined) {
       const back = this.#in.get(to);
       if (back !== undefined && back.backlog < maxBacklogBytes) back.send(frame);
@@ -92,12 +96,12 @@
     for (const channel of this.#all) channel.terminate('stopping');
   }
 
-  #dial(to: Address): Connection {
+  #dial(to: Address, lane: Lane): Connection {
     const socket = createConnection(splitAddress(to));
     socket.setTimeout(dialTimeout, () => {
       if (!line.up) channel.terminate('no hello in time');
     });
-    const channel = new Channel(socket, this.#me, 'control');
+    const channel = new Channel(socket, this.#me, lane);
     const line: Connection = { channel, up: false, waiting: [] };
     this.#out.set(to, line);
     this.#watch(channel);
--- a/packages/transport/src/channel/channel.test.ts
+++ b/packages/transport/src/channel/channel.test.ts
@@ -75,7 +75,7 @@
   bad[9] = (bad[9] ?? 0) ^ 1;
   const cases: readonly (readonly [readonly Uint8Array[], RegExp])[] = [
     [[Buffer.from('GET / HTTP/1.1\r\n\r\n')], /foreign/],
-    [[encodeFrame(coder.encode({ ...hello, protocol: 99 }))], /protocol 99, this program speaks 2/],
+    [[encodeFrame(coder.encode({ ...hello, protocol: 99 }))], /protocol 99, this program speaks 3/],
     [[encodeFrame(coder.encode(hello)), bad], /checksum/],
     [
       [
--- a/packages/transport/src/channel/channel.ts
+++ b/packages/transport/src/channel/channel.ts
@@ -9,15 +9,18 @@
 import type { Peer } from './wire.js';
 
 /** The generation of the frames; another one is refused plainly. */
-export const protocol = 2;
+export const protocol = 3;
 /** How often each side shows that it is there, and how long it may be silent before the channel is over. */
 export const keepaliveInterval = 500;
 export const silenceTimeout = 2000;
+/** The same between edges that share objects: whoever is silent there is done without after a moment anyway. */
+export const objectsKeepaliveInterval = 4000;
+const objectsSilenceTimeout = 3 * objectsKeepaliveInterval;
 const empty = new Uint8Array();
 const hello = v.object({
   switchwheel: v.literal('hello'),
   protocol: v.number(),
-  lane: v.picklist(['control', 'data']),
+  lane: v.picklist(['control', 'data', 'objects']),
   node: g.nodeId,
   address: g.address,
   incarnation: g.incarnation,
@@ -48,6 +51,7 @@
   /** Since when every frame that came was too old; undefined while they are not. */
   #lateSince: number | undefined;
   #lane: Lane;
+  #timer: NodeJS.Timeout | undefined;
   /** Frames that were dropped as too old. */
   expired = 0;
 
@@ -59,14 +63,13 @@
     const greeting: Hello = { switchwheel: 'hello', protocol, lane, at: performance.now(), ...me };
     socket.write(encodeFrame(coder.encode(greeting)));
     socket.on('data', (bytes: Buffer) => this.#take(bytes));
-    const timer = setInterval(() => this.#look(), keepaliveInterval);
-    timer.unref();
+    this.#scheduleLook();
     socket.on('drain', () => this.emit('drain'));
     socket.on('error', (fault) => {
       this.#why = fault.message;
     });
     socket.on('close', () => {
-      clearInterval(timer);
+      clearTimeout(this.#timer);
       if (this.#over) return;
       this.#over = true;
       this.emit('closed', this.#why);
@@ -100,14 +103,31 @@
     this.#socket.destroy();
   }
 
+  #scheduleLook(): void {
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => {
+      this.#look();
+      if (!this.#over) this.#scheduleLook();
+    }, this.#keepalive);
+    this.#timer.unref();
+  }
+
+  get #keepalive(): number {
+    return this.#lane === 'objects' ? objectsKeepaliveInterval : keepaliveInterval;
+  }
+
+  get #silence(): number {
+    return this.#lane === 'objects' ? objectsSilenceTimeout : silenceTimeout;
+  }
+
   /** Shows that this side is there; ends a channel whose other side is silent, as after a cut that nobody told of. */
   #look(): void {
     const now = performance.now();
     // Whoever slept itself has not listened: that silence is its own.
-    if (now - this.#looked > 2 * keepaliveInterval) this.#heard = now;
+    if (now - this.#looked > 2 * this.#keepalive) this.#heard = now;
     this.#looked = now;
     if (this.#socket.connecting) return;
-    if (now - this.#heard > silenceTimeout) this.terminate('silent');
+    if (now - this.#heard > this.#silence) this.terminate('silent');
     else if (!this.#socket.destroyed && this.#who !== undefined)
       this.#socket.write(encodeFrame(stampFrame(empty, now)));
   }
@@ -142,7 +162,7 @@
       this.terminate(`foreign: ${frame.error.text}`);
       return;
     }
-    if (late && this.#lane === 'control' && expires(frame.value)) this.expired += 1;
+    if (late && this.#lane !== 'data' && expires(frame.value)) this.expired += 1;
     else this.emit('frame', frame.value);
   }
 
@@ -172,7 +192,10 @@
     }
     const { node, address, incarnation, at } = read.output;
     if (at !== undefined) this.#age.of(at, performance.now());
-    if (read.output.lane === 'data') this.#lane = 'data';
+    if (read.output.lane !== 'control') {
+      this.#lane = read.output.lane;
+      this.#scheduleLook();
+    }
     this.#who = { node, address, incarnation };
     this.emit('up', this.#who, read.output.lane);
   }
--- a/packages/transport/src/frame/frame.ts
+++ b/packages/transport/src/frame/frame.ts
@@ -4,12 +4,19 @@
 import { type Failure, failure } from '@switchwheel/types';
 import { controlFrames } from './control.js';
 import { dataFrames } from './data.js';
+import { objectFrames } from './object.js';
 
-const frame = v.variant('kind', [...controlFrames, ...dataFrames]);
+const frame = v.variant('kind', [...controlFrames, ...dataFrames, ...objectFrames]);
 /** All that processes say to each other. */
 export type Frame = v.InferOutput<typeof frame>;
 export type FrameOf<K extends Frame['kind']> = Extract<Frame, { kind: K }>;
 
+/** Frames by which edges share objects. */
+export type ObjectFrame = FrameOf<'object-request'> | FrameOf<'object'> | FrameOf<'object-status'>;
+
+export const isObjectFrame = (one: Frame): one is ObjectFrame =>
+  one.kind === 'object-request' || one.kind === 'object' || one.kind === 'object-status';
+
 const coder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 
 let last: { readonly value: Frame; readonly bytes: Uint8Array } | undefined;
