--- a/packages/devfleet/src/soak/troubles.ts
+++ b/packages/devfleet/src/soak/troubles.ts
@@ -66,6 +66,7 @@
   readonly #fleet: Fleet;
   readonly #say: (text: string) => void;
   readonly #cuts = new Set<Cut>();
+  readonly #last = new Map<string, Promise<void>>();
   readonly #since = performance.now();
 
   constructor(fleet: Fleet, say: (text: string) => void) {
@@ -80,6 +81,14 @@
 
   async #one(trouble: Trouble): Promise<void> {
     await pause(trouble.at);
+    // A machine whose processes are still starting again has its next trouble when they run.
+    const before = this.#last.get(trouble.machine) ?? Promise.resolve();
+    const done = before.then(() => this.#begin(trouble));
+    this.#last.set(trouble.machine, done);
+    return done;
+  }
+
+  async #begin(trouble: Trouble): Promise<void> {
     const machine = this.#fleet.machine(trouble.machine);
     const at = Math.round(performance.now() - this.#since);
     this.#say(`${at} ms: ${trouble.kind} ${machine.name} for ${Math.round(trouble.forMs)} ms`);
