--- a/packages/routing/src/line/line.ts
+++ b/packages/routing/src/line/line.ts
@@ -53,6 +53,7 @@
   ObjectSharing,
   type PeerPort,
   type SharedObject,
+  maxSharedBytes,
 } from '../sharing/sharing.js';
 import { Uploads } from '../sharing/uploads.js';
 import { Edges, Quota } from './quota.js';
@@ -127,6 +128,9 @@
 
 type ObjectAnswer = Parameters<ObjectSharing['tell']>[2];
 
+const isShareable = ({ status, body }: Entry): boolean =>
+  status === 200 && body.length <= maxSharedBytes;
+
 /** Fields of a request on which a kept object may depend, besides those that its route names. */
 const commonVary: ReadonlySet<string> = new Set(['accept', 'accept-encoding', 'accept-language']);
 const isVaryField = (name: string, track: Track): boolean =>
@@ -296,7 +300,7 @@
     };
     const tell: Tell = (word) => {
       progress.told = true;
-      const isObject = word.kind === 'kept' && word.entry.status === 200;
+      const isObject = word.kind === 'kept' && isShareable(word.entry);
       this.#uploads.settle(isObject ? word.entry.body.length : 0);
       answer(isObject ? { ...word.entry, purged: word.purged } : 'refused');
     };
--- a/packages/routing/src/sharing/sharing.test.ts
+++ b/packages/routing/src/sharing/sharing.test.ts
@@ -22,6 +22,7 @@
 import { DirectLine } from '../line/line.js';
 import { type LegEars, type LegOrder, type Word, plainBounds, plainWords } from '../line/port.js';
 import { Owners } from './owner.js';
+import { maxSharedBytes } from './sharing.js';
 
 const service = toServiceName('clips');
 const host = 'one.example';
@@ -414,6 +415,16 @@
   assert.deepEqual(others[0]?.kinds(), ['answer']);
 });
 
+void test('an object that does not fit a frame is not shared', () => {
+  const run = new Area();
+  const { others } = run.split('/clips/1');
+  others[0]?.ask('/clips/1');
+  run.deliver();
+  run.answer(0, 'x'.repeat(maxSharedBytes + 1));
+  assert.equal(run.fetches.length, 2);
+  assert.equal(run.fetches[1]?.edge, others[0]);
+});
+
 void test('a stop tells those who wait for an owner', () => {
   const run = new Area();
   const { owner, others } = run.split('/clips/1');
--- a/packages/routing/src/sharing/sharing.ts
+++ b/packages/routing/src/sharing/sharing.ts
@@ -27,6 +27,9 @@
 /** Requests to owners that are under way at the most. */
 const maxOpen = 256;
 
+/** The largest object that is shared: it has to fit one frame. */
+export const maxSharedBytes = 4 * 1024 * 1024;
+
 /** Sends frames to other edges. */
 export interface PeerPort {
   readonly send: (to: Address, frame: ObjectFrame) => void;
