--- /dev/null
+++ b/packages/proxy/src/direct/reset-at-end.test.ts
@@ -0,0 +1,54 @@
+/**
+ * An answer without a length ends with its connection. One whose connection is reset right behind its last bytes is not
+ * whole: the runtime's event loop tells such a reset as an orderly end, so the end alone does not show it.
+ */
+import assert from 'node:assert/strict';
+import { createServer } from 'node:net';
+import { test } from 'node:test';
+import { toAddress, toInstanceId, toServiceName } from '@switchwheel/types';
+import { plainWords } from '@switchwheel/routing';
+import { Origins } from './leg.js';
+
+const id = 't1';
+const head = `HTTP/1.1 200 OK\r\n${plainWords.id}: ${id}\r\n\r\n`;
+
+/** What becomes of a request whose answer is cut by a reset right behind its first bytes. */
+const askResetting = async (fresh: boolean): Promise<string> => {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.write(`${head}a part`, () => socket.resetAndDestroy()));
+  });
+  await new Promise<void>((done) => {
+    server.listen(0, '127.0.0.1', done);
+  });
+  const spot = server.address();
+  assert.ok(spot !== null && typeof spot === 'object');
+  const outcome = await new Promise<string>((done) => {
+    new Origins(plainWords).send(
+      {
+        service: toServiceName('acts'),
+        address: toAddress(`127.0.0.1:${spot.port}`),
+        instance: toInstanceId('o1'),
+        id,
+        method: 'GET',
+        target: '/',
+        fields: [[plainWords.id, id]],
+        body: Buffer.alloc(0),
+        spanMs: 1000,
+        fresh,
+      },
+      {
+        answered: () => done('told as whole'),
+        broke: () => done('broke'),
+      },
+    );
+  });
+  server.close();
+  return outcome;
+};
+
+for (const fresh of [true, false]) {
+  void test(`an answer without a length whose connection is reset is not told as whole, on a ${fresh ? 'new' : 'kept'} connection`, async () => {
+    assert.equal(await askResetting(fresh), 'broke');
+  });
+}
