An answer without a length whose connection was reset is not whole

Cause: see the red test before. Mend: when the end of a connection is told, the peer's address is asked for; it is gone after a reset, and there after an orderly end. Red before 2 of 2, after 4 of 4 (the orderly end is told as whole).

--- a/packages/proxy/src/direct/leg.ts
+++ b/packages/proxy/src/direct/leg.ts
@@ -22,6 +22,16 @@
   return out;
 };
 
+/**
+ * Whether a connection whose end was just told was reset. The event loop tells a reset that comes together with the last
+ * bytes as an orderly end; the peer's address, asked for now for the first time, is gone only after a reset.
+ */
+const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
+
+/** Whether only the end of its connection shows where an answer ends. */
+const endsWithConnection = ({ headers }: IncomingMessage): boolean =>
+  headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+
 /** Bytes that come while nothing is asked belong to no request: the connection ends. */
 const onStray = function onStray(this: Socket): void {
   this.destroy();
@@ -81,6 +91,8 @@
       setHost: false,
     });
     let over = false;
+    const ending = { wasReset: false };
+    let stopWatching = (): void => undefined;
     // Whether a whole answer was read: what comes behind it, or happens then, does not spoil it.
     let whole = (): boolean => false;
     // Until the connection is open nothing can have been sent.
@@ -89,6 +101,7 @@
       if (over) return false;
       over = true;
       clearTimeout(late);
+      stopWatching();
       return true;
     };
     const broke = (text: string): void => {
@@ -100,6 +113,12 @@
       if (!sent) broke('the connection did not open');
     }, openMs);
     asked.on('socket', (socket: Socket) => {
+      const noteEnd = (): void => {
+        ending.wasReset = isReset(socket);
+      };
+      // Before the HTTP client hears of the end, and takes an answer without a length for whole.
+      socket.prependListener('end', noteEnd);
+      stopWatching = () => socket.off('end', noteEnd);
       if (!socket.connecting) {
         sent = true;
         return;
@@ -119,7 +138,8 @@
     asked.on('response', (message) => {
       whole = () => message.complete;
       this.#take(order, message, broke, (answer) => {
-        if (end()) ears.answered(answer);
+        if (ending.wasReset && endsWithConnection(message)) broke('the connection was reset');
+        else if (end()) ears.answered(answer);
       });
     });
     asked.end(order.body.length > 0 ? order.body : undefined);
--- a/packages/proxy/src/direct/reset-at-end.test.ts
+++ b/packages/proxy/src/direct/reset-at-end.test.ts
@@ -3,7 +3,7 @@
  * whole: the runtime's event loop tells such a reset as an orderly end, so the end alone does not show it.
  */
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
+import { type Socket, createServer } from 'node:net';
 import { test } from 'node:test';
 import { toAddress, toInstanceId, toServiceName } from '@switchwheel/types';
 import { plainWords } from '@switchwheel/routing';
@@ -12,11 +12,11 @@
 const id = 't1';
 const head = `HTTP/1.1 200 OK\r\n${plainWords.id}: ${id}\r\n\r\n`;
 
-/** What becomes of a request whose answer is cut by a reset right behind its first bytes. */
-const askResetting = async (fresh: boolean): Promise<string> => {
+/** What becomes of a request whose origin ends the connection behind its first bytes. */
+const ask = async (fresh: boolean, finish: (socket: Socket) => void): Promise<string> => {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => socket.write(`${head}a part`, () => socket.resetAndDestroy()));
+    socket.once('data', () => socket.write(`${head}a part`, () => finish(socket)));
   });
   await new Promise<void>((done) => {
     server.listen(0, '127.0.0.1', done);
@@ -49,6 +49,10 @@
 
 for (const fresh of [true, false]) {
   void test(`an answer without a length whose connection is reset is not told as whole, on a ${fresh ? 'new' : 'kept'} connection`, async () => {
-    assert.equal(await askResetting(fresh), 'broke');
+    assert.equal(await ask(fresh, (socket) => socket.resetAndDestroy()), 'broke');
+  });
+
+  void test(`an answer without a length whose connection ends in order is whole, on a ${fresh ? 'new' : 'kept'} connection`, async () => {
+    assert.equal(await ask(fresh, (socket) => socket.end()), 'told as whole');
   });
 }
