review: case 2, an edge takes a late reply to its former process for its own

Cause: queries between edges are numbered from 1 in each life of a process, and a reply is accepted by number and address alone. Change: a script that kills one edge while others fetch objects for it.

--- /dev/null
+++ b/review/2/case.mjs
@@ -0,0 +1,88 @@
+/**
+ * An edge is killed while other edges still fetch objects for it, and is started again. Its new process numbers its
+ * queries from 1 again, so that a late reply to a query of the former process is taken for the reply to a new one.
+ */
+
+import { send } from '../stand-ins/client.mjs';
+import { configuration, order } from '../stand-ins/operator.mjs';
+import { isCalm, runCase } from '../stand-ins/case.mjs';
+import { Objects, Origin } from '../stand-ins/origin.mjs';
+import { sleep } from '../stand-ins/platform.mjs';
+
+const workMs = 1300;
+const killAfterMs = 600;
+const restartDelayMs = 100;
+const trafficMs = 4000;
+/** Zones of which an edge is killed, one after the other. */
+const killedZones = ['busan-a', 'busan-b'];
+/** Requests a second to each edge of the zone; on the small site it is some 40. */
+const perEdgePerSecond = 30;
+const objectCount = 3000;
+const timeLeftMs = 2000;
+
+/** Returns why an answer breaks MIXED; undefined if it does not. */
+const breakOf = ({ id, path, edge, status, seal, body, isWhole }) => {
+  if (status !== 200) return undefined;
+  if (seal === undefined || !isWhole) return `${id}: a success without seal or whole body`;
+  const text = body.toString('latin1');
+  return text.startsWith(`object ${path} version `)
+    ? undefined
+    : `${id}: asked ${edge} for ${path}, got "${text.slice(0, 40)}"`;
+};
+
+/** Sends requests to the edges of a zone, the first since their start, and kills one of them meanwhile. */
+const playZone = async (fleet, record, zone) => {
+  const zoneEdges = fleet.edges.filter((edge) => edge.zone === zone);
+  const [victim] = zoneEdges;
+  const answers = [];
+  const startedAt = Date.now();
+  const trouble = (async () => {
+    if (isCalm) return;
+    await sleep(killAfterMs);
+    record.write('platform', `SIGKILL ${victim.name}`);
+    await victim.kill();
+    await sleep(restartDelayMs);
+    record.write('platform', `starts ${victim.name}`);
+    victim.start();
+  })();
+  for (let sent = 0; Date.now() - startedAt < trafficMs;) {
+    const due = ((Date.now() - startedAt) / 1000) * perEdgePerSecond;
+    for (; sent < due; sent += 1)
+      for (const edge of zoneEdges) {
+        const path = `/clip/${Math.floor(Math.random() * objectCount)}`;
+        answers.push(send(edge, record, { path, timeLeftMs }));
+      }
+    await sleep(5);
+  }
+  await trouble;
+  return Promise.all(answers);
+};
+
+const play = async (fleet, record) => {
+  await fleet.start();
+  const objects = new Objects();
+  const origins = ['busan-a', 'busan-a', 'busan-b', 'busan-b'].map(
+    (zone, index) =>
+      new Origin(fleet, record, {
+        service: 'clip-store',
+        zone,
+        index: index + 1,
+        slots: 32,
+        objects,
+        workMs: () => workMs,
+      }),
+  );
+  await Promise.all(origins.map((origin) => origin.start()));
+  await order(fleet, record, 'PUT', '/api/config', configuration(1));
+  await fleet.waitUntilReady(fleet.machines);
+  await sleep(2500);
+  const results = [];
+  for (const zone of killedZones) results.push(...(await playZone(fleet, record, zone)));
+  for (const origin of origins) origin.stop();
+  const served = results.filter(({ status }) => status === 200).length;
+  record.write('case', `${results.length} requests, ${served} answered with success`);
+  if (served < results.length / 4) throw new Error('too few requests were served');
+  return results.map(breakOf).filter((text) => text !== undefined);
+};
+
+await runCase(import.meta.url, play);
