--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,17 +5,20 @@
 
 import { send } from '../stand-ins/client.mjs';
 import { configuration, order } from '../stand-ins/operator.mjs';
-import { isCalm, runCase } from '../stand-ins/case.mjs';
+import { runCase } from '../stand-ins/case.mjs';
 import { Objects, Origin } from '../stand-ins/origin.mjs';
 import { sleep } from '../stand-ins/platform.mjs';
 
-/** Working time of the origins, and time from an edge's first request to its kill; the later rounds allow a slower start. */
+/** Working time of a warm origin, and time from an edge's first request to its kill; a later round allows a slower start. */
 const rounds = [
-  { workMs: 1300, killAfterMs: 600 },
-  { workMs: 1500, killAfterMs: 400 },
-  { workMs: 1300, killAfterMs: 600 },
-  { workMs: 1500, killAfterMs: 600 },
+  { workMs: 650, killAfterMs: 600 },
+  { workMs: 750, killAfterMs: 400 },
+  { workMs: 750, killAfterMs: 600 },
 ];
+/** Whether the disruption is left out. */
+const isCalm = process.env.TROUBLE === '0';
+/** Time for which a new origin is slow: `cold_s` of the site file. */
+const coldMs = 3000;
 const restartDelayMs = 100;
 const trafficMs = 4000;
 /** Requests a second to the edges of the zone, the one that is killed first; the platform's shares are not even. */
@@ -74,12 +77,14 @@
         slots: 32,
         objects,
         workMs: () => workMs,
+        coldMs,
       }),
   );
-  await Promise.all(origins.map((origin) => origin.start()));
   await order(fleet, record, 'PUT', '/api/config', configuration(1));
   await fleet.waitUntilReady(fleet.machines);
   await sleep(2500);
+  await Promise.all(origins.map((origin) => origin.start()));
+  await sleep(500);
   const results = await playZone(fleet, record, 'busan-a', killAfterMs);
   for (const origin of origins) origin.stop();
   const served = results.filter(({ status }) => status === 200).length;
--- a/review/stand-ins/case.mjs
+++ b/review/stand-ins/case.mjs
@@ -26,9 +26,6 @@
   }
 }
 
-/** Whether the disruption is left out. */
-export const isCalm = process.env.TROUBLE === '0';
-
 /**
  * Runs a case, on a fleet of its own for each of `rounds`, up to the first round that breaks the rule. `play` gets the
  * round and resolves with the list of breaks that were seen.
--- a/review/stand-ins/origin.mjs
+++ b/review/stand-ins/origin.mjs
@@ -9,6 +9,8 @@
 import { sleep } from './platform.mjs';
 
 const queueLength = 128;
+/** `cold_x` of the site file. */
+const coldFactor = 2;
 
 /** Versioned objects that all origins of a service hold; `replacedAt` has the time at which each version ended. */
 export class Objects {
@@ -42,10 +44,13 @@
 export const sealOf = (path, version) =>
   createHash('sha1').update(`${path} ${version}`).digest('hex').slice(0, 16);
 
-/** One origin. `workMs` gives the working time of a request in milliseconds. */
+/**
+ * One origin. `workMs` gives the working time of a request in milliseconds; for `coldMs` from its start the origin takes
+ * `coldFactor` times as long.
+ */
 export class Origin {
-  constructor(fleet, record, { service, zone, index, slots, objects, workMs }) {
-    Object.assign(this, { fleet, record, service, zone, slots, objects, workMs });
+  constructor(fleet, record, { service, zone, index, slots, objects, workMs, coldMs = 0 }) {
+    Object.assign(this, { fleet, record, service, zone, slots, objects, workMs, coldMs });
     this.id = `i-${randomBytes(4).toString('hex')}`;
     this.ip = `${fleet.net}.3.${index}`;
     this.calls = 0;
@@ -66,6 +71,7 @@
       this.server.listen({ host: this.ip, port: 0 }, resolve);
     });
     this.port = this.server.address().port;
+    this.coldUntil = Date.now() + this.coldMs;
     void this.#report();
   }
 
@@ -89,10 +95,14 @@
     return {
       addr: `${this.ip}:${this.port}`,
       sysinfo: { svc: this.service, ver: 'v1', zone: this.zone, slots: this.slots },
-      stat: { phase, calls: this.calls, warmup_s: 0 },
+      stat: { phase, calls: this.calls, warmup_s: this.#coldLeftMs / 1000 },
     };
   }
 
+  get #coldLeftMs() {
+    return Math.max(0, this.coldUntil - Date.now());
+  }
+
   stop() {
     this.isStopped = true;
     this.server.closeAllConnections();
@@ -133,9 +143,9 @@
       return;
     }
     if (id === undefined) return this.#refuse(response, 400);
-    this.arrivals.push({ id, at: Date.now(), path: request.url });
     const wanted = request.headers['want-instance'];
     if (wanted !== undefined && wanted !== this.id) return this.#refuse(response, 421);
+    this.arrivals.push({ id, at: Date.now(), path: request.url });
     if (this.busy >= this.slots && this.waiting.length >= queueLength)
       return this.#refuse(response, 503);
     const job = { request, response, body, id };
@@ -161,7 +171,7 @@
       path,
       bytes: body.length,
     });
-    await sleep(this.workMs(path));
+    await sleep(this.workMs(path) * (this.#coldLeftMs > 0 ? coldFactor : 1));
     if (!response.destroyed) {
       const content = bodyOf(path, version);
       response.setHeader('Edge-Seal', sealOf(path, version));
