--- a/packages/proxy/src/direct-edge/start-edge.ts
+++ b/packages/proxy/src/direct-edge/start-edge.ts
@@ -5,12 +5,7 @@
 
 import type { Server } from 'node:http';
 import type { Address, NodeId, ZoneName } from '@switchwheel/types';
-import {
-  ChannelPool,
-  type Member,
-  type ProcessEffect,
-  isObjectFrame,
-} from '@switchwheel/transport';
+import { ChannelPool, type Member, type ProcessEffect } from '@switchwheel/transport';
 import { type EdgeLimits, EdgeRouter, type HeaderNames } from '@switchwheel/routing';
 import {
   Cache,
@@ -35,6 +30,7 @@
 import { drainRequests } from './drain.js';
 import { edgeMetrics } from './edge-metrics.js';
 import { EdgeTicker } from './edge-ticker.js';
+import { connectObjectChannels } from './object-channels.js';
 import { HttpOriginClient } from './origin-client.js';
 import { Readiness } from './readiness.js';
 import { startStatusServer } from './status-server.js';
@@ -123,12 +119,7 @@
   );
   const nodeAgent = loop.stateMachine.state;
   const router = newRouter(settings, channels, cache, nodeAgent);
-  channels.on('frame', (from, frame) => {
-    if (isObjectFrame(frame)) router.handlePeerFrame(from.address, frame);
-  });
-  channels.on('disconnected', (address, wasEstablished) =>
-    router.handlePeerDisconnect(address, wasEstablished),
-  );
+  connectObjectChannels(channels, router);
   const readiness = new Readiness();
   const listener = new ClientListener(router, settings.headerNames, {
     isClosing: () => readiness.isStopping,
--- a/packages/routing/src/object-sharing/object-sharing.test.ts
+++ b/packages/routing/src/object-sharing/object-sharing.test.ts
@@ -236,7 +236,8 @@
   requester.request('/clips/1');
   zone.deliver();
   zone.unreachable.delete(owner.member.address);
-  requester.router.handlePeerFrame(owner.member.address, {
+  const connection = { address: owner.member.address, send: () => true };
+  requester.router.handlePeerFrame(connection, {
     kind: 'object-status',
     id: 1_000,
     state: 'refused',
--- a/packages/routing/src/object-sharing/object-sharing.ts
+++ b/packages/routing/src/object-sharing/object-sharing.ts
@@ -19,7 +19,8 @@
   addMs,
   clockOrigin,
 } from '@switchwheel/types';
-import type { HeaderFields, FrameOf, ObjectFrame } from '@switchwheel/transport';
+import type { HeaderFields, FrameOf } from '@switchwheel/transport';
+import type { RandomSource } from '../random/random-source.js';
 import { ObjectOwners } from './object-owners.js';
 
 /** Timeout for the first reply of an owner; allows for client responses queued before it on the same link. */
@@ -37,9 +38,19 @@
 /** Maximum size of a shared object in bytes; it must fit one frame. */
 export const maxSharedBytes = 4 * 1024 * 1024;
 
-/** Sends frames to other edges. */
+/** Sends requests to other edges. */
 export interface PeerPort {
-  readonly send: (to: Address, frame: ObjectFrame) => void;
+  readonly send: (to: Address, frame: FrameOf<'object-request'>) => void;
+}
+
+/** Reply to a request for an object. */
+type ObjectReplyFrame = FrameOf<'object'> | FrameOf<'object-status'>;
+
+/** Connection to one process of another edge; it ends with that process, whichever process has its address next. */
+export interface PeerConnection {
+  readonly address: Address;
+  /** Returns false if the connection has ended. */
+  readonly send: (frame: ObjectReplyFrame) => boolean;
 }
 
 /** Request for an object, with the members of the `object-request` frame. */
@@ -104,6 +115,19 @@
   isFetching: boolean;
 }
 
+/** Range of each half of a first query id. */
+const halfIdRange = 2 ** 26;
+
+/**
+ * Draws the first query id of a process from 2^52 numbers, so that it uses no id of an earlier process of this edge, to
+ * which an owner may still reply.
+ */
+const drawFirstQueryId = (random: RandomSource): number => {
+  const high = Math.floor(random.next() * halfIdRange);
+  const low = Math.floor(random.next() * halfIdRange);
+  return high * halfIdRange + low + 1;
+};
+
 /** Pending queries of one edge, and the ownership of objects. */
 export class ObjectSharing {
   readonly #port: PeerPort;
@@ -116,11 +140,12 @@
   #regionOwners = new ObjectOwners([]);
   #zoneEdges: ReadonlySet<Address> = new Set();
   #peersKey = '';
-  #lastQueryId = 0;
+  #nextQueryId: number;
 
-  constructor(port: PeerPort, self: Address) {
+  constructor(port: PeerPort, self: Address, random: RandomSource) {
     this.#port = port;
     this.#self = self;
+    this.#nextQueryId = drawFirstQueryId(random);
   }
 
   /** Sets the edges of the zone and of the region, both including this one. */
@@ -164,25 +189,25 @@
 
   /** Sends a query to an owner. */
   request(owner: Address, query: ObjectQuery, now: Timestamp, handlers: QueryHandlers): void {
-    this.#lastQueryId += 1;
-    this.#pending.set(this.#lastQueryId, {
+    const id = this.#nextQueryId;
+    this.#nextQueryId += 1;
+    this.#pending.set(id, {
       owner,
       requestedAt: now,
       handlers,
       deadline: addMs(now, ownerReplyTimeoutMs),
       isFetching: false,
     });
-    this.#port.send(owner, { kind: 'object-request', id: this.#lastQueryId, ...query });
+    this.#port.send(owner, { kind: 'object-request', id, ...query });
   }
 
-  /** Handles an owner's reply; replies from other edges than the queried one are ignored. */
-  handleReply(
-    from: Address,
-    frame: FrameOf<'object'> | FrameOf<'object-status'>,
-    now: Timestamp,
-  ): void {
+  /**
+   * Handles an owner's reply. Returns false for a reply to no pending query of this process: one that comes after its
+   * timeout, is meant for an earlier process at this address, or is from another edge than the queried one.
+   */
+  handleReply(from: Address, frame: ObjectReplyFrame, now: Timestamp): boolean {
     const query = this.#pending.get(frame.id);
-    if (query?.owner !== from) return;
+    if (query?.owner !== from) return false;
     if (frame.kind === 'object') {
       const { purged, fields } = frame;
       const createdAt = subtractMs(query.requestedAt, frame.age);
@@ -199,6 +224,7 @@
       query.isFetching = true;
       query.deadline = addMs(now, ownerFetchTimeoutMs);
     }
+    return true;
   }
 
   /** Records that a frame of another edge was received. */
@@ -241,28 +267,6 @@
     this.#backoffUntil.set(owner, addMs(now, unresponsiveOwnerBackoffMs));
   }
 
-  /** Sends a reply to another edge's request for an object. */
-  reply(to: Address, id: number, reply: ObjectReply, now: Timestamp): void {
-    if (reply === 'fetching') {
-      this.#port.send(to, { kind: 'object-status', id, state: 'fetching' });
-      return;
-    }
-    if ('isUnsent' in reply) {
-      const { isUnsent, retryAfterMs } = reply;
-      const refusal = { kind: 'object-status', id, state: 'refused', unsent: isUnsent } as const;
-      this.#port.send(
-        to,
-        retryAfterMs === undefined
-          ? refusal
-          : { ...refusal, retryAfter: toDurationMs(Math.max(1, Math.ceil(retryAfterMs))) },
-      );
-      return;
-    }
-    const { createdAt, purged, fields, body } = reply;
-    const age = elapsedMs(createdAt, now);
-    this.#port.send(to, { kind: 'object', id, age, purged, fields, body });
-  }
-
   #isAvailable(edge: Address, now: Timestamp): boolean {
     return edge === this.#self || (this.#backoffUntil.get(edge) ?? clockOrigin) <= now;
   }
@@ -272,3 +276,20 @@
     query.handlers.onOutcome(outcome);
   }
 }
+
+/** Returns the frame of a reply to another edge's request for an object. */
+export const replyFrame = (id: number, reply: ObjectReply, now: Timestamp): ObjectReplyFrame => {
+  if (reply === 'fetching') return { kind: 'object-status', id, state: 'fetching' };
+  if ('isUnsent' in reply) return refusalFrame(id, reply);
+  const { createdAt, purged, fields, body } = reply;
+  return { kind: 'object', id, age: elapsedMs(createdAt, now), purged, fields, body };
+};
+
+const refusalFrame = (
+  id: number,
+  { isUnsent, retryAfterMs }: ObjectRefusal,
+): FrameOf<'object-status'> => {
+  const refusal = { kind: 'object-status', id, state: 'refused', unsent: isUnsent } as const;
+  if (retryAfterMs === undefined) return refusal;
+  return { ...refusal, retryAfter: toDurationMs(Math.max(1, Math.ceil(retryAfterMs))) };
+};
--- a/packages/routing/src/router/edge-router.ts
+++ b/packages/routing/src/router/edge-router.ts
@@ -24,7 +24,7 @@
 } from '@switchwheel/proxy-core';
 import { newRequestState } from '../attempt-state/attempt-state.js';
 import { EndpointTable } from '../endpoint/endpoint-table.js';
-import type { PeerPort } from '../object-sharing/object-sharing.js';
+import type { PeerConnection, PeerPort } from '../object-sharing/object-sharing.js';
 import { EdgeCount, QuotaShare } from '../quota/quota-share.js';
 import { RandomSource } from '../random/random-source.js';
 import { RolloutCounters } from '../rollout/rollout-counters.js';
@@ -134,6 +134,7 @@
       headerNames,
       quota,
       counts,
+      random,
       peers: options.peers,
       linkBytesPerSecond: options.linkBytesPerSecond ?? Infinity,
       serveForPeer: (request, requester, reply) => this.#accept(request, reply, { requester }),
@@ -196,7 +197,7 @@
   }
 
   /** Handles a frame received from another edge. */
-  handlePeerFrame(from: Address, frame: ObjectFrame): void {
+  handlePeerFrame(from: PeerConnection, frame: ObjectFrame): void {
     this.#peerObjects.handleFrame(from, frame);
   }
 
--- a/packages/routing/src/router/peer-objects.ts
+++ b/packages/routing/src/router/peer-objects.ts
@@ -21,12 +21,15 @@
   type ObjectRefusal,
   type ObjectReply,
   ObjectSharing,
+  type PeerConnection,
   type PeerPort,
   type QueryHandlers,
   maxSharedBytes,
+  replyFrame,
 } from '../object-sharing/object-sharing.js';
 import { PeerBandwidthBySize } from '../object-sharing/peer-bandwidth.js';
 import type { QuotaShare } from '../quota/quota-share.js';
+import type { RandomSource } from '../random/random-source.js';
 import type { ActiveRequest } from './active-request.js';
 import type {
   ClientReply,
@@ -50,6 +53,7 @@
   readonly headerNames: HeaderNames;
   readonly quota: QuotaShare;
   readonly counts: Map<string, number>;
+  readonly random: RandomSource;
   /** Connection to other edges; undefined disables object sharing. */
   readonly peers: PeerPort | undefined;
   /** Bandwidth of this machine's link in bytes per second; infinite if unknown. */
@@ -74,7 +78,9 @@
     this.#bandwidth = new PeerBandwidthBySize(options.linkBytesPerSecond);
     const self = options.context.nodeAgent().nodeSession.member.address;
     this.#sharing =
-      options.peers === undefined ? undefined : new ObjectSharing(options.peers, self);
+      options.peers === undefined
+        ? undefined
+        : new ObjectSharing(options.peers, self, options.random);
   }
 
   /** Updates the edges that share objects: those of this edge's region. */
@@ -93,11 +99,13 @@
   }
 
   /** Handles another edge's request for an object, or its reply to a request of this edge. */
-  handleFrame(from: Address, frame: ObjectFrame): void {
-    const now = this.#options.context.now();
-    this.#sharing?.recordHeard(from, now);
+  handleFrame(from: PeerConnection, frame: ObjectFrame): void {
+    const { context, counts } = this.#options;
+    const now = context.now();
+    this.#sharing?.recordHeard(from.address, now);
     if (frame.kind === 'object-request') this.#serveObject(from, frame);
-    else this.#sharing?.handleReply(from, frame, now);
+    else if (this.#sharing?.handleReply(from.address, frame, now) === false)
+      increment(counts, 'owner_unmatched');
   }
 
   /** Records bytes that were sent on this edge's link. */
@@ -197,11 +205,16 @@
     this.#sharing?.request(owner, query, context.now(), { ...handlers, onOutcome });
   }
 
-  /** Replies with an object that this edge owns: from the cache, or fetched if the quota share permits it. */
-  #serveObject(to: Address, query: FrameOf<'object-request'>): void {
+  /**
+   * Replies with an object that this edge owns: from the cache, or fetched if the quota share permits it. The reply goes
+   * to the process that sent the query, never to another one that has taken over its address.
+   */
+  #serveObject(from: PeerConnection, query: FrameOf<'object-request'>): void {
     const { context, counts, headerNames, serveForPeer } = this.#options;
-    const respond = (reply: ObjectReply): void =>
-      this.#sharing?.reply(to, query.id, reply, context.now());
+    const respond = (reply: ObjectReply): void => {
+      const isSent = from.send(replyFrame(query.id, reply, context.now()));
+      if (!isSent) increment(counts, 'peer_gone');
+    };
     if (!this.#mayServe(query, context.now())) {
       increment(counts, 'peer_refused');
       respond({ isUnsent: true });
@@ -219,7 +232,7 @@
     };
     const bandwidth = this.#bandwidth.partFor(query.route);
     const progress = { hasReplied: false };
-    const requester = this.#sharing?.isInZone(to) === true ? 'zoneEdge' : 'remoteEdge';
+    const requester = this.#sharing?.isInZone(from.address) === true ? 'zoneEdge' : 'remoteEdge';
     serveForPeer(request, requester, (reply) => {
       progress.hasReplied = true;
       const isObject = reply.kind === 'cached' && isShareable(reply.entry);
--- a/packages/routing/src/testing/fleet-fixture.ts
+++ b/packages/routing/src/testing/fleet-fixture.ts
@@ -18,6 +18,7 @@
 import type { Member, ObjectFrame } from '@switchwheel/transport';
 import type { CompiledConfiguration } from '@switchwheel/configuration';
 import { type NodeAgent, Cache } from '@switchwheel/proxy-core';
+import type { PeerConnection } from '../object-sharing/object-sharing.js';
 import { EdgeRouter } from '../router/edge-router.js';
 import {
   type AttemptHandlers,
@@ -52,7 +53,7 @@
 
 interface FrameInTransit {
   readonly from: FleetEdge;
-  readonly to: Address;
+  readonly to: FleetEdge;
   readonly frame: ObjectFrame;
 }
 
@@ -65,22 +66,43 @@
 /** All edges of a fleet, with their fetches and the frames between them. */
 export class FleetFixture {
   now = 0;
-  readonly edges: readonly FleetEdge[];
+  /** Current process of each edge. */
+  readonly edges: FleetEdge[];
   readonly fetches: FleetFetch[] = [];
+  /** Whether owners reply to an address, as versions without per-connection replies did, whichever process has it then. */
+  repliesByAddress = false;
   /** Addresses of edges whose frames are lost in both directions. */
   readonly unreachable = new Set<Address>();
+  readonly #members: readonly Member[];
   readonly #framesInTransit: FrameInTransit[] = [];
 
   constructor(readonly options: FleetOptions) {
     const members = membersOf(options);
+    this.#members = members;
     this.edges = members.map(
       (member, index) => new FleetEdge(this, member, members, clockOffsetMs * (index + 1)),
     );
   }
 
-  /** Queues a frame, which is delivered by `deliver`. */
+  /** Queues a frame to the process that has an address now; it is delivered by `deliver`. */
   send(from: FleetEdge, to: Address, frame: ObjectFrame): void {
-    this.#framesInTransit.push({ from, to, frame });
+    const target = this.edges.find((edge) => edge.member.address === to);
+    if (target?.isRunning === true) this.#framesInTransit.push({ from, to: target, frame });
+  }
+
+  /** Ends an edge's process without notice, which closes its channels. */
+  kill(edge: FleetEdge): void {
+    edge.isRunning = false;
+    for (const other of this.edges)
+      if (other.isRunning) other.router.handlePeerDisconnect(edge.member.address, true);
+  }
+
+  /** Starts a new process, with an empty cache, at the address of one that was killed. */
+  restart(edge: FleetEdge, randomSeed: number): FleetEdge {
+    const member = { ...edge.member, incarnation: toIncarnation(edge.member.incarnation + 1) };
+    const started = new FleetEdge(this, member, this.#members, edge.clockStart, randomSeed);
+    this.edges[this.edges.indexOf(edge)] = started;
+    return started;
   }
 
   /** Delivers all frames, including those sent during delivery. */
@@ -91,19 +113,31 @@
       sent = this.#framesInTransit.shift()
     ) {
       const { from, to, frame } = sent;
-      const target = this.edges.find((edge) => edge.member.address === to);
-      const isLost = this.unreachable.has(to) || this.unreachable.has(from.member.address);
-      if (target !== undefined && !isLost)
-        target.router.handlePeerFrame(from.member.address, frame);
+      const isCut =
+        this.unreachable.has(to.member.address) || this.unreachable.has(from.member.address);
+      if (to.isRunning && !isCut) to.router.handlePeerFrame(this.#connection(to, from), frame);
     }
   }
 
+  /** Returns the connection on which an edge replies to a process of another one. */
+  #connection(self: FleetEdge, peer: FleetEdge): PeerConnection {
+    const { address } = peer.member;
+    return {
+      address,
+      send: (frame) => {
+        if (this.repliesByAddress) this.send(self, address, frame);
+        else if (peer.isRunning) this.#framesInTransit.push({ from: self, to: peer, frame });
+        return this.repliesByAddress || peer.isRunning;
+      },
+    };
+  }
+
   /** Advances the time in steps of a tick, in which all edges tick and frames are delivered. */
   advance(ms: number): void {
     const end = this.now + ms;
     while (this.now < end) {
       this.now = Math.min(end, this.now + tickIntervalMs);
-      for (const edge of this.edges) edge.tick();
+      for (const edge of this.edges) if (edge.isRunning) edge.tick();
       this.deliver();
     }
   }
@@ -111,7 +145,9 @@
   /** Responds to a fetch by its index. */
   respond(index: number, body = 'body', status = 200): void {
     const fields: AttemptRequest['fields'] = [['cache-tag', 't1']];
-    this.fetches[index]?.handlers.onResponse({
+    const fetch = this.fetches[index];
+    if (fetch?.edge.isRunning !== true) return;
+    fetch.handlers.onResponse({
       status,
       fields,
       body: Buffer.from(body),
@@ -132,9 +168,17 @@
     })),
   );
 
-/** One edge of a fleet, with the replies that its clients received. */
+/** A client's request that was replied to. */
+export interface AnsweredRequest {
+  readonly target: string;
+  readonly reply: ClientReply;
+}
+
+/** One process of an edge of a fleet, with the replies that its clients received. */
 export class FleetEdge {
+  isRunning = true;
   readonly replies: ClientReply[] = [];
+  readonly answered: AnsweredRequest[] = [];
   readonly cache = new Cache(cacheBytes);
   readonly router: EdgeRouter;
   nodeAgent: NodeAgent;
@@ -145,6 +189,7 @@
     readonly member: Member,
     members: readonly Member[],
     readonly clockStart: number,
+    randomSeed = clockStart,
   ) {
     const { configuration, service, origins } = fleet.options;
     this.nodeAgent = newConfirmedEdgeAgent({
@@ -175,7 +220,7 @@
         linkBytesPerSecond: fleet.options.linkBytesPerSecond ?? Infinity,
         peers: { send: (to, frame) => fleet.send(this, to, frame) },
       },
-      { seed: clockStart },
+      { seed: randomSeed },
     );
     this.router.updateFleet(this.nodeAgent);
   }
@@ -201,7 +246,7 @@
   /** Sends a client's request to this edge. */
   request(target: string, method = 'GET', fields: AttemptRequest['fields'] = []): void {
     const request: IncomingRequest = {
-      id: `${this.member.node}-${this.#requestCount}`,
+      id: `${this.member.node}-${this.member.incarnation}-${this.#requestCount}`,
       method,
       host: this.fleet.options.host,
       target,
@@ -210,7 +255,10 @@
       timeoutMs: requestTimeoutMs,
     };
     this.#requestCount += 1;
-    this.router.serve(request, (reply) => this.replies.push(reply));
+    this.router.serve(request, (reply) => {
+      this.replies.push(reply);
+      this.answered.push({ target, reply });
+    });
   }
 
   /** Applies a purge of one object. */
--- a/packages/transport/src/channel/channel-pool.ts
+++ b/packages/transport/src/channel/channel-pool.ts
@@ -26,8 +26,6 @@
   dataChannel: (channel: Channel, peer: Peer) => void;
 }
 
-/** Maximum backlog of a channel; further frames are dropped while it is reached. */
-const maxBacklogBytes = 32 * 1024 * 1024;
 /** Maximum number of frames that wait for a connection; further ones are dropped. */
 const maxQueuedFrames = 256;
 const helloTimeoutMs = 1000;
@@ -49,10 +47,6 @@
   readonly queue: QueuedFrame[];
 }
 
-const sendUnlessBacklogged = (channel: Channel, frame: Frame): void => {
-  if (channel.backlogBytes < maxBacklogBytes) channel.send(frame);
-};
-
 /** All inbound and outbound channels of a process, by the address of the peer. */
 export class ChannelPool extends EventEmitter<PoolEvents> {
   readonly #self: Peer;
@@ -88,10 +82,10 @@
       this.#outbound.get(to) ??
       (inbound === undefined ? this.#connect(to, channelKindFor(frame)) : undefined);
     if (outbound === undefined) {
-      if (inbound !== undefined) sendUnlessBacklogged(inbound, frame);
+      inbound?.sendUnlessBacklogged(frame);
       return;
     }
-    if (outbound.isUp) sendUnlessBacklogged(outbound.channel, frame);
+    if (outbound.isUp) outbound.channel.sendUnlessBacklogged(frame);
     else if (outbound.queue.length < maxQueuedFrames)
       outbound.queue.push({ frame, sentAt: performance.now() });
   }
--- a/packages/transport/src/channel/channel.ts
+++ b/packages/transport/src/channel/channel.ts
@@ -30,6 +30,9 @@
 export const objectKeepaliveIntervalMs = 4000;
 const objectKeepaliveTimeoutMs = 3 * objectKeepaliveIntervalMs;
 
+/** Maximum backlog of a channel; {@link Channel.sendUnlessBacklogged} drops frames while it is reached. */
+const maxBacklogBytes = 32 * 1024 * 1024;
+
 /** Body of a keepalive, which consists of its send time only. */
 const emptyBody = new Uint8Array();
 
@@ -92,6 +95,11 @@
     return true;
   }
 
+  /** Sends a frame, or drops it while the backlog is full; returns false if it was dropped or the channel is closed. */
+  sendUnlessBacklogged(frame: Frame): boolean {
+    return this.backlogBytes < maxBacklogBytes && this.send(frame);
+  }
+
   /** Closes the channel immediately; `closed` is emitted with the reason. */
   terminate(reason: string): void {
     this.#closeReason = reason;
--- a/packages/transport/src/frame/edge-edge.ts
+++ b/packages/transport/src/frame/edge-edge.ts
@@ -5,7 +5,7 @@
 import { headerFields } from './edge-shield.js';
 import { bytes, kind } from './schema-parts.js';
 
-/** Number of a request, unique within an incarnation of the requesting edge. */
+/** Number of a request, which no earlier process of the requesting edge has used. */
 const requestNumber = v.pipe(v.number(), v.integer(), v.minValue(1));
 
 /** Schemas of the request for an object and of the replies to it. */
--- a/packages/transport/src/frame/frame-schemas.test.ts
+++ b/packages/transport/src/frame/frame-schemas.test.ts
@@ -14,7 +14,7 @@
 import * as replication from '../record/replication.js';
 import * as rollout from '../record/rollout.js';
 import { headerFields } from './edge-shield.js';
-import { frameSchemas } from './frame.js';
+import { type Frame, deserializeFrame, frameSchemas, serializeFrame } from './frame.js';
 
 const fixture: unknown = JSON.parse(
   readFileSync(new URL('../../fixtures/frame-schemas.json', import.meta.url), 'utf8'),
@@ -59,3 +59,10 @@
     frameSchemas.length,
   );
 });
+
+void test('numbers of requests for objects stay exact up to the largest safe integer', () => {
+  for (const id of [1, 2 ** 31, 2 ** 32, 2 ** 52 + 1, Number.MAX_SAFE_INTEGER]) {
+    const frame: Frame = { kind: 'object-status', id, state: 'fetching' };
+    assert.deepEqual(deserializeFrame(serializeFrame(frame)).unwrapOr(undefined), frame);
+  }
+});
