Registry: a restarted one takes no feed meant for its earlier process

What follows for callers: an edge behind such a registry that lacks a purge never gets it there, so that it serves nothing from its cache for as long as the primary keeps that purge.

Cause: the primary pushes changes to each address that has subscribed within 3 s, and leaves out what that subscriber has told to have. A registry that restarts in this time took such a push for its own: it held purge 6 of 6 alone, asked for those after 6 from then on, and the others never came. A late reply to the earlier subscription did the same; one from before the machine's restart, when the monotonic clock begins anew, also made the feed fresh until that time of the clock.

Change: a registry takes a feed only if it echoes the time of a subscription of this process, or, a push, if such a reply came before. The fixture's feed now replies to a subscription within the life of the test's registry; before it echoed a time from before its start.

--- a/packages/membership/src/registry/primary-feed.ts
+++ b/packages/membership/src/registry/primary-feed.ts
@@ -6,6 +6,7 @@
 import {
   type Hash,
   type Timestamp,
+  clockOrigin,
   countViolations,
   filterEntries,
   noGeneration,
@@ -83,6 +84,16 @@
         log('error', 'an invariant is broken', ['invariant', 'confirmed-kept']),
       );
 
+/**
+ * Whether a feed is based on a subscription of this process: it echoes the time of one, or follows such a reply. Others
+ * are meant for an earlier process at this address, and leave out what that one had.
+ */
+const followsOwnSubscription = (
+  { feed, voter }: RegistryState,
+  { at }: FrameOf<'feed'>,
+  now: Timestamp,
+): boolean => (at === clockOrigin ? feed.asOf !== undefined : at >= voter.startedAt && at <= now);
+
 /**
  * Applies the primary's feed and pushes changes to the nodes. Ignores frames of an older epoch, and
  * frames of the same epoch that arrive after a newer one.
@@ -93,6 +104,7 @@
   now: Timestamp,
 ): RegistryTransition => {
   const before = state.feed;
+  if (!followsOwnSubscription(state, frame, now)) return transition(state);
   if (frame.epoch < before.epoch) return transition(state);
   if (state.fleet !== undefined && state.fleet !== frame.fleet)
     return transition(
--- a/packages/membership/src/testing/registry-fixtures.ts
+++ b/packages/membership/src/testing/registry-fixtures.ts
@@ -66,13 +66,13 @@
   ...overrides,
 });
 
-/** Builds a feed of the primary, empty by default. */
+/** Builds a feed of the primary, empty by default; it replies to a subscription at time 1000 of the registry's clock. */
 export const feedOf = (
   serial: number,
   overrides: Partial<FrameOf<'feed'>> = {},
 ): FrameOf<'feed'> => ({
   kind: 'feed',
-  at: toTimestamp(1),
+  at: toTimestamp(1000),
   epoch: toEpoch(1),
   serial: toSeq(serial),
   fleet,
