Election: a vote for a request of before the machine's restart wins no lease

What could follow: a vote echoes the time of its request by the candidate's monotonic clock, and the lease is counted from that time. The clock begins anew when the machine restarts. A vote for a request of before, sent by a voter that was paused meanwhile, could give the new process a lease that ends at that time of the old clock, long after the voters' grants. By reading, shown by a test of the count alone; not seen.

Change: a vote whose time is ahead of the clock is not counted. Votes for earlier requests on the same clock were and are harmless: the lease is counted from the earlier time, and the voters' grants bear the same node.

--- a/packages/election/src/candidate/vote-count.ts
+++ b/packages/election/src/candidate/vote-count.ts
@@ -78,6 +78,8 @@
   const observed = observeEpoch(candidate, vote.highest);
   const { phase } = observed;
   if (phase.phase === 'idle') return observed;
+  // A later time is one of before the restart of this machine and its clock: the vote is for an earlier process.
+  if (vote.at > now) return observed;
   if (vote.epoch !== phase.epoch || vote.preVote !== (phase.phase === 'preVote')) return observed;
   // Votes that arrive after the lease has expired do not revive it.
   if (phase.phase === 'holdingLease' && now >= phase.leaseEndsAt)
