Node agent: a reply to a heartbeat of before the machine's restart is ignored

A reply from before a restart of the machine, when its clock was ahead, let the cache serve without news of purges until the clock was there again (STALE). By reading, shown by a test of the node agent; not seen.

Change: a reply whose time is ahead of the clock is ignored. A reply to an earlier process on the same clock was and is harmless: the time is earlier, and a process that has applied no purge flushes its cache.

Test: node-agent/heartbeat-reply.test.ts, 1 of 2 red before, 2 of 2 now.

--- a/packages/proxy-core/src/node-agent/heartbeat-reply.ts
+++ b/packages/proxy-core/src/node-agent/heartbeat-reply.ts
@@ -104,6 +104,8 @@
   reply: HeartbeatReply,
   now: Timestamp,
 ): AgentTransition => {
+  // A later time is one of before the restart of this machine and its clock: the reply is for an earlier process.
+  if (reply.at > now) return transition(before);
   const purged = applyPurges(applyReply(before, from, reply, now), reply);
   const isOwnRegistry = before.nodeSession.registryLink?.address === from.address;
   const state = updatePurgesCurrent(purged.state, reply, isOwnRegistry);
