--- a/review/harness-2/fleet.mjs
+++ b/review/harness-2/fleet.mjs
@@ -257,7 +257,7 @@
     const timer = setTimeout(() => request.destroy(new Error('timed out')), timeoutMs);
     const fail = (error) => {
       clearTimeout(timer);
-      done({ error: error.message });
+      done({ error: error.message, wasKept: request.reusedSocket });
     };
     request.on('error', fail);
     request.on('response', (response) => {
