review: case 5 stays below the link's rate, and the harness leaves no process behind

Cause: four uploads in 2 s fill 960 of the link's 1,000 Mbit/s, and a choked link excuses a machine; a stand-in that failed left the processes running.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -14,9 +14,9 @@
 /** `body_bytes` of the pages' example of a configuration. */
 const bodyLimitBytes = 67_108_864;
 const uploadBytes = 60_000_000;
-const uploadMs = 2000;
+const uploadMs = 4000;
 const uploadsPerRound = 4;
-const rounds = 3;
+const rounds = 2;
 /** `mem_mb` of an edge machine of the site. */
 const memoryLimitMb = 350;
 const restartDelayMs = 300;
--- a/review/harness-2/fleet.mjs
+++ b/review/harness-2/fleet.mjs
@@ -185,6 +185,11 @@
   constructor(record, { cores = 5, edges = 4 } = {}) {
     this.record = record;
     this.commands = runCommands();
+    // Also after an unexpected end of the script, no process is left.
+    process.on('exit', () => {
+      for (const machine of this.machines) machine.process?.kill('SIGKILL');
+    });
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(2));
     this.folder = mkdtempSync(join(tmpdir(), 'review-2-'));
     this.net = `127.${randomInt(20, 250)}.${randomInt(1, 250)}`;
     this.port = randomInt(200, 300) * 100;
