--- a/packages/membership/src/registry/disk-hints.test.ts
+++ b/packages/membership/src/registry/disk-hints.test.ts
@@ -1,16 +1,21 @@
-/** Guards against offers from disk hints that may be older than a confirmed configuration, and against missing ones. */
+/** Guards against what disk hints may show in an older state than confirmed, and against missing offers. */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import {
   type Timestamp,
   noSeq,
+  toAddress,
+  toDurationMs,
   toEpoch,
   toGeneration,
   toHash,
+  toInstanceId,
+  toRelease,
+  toServiceName,
   toTimestamp,
 } from '@switchwheel/types';
-import type { Frame, FrameOf, Member } from '@switchwheel/transport';
+import type { Frame, FrameOf, Member, OriginInstance } from '@switchwheel/transport';
 import {
   edge,
   fleet,
@@ -178,3 +183,33 @@
   const outdated = withHints(inContactWith(2), ...complete);
   assert.equal(offeredTo(outdated, 0, toTimestamp(2100)), undefined, 'hints that are too old');
 });
+
+void test('live origins of a disk are used only if no departure can be missing from it, departures always', () => {
+  const recorded = (state: OriginInstance['state']): OriginInstance => ({
+    service: toServiceName('clips'),
+    instance: toInstanceId(state),
+    address: toAddress(`10.0.0.${state.length}:80`),
+    release: toRelease('r1'),
+    slots: 4,
+    state,
+    age: toDurationMs(0),
+  });
+  const originsAfter = (...hints: readonly FrameOf<'hint'>[]): readonly string[] => {
+    const hinted = withHints(inContactWith(1), ...hints);
+    const own = hints.at(-1);
+    assert.ok(own !== undefined);
+    const origins = [recorded('up'), recorded('leaving'), recorded('gone')];
+    return [...receive(hinted, store, { ...own, origins }, afterDelay).origins.keys()];
+  };
+  assert.deepEqual(originsAfter(hint(second, 3, 7), hint(first, 3, 7)), ['up', 'leaving', 'gone']);
+  assert.deepEqual(
+    originsAfter(hint(first, 3, 7)),
+    ['leaving', 'gone'],
+    'an in-sync store may have been replaced since',
+  );
+  assert.deepEqual(
+    originsAfter(hint(first, 3, 7), hint(second, 3, 7), hint(third, 2, 9)),
+    ['leaving', 'gone'],
+    'the store is not in the newest in-sync set',
+  );
+});
--- a/packages/membership/src/registry/disk-hints.ts
+++ b/packages/membership/src/registry/disk-hints.ts
@@ -47,31 +47,42 @@
 const hasOffer = (hint: FrameOf<'hint'>): hint is ProvenHint => hint.offer !== undefined;
 
 /**
- * Hint whose configuration is at least as new as every confirmed one; undefined if that can't be
- * proven. Requires contact with a majority and a hint of every member of the newest in-sync set: each
- * of them has all confirmed writes on disk, so the lowest of their generations is new enough, and
- * every store that can be elected has it.
+ * Hints of the members of the newest in-sync set, each of which has all confirmed writes on disk; empty if one of them
+ * is missing, if this registry hears a primary, or without contact with a majority.
  */
-export const provenHint = (state: RegistryState, now: Timestamp): ProvenHint | undefined => {
+export const inSyncHints = (state: RegistryState, now: Timestamp): readonly FrameOf<'hint'>[] => {
   if (
     !state.offersDiskHints ||
     now - state.voter.startedAt <= hintDelayMs ||
     feedAgeMs(state, now) !== undefined
   )
-    return undefined;
+    return [];
   const hints = freshHints(state, now);
   const metadata = newestMetadata(hints);
-  if (metadata === undefined) return undefined;
+  if (metadata === undefined) return [];
   const knownElectorate = state.electorate;
   const electorate =
     knownElectorate !== undefined && knownElectorate.serial > metadata.electorate.serial
       ? knownElectorate
       : metadata.electorate;
-  if (!hasMajorityContact({ ...state, electorate }, now)) return undefined;
+  if (!hasMajorityContact({ ...state, electorate }, now)) return [];
   const inSync = hints
     .map((hint) => hint.frame)
     .filter((frame) => metadata.inSyncSet.includes(frame.node));
-  const offers = inSync.filter(hasOffer);
-  if (offers.length < metadata.inSyncSet.length) return undefined;
-  return offers.reduce((low, hint) => (hint.offer.generation < low.offer.generation ? hint : low));
+  return inSync.length < metadata.inSyncSet.length ? [] : inSync;
+};
+
+/**
+ * Hint whose configuration is at least as new as every confirmed one; undefined if that can't be
+ * proven. Every member of the newest in-sync set has all confirmed writes on disk, so the lowest of
+ * their generations is new enough, and every store that can be elected has it.
+ */
+export const provenHint = (state: RegistryState, now: Timestamp): ProvenHint | undefined => {
+  const inSync = inSyncHints(state, now);
+  const [first, ...others] = inSync.filter(hasOffer);
+  if (first === undefined || others.length + 1 < inSync.length) return undefined;
+  return others.reduce(
+    (low, hint) => (hint.offer.generation < low.offer.generation ? hint : low),
+    first,
+  );
 };
--- a/packages/membership/src/registry/primary-feed.ts
+++ b/packages/membership/src/registry/primary-feed.ts
@@ -16,6 +16,7 @@
 } from '@switchwheel/types';
 import { type ConfigManifest, type FrameOf, log, send } from '@switchwheel/transport';
 import { abstentionEnd, adoptElectorate } from '@switchwheel/election';
+import { onRecordedDepartures } from './departures.js';
 import { chunksOfReads } from './configuration-read.js';
 import { pushToNodes } from './node-sessions.js';
 import { isAlive, primaryHolder } from './queries.js';
@@ -24,6 +25,20 @@
 const generationOf = (manifest: ConfigManifest | undefined): ConfigManifest['generation'] =>
   manifest?.generation ?? noGeneration;
 
+/** Recorded departures of a frame; one without a list keeps the known one. */
+const mergeDepartures = (
+  feed: Feed,
+  frame: FrameOf<'feed'>,
+): Pick<Feed, 'recordsDepartures' | 'departuresSeq' | 'departures'> => ({
+  recordsDepartures: frame.recordsDepartures === true,
+  ...(frame.departures === undefined
+    ? { departuresSeq: feed.departuresSeq, departures: feed.departures }
+    : {
+        departuresSeq: frame.serial,
+        departures: new Map(frame.departures.map(({ instance, state }) => [instance, state])),
+      }),
+});
+
 /** Merges a frame into the feed; a frame without desired rows keeps the known ones. */
 const mergeFeed = (feed: Feed, frame: FrameOf<'feed'>, now: Timestamp): Feed => {
   const knownSeqs = new Set(feed.purges.map((purge) => purge.seq));
@@ -40,6 +55,7 @@
         };
   return {
     ...desired,
+    ...mergeDepartures(feed, frame),
     epoch: frame.epoch,
     latestSeq: frame.serial,
     asOf: frame.at > 0 ? toTimestamp(Math.max(frame.at, feed.asOf ?? 0)) : feed.asOf,
@@ -126,8 +142,10 @@
     chunks: keptChunks(state, feed),
   };
   const checked = checkGenerationKept(next, before);
-  if (!hasChanges(before, feed)) return checked;
-  return prependEffects(checked.effects, pushToNodes(checked.state, before.latestPurge, now));
+  const recorded = onRecordedDepartures(checked.state, frame.departures ?? [], now);
+  const effects = [...checked.effects, ...recorded.effects];
+  if (!hasChanges(before, feed)) return transition(recorded.state, ...effects);
+  return prependEffects(effects, pushToNodes(recorded.state, before.latestPurge, now));
 };
 
 /** Readiness of this registry's voter, as reported to the primary. */
@@ -160,6 +178,7 @@
       epoch: state.feed.epoch,
       serial: state.feed.desiredSeq,
       purged: state.feed.latestPurge,
+      departuresSerial: state.feed.departuresSeq,
       reports,
     }),
   );
--- a/packages/membership/src/registry/state.ts
+++ b/packages/membership/src/registry/state.ts
@@ -80,6 +80,12 @@
   readonly releases: readonly RolloutState[];
   /** Time at which `releases` were received; their remaining times are relative to it. */
   readonly releasesReceivedAt: Timestamp;
+  /** Whether the primary records departures; one of an older version deletes the record of the origin instead. */
+  readonly recordsDepartures: boolean;
+  /** Sequence number of the write up to which `departures` is complete. */
+  readonly departuresSeq: Seq;
+  /** Departures that are on the disks of the in-sync set. */
+  readonly departures: ReadonlyMap<InstanceId, OriginInstance['state']>;
 }
 /** Feed before the primary's first frame. */
 export const emptyFeed: Feed = {
@@ -97,6 +103,9 @@
   canaryResults: [],
   releases: [],
   releasesReceivedAt: clockOrigin,
+  recordsDepartures: false,
+  departuresSeq: noSeq,
+  departures: new Map(),
 };
 
 /** A command or read that waits for the primary's reply. */
@@ -131,6 +140,7 @@
 export interface Departure {
   readonly state: OriginInstance['state'];
   readonly isConfirmed: boolean;
+  readonly announcedAt: Timestamp;
   readonly sentAt: Timestamp;
   readonly acknowledgedBy: ReadonlySet<NodeId>;
   readonly waiters: readonly { readonly correlationId: number; readonly since: Timestamp }[];
--- a/packages/membership/src/registry/transition.ts
+++ b/packages/membership/src/registry/transition.ts
@@ -5,11 +5,11 @@
 
 import { type Timestamp, transition } from '@switchwheel/types';
 import { type Frame, type FrameOf, type Peer, log } from '@switchwheel/transport';
-import { learnOrigins } from '../origins/origins.js';
+import { departureRank, learnOrigins } from '../origins/origins.js';
 import { onChunk, onNodeChunkRequest, onStoreChunkRequest } from './chunk-exchange.js';
 import { onBootstrapped } from './cluster-bootstrap.js';
 import { onDeparture, onDepartureAck } from './departures.js';
-import { learnHint } from './disk-hints.js';
+import { inSyncHints, learnHint } from './disk-hints.js';
 import type { RegistryEvent } from './event.js';
 import { onExternalRequest } from './external-requests.js';
 import { onGossip } from './gossip.js';
@@ -17,26 +17,27 @@
 import { onHeartbeat } from './node-sessions.js';
 import { onCommandResult } from './operator-commands.js';
 import { onFeed, subscribe } from './primary-feed.js';
-import { feedAgeMs, hasMajorityContact, primaryHolder } from './queries.js';
+import { primaryHolder } from './queries.js';
 import type { RegistryState, RegistryTransition } from './state.js';
 import { onTick } from './tick.js';
 import { onVoteRequest } from './voting.js';
 
-/** Records a store's disk hint. The origins that it lists are merged only while there is no primary. */
+/**
+ * Records a store's disk hint and merges the origins that it lists: departures always, as they are final; live origins
+ * only if no departure of them can be missing from that disk.
+ */
 const onHint = (
   state: RegistryState,
   hint: FrameOf<'hint'>,
   now: Timestamp,
 ): RegistryTransition => {
   const withHint = learnHint(state, hint, now);
-  if (
-    !state.offersDiskHints ||
-    feedAgeMs(state, now) !== undefined ||
-    !hasMajorityContact(state, now) ||
-    (state.fleet !== undefined && state.fleet !== hint.metadata.fleet)
-  )
-    return transition(withHint);
-  const learned = learnOrigins(withHint.origins, hint.origins, now);
+  if (state.fleet !== undefined && state.fleet !== hint.metadata.fleet) return transition(withHint);
+  const isComplete = inSyncHints(withHint, now).some(({ node }) => node === hint.node);
+  const origins = hint.origins.filter(
+    (origin) => isComplete || departureRank(origin.state) > departureRank('up'),
+  );
+  const learned = learnOrigins(withHint.origins, origins, now);
   const next = { ...withHint, origins: learned.origins };
   return transition(
     next,
@@ -60,7 +61,7 @@
     case 'departure':
       return onDeparture(state, from, frame, now);
     case 'departure-ack':
-      return onDepartureAck(state, frame);
+      return onDepartureAck(state, frame, now);
     case 'feed':
       return onFeed(state, frame, now);
     case 'piece-request':
--- a/packages/replicated-store/src/commands/decide.ts
+++ b/packages/replicated-store/src/commands/decide.ts
@@ -53,7 +53,10 @@
         puts: originPuts(
           control.origins,
           state.session.origins,
-          command.isAnnouncementComplete,
+          {
+            recordsLiveOrigins: state.settings.persistsOrigins === true,
+            isAnnouncementComplete: command.isAnnouncementComplete,
+          },
           now,
         ),
       };
--- a/packages/replicated-store/src/log-write/commit.ts
+++ b/packages/replicated-store/src/log-write/commit.ts
@@ -21,6 +21,8 @@
 /** Shared empty map, so that states without held chunks compare equal. */
 const noHeldChunks: StoreState['heldChunks'] = new Map();
 
+const originKeyPrefix = 'origin/';
+
 /** Prefixes of keys that do not affect the desired state of nodes. */
 const keyPrefixesWithoutNodeChange = [
   'purge/',
@@ -28,18 +30,25 @@
   'number/',
   'verdict/',
   'release/',
-  'origin/',
+  originKeyPrefix,
 ];
 
+/** Whether a write is the first of its epoch. */
+const beginsEpoch = (state: StoreState, primaryWrite: PrimaryWrite): boolean =>
+  !state.isServing || state.isReadOnly || primaryWrite.metadata.epoch !== state.metadata?.epoch;
+
 /** Whether a write may change the desired state of nodes, or is the first of its epoch. */
 const changesNodes = (state: StoreState, primaryWrite: PrimaryWrite): boolean =>
-  !state.isServing ||
-  state.isReadOnly ||
-  primaryWrite.metadata.epoch !== state.metadata?.epoch ||
+  beginsEpoch(state, primaryWrite) ||
   primaryWrite.puts.some(
     ({ key }) => !keyPrefixesWithoutNodeChange.some((prefix) => key.startsWith(prefix)),
   );
 
+/** Whether a write changes a record of an origin, or is the first of its epoch. */
+const changesOrigins = (state: StoreState, primaryWrite: PrimaryWrite): boolean =>
+  beginsEpoch(state, primaryWrite) ||
+  primaryWrite.puts.some(({ key }) => key.startsWith(originKeyPrefix));
+
 /** Whether committing a write makes this store begin to serve or leave read-only mode. */
 const beginsServing = (state: StoreState): boolean => !state.isServing || state.isReadOnly;
 
@@ -64,6 +73,9 @@
   lastNodeChangeSeq: changesNodes(state, primaryWrite)
     ? primaryWrite.logPosition.seq
     : state.lastNodeChangeSeq,
+  lastOriginChangeSeq: changesOrigins(state, primaryWrite)
+    ? primaryWrite.logPosition.seq
+    : state.lastOriginChangeSeq,
 });
 
 const rolloutKeyPrefixes = ['node/', 'target/', 'rollout/'];
--- a/packages/replicated-store/src/machine.ts
+++ b/packages/replicated-store/src/machine.ts
@@ -20,6 +20,7 @@
   onReplicated,
   startWrite,
 } from './log-write/primary-write.js';
+import { onDeparture } from './origins/origin-records.js';
 import { onSubscribe } from './registries/subscriptions.js';
 import { onTally } from './releases/release-progress.js';
 import { onBootstrap } from './resync/bootstrap.js';
@@ -45,6 +46,8 @@
       return onVote(state, frame, now);
     case 'subscribe':
       return onSubscribe(state, frame, now);
+    case 'departure':
+      return onDeparture(state, frame, now);
     case 'call':
       return onOperatorCommand(state, from, frame, now);
     case 'piece':
--- a/packages/replicated-store/src/origins/origin-records.test.ts
+++ b/packages/replicated-store/src/origins/origin-records.test.ts
@@ -1,4 +1,4 @@
-/** Guards against records of dead origins, and against losing records of origins before they announce themselves. */
+/** Guards against records of dead origins, and against losing those of departed ones or of ones that have yet to announce themselves. */
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -52,34 +52,65 @@
       announcedOrigin(row.number, row.state, row.silentMs),
     ]),
   );
-const recordsOf = (rows: readonly KnownOrigin[]): ReadonlyMap<InstanceId, OriginInstance> =>
+const recordsOf = (
+  rows: readonly KnownOrigin[],
+  recordsLiveOrigins: boolean,
+): ReadonlyMap<InstanceId, OriginInstance> =>
   applyPuts(
     emptyControlState,
-    originPuts(new Map(), new Map(rows.map((origin) => [origin.instance, origin])), false, now),
+    originPuts(
+      new Map(),
+      new Map(rows.map((origin) => [origin.instance, origin])),
+      { recordsLiveOrigins, isAnnouncementComplete: false },
+      now,
+    ),
   ).origins;
 
-void test('records match the live origins; one that was not announced is kept until all announcements are in', () => {
+const ranks: readonly KnownOrigin['state'][] = ['up', 'leaving', 'gone'];
+const furthest = (states: readonly KnownOrigin['state'][]): KnownOrigin['state'] =>
+  states.reduce((first, second) => (ranks.indexOf(second) > ranks.indexOf(first) ? second : first));
+
+/** State in which an announced origin must be recorded; undefined if it must not be. */
+const expectedState = (
+  origin: KnownOrigin,
+  recorded: OriginInstance | undefined,
+  recordsLiveOrigins: boolean,
+): KnownOrigin['state'] | undefined => {
+  const state = furthest([origin.state, recorded?.state ?? 'up']);
+  const isLive = recordsLiveOrigins && now - origin.lastHeardAt < 10_000;
+  return state !== 'up' || isLive ? state : undefined;
+};
+
+void test('records match the live and the departed origins; one that was not announced is kept until all announcements are in', () => {
   fc.assert(
-    fc.property(originRows, originRows, fc.boolean(), (before, after, isComplete) => {
-      const recorded = recordsOf([...mapOf(before).values()]);
-      const announced = mapOf(after);
-      const control = applyPuts(
-        { ...emptyControlState, origins: recorded },
-        originPuts(recorded, announced, isComplete, now),
-      );
-      for (const origin of announced.values())
-        assert.equal(
-          control.origins.has(origin.instance),
-          origin.state === 'up' && now - origin.lastHeardAt < 10_000,
+    fc.property(
+      originRows,
+      originRows,
+      fc.boolean(),
+      fc.boolean(),
+      (before, after, isAnnouncementComplete, recordsLiveOrigins) => {
+        const recorded = recordsOf([...mapOf(before).values()], recordsLiveOrigins);
+        const announced = mapOf(after);
+        const recording = { recordsLiveOrigins, isAnnouncementComplete };
+        const control = applyPuts(
+          { ...emptyControlState, origins: recorded },
+          originPuts(recorded, announced, recording, now),
+        );
+        for (const origin of announced.values())
+          assert.equal(
+            control.origins.get(origin.instance)?.state,
+            expectedState(origin, recorded.get(origin.instance), recordsLiveOrigins),
+          );
+        for (const instance of recorded.keys())
+          if (!announced.has(instance))
+            assert.equal(control.origins.has(instance), !isAnnouncementComplete);
+        assert.deepEqual(
+          originPuts(control.origins, announced, recording, now),
+          [],
+          'a second comparison writes nothing',
         );
-      for (const instance of recorded.keys())
-        if (!announced.has(instance)) assert.equal(control.origins.has(instance), !isComplete);
-      assert.deepEqual(
-        originPuts(control.origins, announced, isComplete, now),
-        [],
-        'a second comparison writes nothing',
-      );
-    }),
+      },
+    ),
     { seed: 3 },
   );
 });
--- a/packages/replicated-store/src/origins/origin-records.ts
+++ b/packages/replicated-store/src/origins/origin-records.ts
@@ -1,12 +1,24 @@
 /**
- * Records of live origins, stored so that a fleet that restarts as a whole need not wait for every origin to announce
- * itself again.
+ * Records of origins: of departed ones, so that an acknowledged departure outlives all processes, and of live ones, so
+ * that a fleet that restarts as a whole need not wait for every origin to announce itself again.
  */
 
-import { type InstanceId, type Timestamp, toDurationMs, transition } from '@switchwheel/types';
-import type { OriginInstance, TableMutation } from '@switchwheel/transport';
+import {
+  type InstanceId,
+  type Timestamp,
+  elapsedMs,
+  toDurationMs,
+  transition,
+} from '@switchwheel/types';
+import type { FrameOf, OriginInstance, TableMutation } from '@switchwheel/transport';
 import { controlKeys, deleteRecord, putRecord } from '@switchwheel/configuration';
-import { type KnownOrigin, isLiveOrigin, originTimeoutMs } from '@switchwheel/membership';
+import {
+  type KnownOrigin,
+  departureRank,
+  isLiveOrigin,
+  learnOrigins,
+  originTimeoutMs,
+} from '@switchwheel/membership';
 import { enqueue } from '../commands/queue.js';
 import type { StoreState } from '../state/state.js';
 import type { StoreTransition } from '../state/transition.js';
@@ -26,6 +38,7 @@
   address,
   release,
   slots,
+  state,
   area,
 }: KnownOrigin): OriginInstance => ({
   service,
@@ -33,7 +46,7 @@
   address,
   release,
   slots,
-  state: 'up',
+  state,
   age: toDurationMs(0),
   ...(area === undefined ? {} : { area }),
 });
@@ -45,52 +58,102 @@
   first.slots === second.slots &&
   first.area === second.area;
 
-/** Table mutations that bring the records in line with the live origins. */
+const hasDeparted = ({ state }: Pick<OriginInstance, 'state'>): boolean =>
+  departureRank(state) > departureRank('up');
+
+const deleteOrigin = (instance: InstanceId): TableMutation =>
+  deleteRecord(controlKeys.origin(instance));
+
+/** Which origins are recorded, and whether all of them have been announced to this primary. */
+interface OriginRecording {
+  readonly recordsLiveOrigins: boolean;
+  /** A new primary may not have received all announcements yet. */
+  readonly isAnnouncementComplete: boolean;
+}
+
+/** Mutation of the record of an announced origin; undefined if the record is right. A departure is never undone. */
+const originMutation = (
+  recorded: OriginInstance | undefined,
+  announced: KnownOrigin,
+  recordsLiveOrigins: boolean,
+  now: Timestamp,
+): TableMutation | undefined => {
+  const { instance, state } = announced;
+  const after = originRecord(announced);
+  if (recorded !== undefined && hasDeparted(recorded) && !hasDeparted(announced)) return undefined;
+  if (hasDeparted(announced))
+    return recorded !== undefined && departureRank(recorded.state) >= departureRank(state)
+      ? undefined
+      : putRecord(controlKeys.origin(instance), after);
+  if (!isLiveOrigin(announced, now))
+    return recorded === undefined ? undefined : deleteOrigin(instance);
+  if (!recordsLiveOrigins || (recorded !== undefined && isSameOrigin(recorded, after)))
+    return undefined;
+  return putRecord(controlKeys.origin(instance), after);
+};
+
+/** Table mutations that bring the records in line with the announced origins. */
 export const originPuts = (
   recorded: ReadonlyMap<InstanceId, OriginInstance>,
   announced: StoreState['session']['origins'],
-  isAnnouncementComplete: boolean,
+  { recordsLiveOrigins, isAnnouncementComplete }: OriginRecording,
   now: Timestamp,
 ): readonly TableMutation[] => {
   const puts: TableMutation[] = [];
   for (const origin of announced.values()) {
-    const before = recorded.get(origin.instance);
-    if (isLiveOrigin(origin, now)) {
-      const after = originRecord(origin);
-      if (before === undefined || !isSameOrigin(before, after))
-        puts.push(putRecord(controlKeys.origin(origin.instance), after));
-    } else if (before !== undefined) puts.push(deleteRecord(controlKeys.origin(origin.instance)));
+    const put = originMutation(recorded.get(origin.instance), origin, recordsLiveOrigins, now);
+    if (put !== undefined) puts.push(put);
   }
-  // A new primary may not have received all announcements yet.
   if (isAnnouncementComplete)
     for (const instance of recorded.keys())
-      if (!announced.has(instance)) puts.push(deleteRecord(controlKeys.origin(instance)));
+      if (!announced.has(instance)) puts.push(deleteOrigin(instance));
   return puts;
 };
 
-/** Queues an update of the records if they differ from the live origins. */
-export const tickOrigins = (state: StoreState, now: Timestamp): StoreTransition => {
+/** Queues an update of the records if they differ from the announced origins and none is queued. */
+const queueUpdate = (state: StoreState, now: Timestamp): StoreTransition => {
   const leasePhase = state.candidate.phase;
   if (
-    !state.settings.persistsOrigins ||
     leasePhase.phase !== 'holdingLease' ||
-    now - state.originsCheckedAt < checkIntervalMs
+    state.commandQueue.some(({ kind }) => kind === 'recordOrigins')
   )
     return transition(state);
-  const next: StoreState = { ...state, originsCheckedAt: now };
-  if (state.commandQueue.some(({ kind }) => kind === 'recordOrigins')) return transition(next);
-  if (
-    originPuts(
-      state.control.origins,
-      state.session.origins,
-      now - leasePhase.wonAt > absentAfterMs,
-      now,
-    ).length === 0
-  )
-    return transition(next);
-  return enqueue(next, {
-    kind: 'recordOrigins',
-    isAnnouncementComplete: now - leasePhase.wonAt > absentAfterMs,
+  const isAnnouncementComplete = now - leasePhase.wonAt > absentAfterMs;
+  const recordsLiveOrigins = state.settings.persistsOrigins === true;
+  const puts = originPuts(
+    state.control.origins,
+    state.session.origins,
+    { recordsLiveOrigins, isAnnouncementComplete },
+    now,
+  );
+  return puts.length === 0
+    ? transition(state)
+    : enqueue(state, { kind: 'recordOrigins', isAnnouncementComplete });
+};
+
+/** Updates the records periodically. */
+export const tickOrigins = (state: StoreState, now: Timestamp): StoreTransition =>
+  now - state.originsCheckedAt < checkIntervalMs
+    ? transition(state)
+    : queueUpdate({ ...state, originsCheckedAt: now }, now);
+
+/** Handles a departure that a registry is about to acknowledge: records it without waiting for the next check. */
+export const onDeparture = (
+  state: StoreState,
+  { origin }: FrameOf<'departure'>,
+  now: Timestamp,
+): StoreTransition => {
+  const { origins } = learnOrigins(state.session.origins, [origin], now);
+  return queueUpdate({ ...state, session: { ...state.session, origins } }, now);
+};
+
+/** Departures that are on the disks of the in-sync set, with the time since they were announced. */
+export const recordedDepartures = (state: StoreState, now: Timestamp): OriginInstance[] => {
+  const leasePhase = state.candidate.phase;
+  const primarySince = leasePhase.phase === 'holdingLease' ? leasePhase.wonAt : now;
+  return [...state.control.origins.values()].filter(hasDeparted).map((origin) => {
+    const heardAt = state.session.origins.get(origin.instance)?.lastHeardAt ?? primarySince;
+    return { ...origin, age: elapsedMs(heardAt, now) };
   });
 };
 
--- a/packages/replicated-store/src/registries/feed.ts
+++ b/packages/replicated-store/src/registries/feed.ts
@@ -7,6 +7,7 @@
 import { type ConfigManifest, type FrameOf, send } from '@switchwheel/transport';
 import { heldEpoch } from '@switchwheel/election';
 import { latestPurge, oldestKeptPurge, releaseStateOf } from '@switchwheel/configuration';
+import { recordedDepartures } from '../origins/origin-records.js';
 import { rolloutElapsedMs } from '../releases/release-progress.js';
 import type { StoreEffect } from '../state/events.js';
 import type { Subscriber } from '../state/peers.js';
@@ -20,6 +21,18 @@
   return manifest === undefined ? [] : [manifest];
 };
 
+/** The recorded departures, unless the registry has them already or is of a version that reads none. */
+const departuresField = (
+  state: StoreState,
+  { departuresSerial }: Subscriber,
+  now: Timestamp,
+): Pick<FrameOf<'feed'>, 'departures'> => {
+  const isUpToDate =
+    departuresSerial === undefined ||
+    (departuresSerial !== noSeq && departuresSerial >= state.lastOriginChangeSeq);
+  return isUpToDate ? {} : { departures: recordedDepartures(state, now) };
+};
+
 /** Feed for one registry: the whole desired state if it is outdated there, and the purges that it lacks. */
 const feedFrame = (
   state: StoreState,
@@ -52,6 +65,8 @@
     releases: [...state.control.releases.values()].map((rollout) =>
       releaseStateOf(rollout, rolloutElapsedMs(state, rollout, now)),
     ),
+    recordsDepartures: true,
+    ...departuresField(state, subscriber, now),
   };
 };
 
--- a/packages/replicated-store/src/registries/subscriptions.ts
+++ b/packages/replicated-store/src/registries/subscriptions.ts
@@ -27,14 +27,19 @@
   state: StoreState,
   subscription: Subscription,
   now: Timestamp,
-): Subscriber => ({
-  address: subscription.registry.address,
-  zone: subscription.registry.area,
-  voterStatus: subscription.voter,
-  heardAt: now,
-  serial: subscription.epoch === heldEpoch(state.candidate) ? subscription.serial : noSeq,
-  latestPurge: subscription.purged,
-});
+): Subscriber => {
+  const isSameEpoch = subscription.epoch === heldEpoch(state.candidate);
+  const { departuresSerial } = subscription;
+  return {
+    address: subscription.registry.address,
+    zone: subscription.registry.area,
+    voterStatus: subscription.voter,
+    heardAt: now,
+    serial: isSameEpoch ? subscription.serial : noSeq,
+    latestPurge: subscription.purged,
+    departuresSerial: departuresSerial === undefined || isSameEpoch ? departuresSerial : noSeq,
+  };
+};
 
 /** Whether a report equals the record of its node. */
 const isRecorded = (state: StoreState, report: NodeReport): boolean => {
--- a/packages/replicated-store/src/state/peers.ts
+++ b/packages/replicated-store/src/state/peers.ts
@@ -32,6 +32,8 @@
   /** Last write whose desired state it has; `noSeq` if that was of another epoch. */
   readonly serial: Seq;
   readonly latestPurge: Seq;
+  /** Last write whose recorded departures it has; undefined if it is of a version that reads none. */
+  readonly departuresSerial: Seq | undefined;
 }
 
 /** Registry that last reported a node as connected, and the time of that report. */
--- a/packages/replicated-store/src/state/replication-settings.ts
+++ b/packages/replicated-store/src/state/replication-settings.ts
@@ -23,7 +23,7 @@
   readonly failureDomains?: FailureDomains;
   /** Time after a failure within which redundancy is restored, so that further failures are tolerated. */
   readonly recoveryWindowMs?: number;
-  /** Whether live origins are recorded on disk. */
+  /** Whether live origins are recorded on disk. Departures always are. */
   readonly persistsOrigins?: boolean;
   /** Thresholds for evaluating canaries of releases. */
   readonly releases?: ReleaseSettings;
--- a/packages/replicated-store/src/state/state.ts
+++ b/packages/replicated-store/src/state/state.ts
@@ -125,6 +125,8 @@
    * Last write that changed the desired state of nodes; registries that have it are not sent the desired state again.
    */
   readonly lastNodeChangeSeq: Seq;
+  /** Last write that changed a record of an origin; registries that have it are not sent the departures again. */
+  readonly lastOriginChangeSeq: Seq;
   /** Progress of release rollouts observed by this primary. */
   readonly releaseWatches: ReadonlyMap<ServiceName, RolloutWatch>;
   readonly targetStatusSince: StatusSince;
@@ -190,6 +192,7 @@
   originsCheckedAt: clockOrigin,
   rolloutsDueAt: undefined,
   lastNodeChangeSeq: noSeq,
+  lastOriginChangeSeq: noSeq,
   releaseWatches: new Map(),
   targetStatusSince: new Map(),
   rolloutOpenedAt: undefined,
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -378,6 +378,13 @@
     from: 'return informed.length >= quorumSize(electorate.members.length);',
     to: 'return true;',
   },
+  {
+    name: 'a departure is confirmed only once it is recorded',
+    rule: 'R6',
+    file: departures,
+    from: 'return recorded !== undefined && departureRank(recorded) >= departureRank(departed.state);',
+    to: 'return true;',
+  },
   {
     name: 'budget of extra attempts',
     rule: 'R8',
--- a/packages/simulator/src/processes/origin.ts
+++ b/packages/simulator/src/processes/origin.ts
@@ -49,6 +49,8 @@
   usedSlots = 0;
   overloadCount = 0;
   isAlive = true;
+  /** Whether the origin announces itself periodically. */
+  isReporting = true;
   crashedAt = -Infinity;
   state: 'up' | 'leaving' | 'gone' = 'up';
   /** Time at which a registry first confirmed that this origin is leaving or gone. */
@@ -127,7 +129,7 @@
   }
 
   #announce(): void {
-    if (!this.isAlive) return;
+    if (!this.isAlive || !this.isReporting) return;
     this.#sendAnnouncement();
     this.context.eventQueue.schedule(this.context.random.uniform(1800, 2200), () =>
       this.#announce(),
--- a/packages/simulator/src/run/origin-departure.test.ts
+++ b/packages/simulator/src/run/origin-departure.test.ts
@@ -2,6 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { defaultReplicationSettings } from '@switchwheel/replicated-store';
 import type { SimulatedOrigin } from '../processes/origin.js';
 import type { SimulatedRegistry, RegistryReply } from '../processes/registry.js';
 import { type Fixture, clips, finishRun, createFixture, seedRange } from './fixture.js';
@@ -25,7 +26,7 @@
 const announce = (
   registry: SimulatedRegistry,
   origin: SimulatedOrigin,
-  state: 'leaving' | 'gone',
+  state: SimulatedOrigin['state'],
   done: (reply: RegistryReply) => void,
 ): void => {
   const { service, instance, address, release, slots } = origin;
@@ -117,3 +118,61 @@
     assert.deepEqual(finishRun(run), []);
   }
 });
+
+/** Kills and restarts every process of the fleet. */
+const restartFleet = (run: Fixture, downMs: number): void => {
+  for (const process of run.world.allProcesses) process.kill();
+  run.world.runFor(downMs);
+  for (const process of run.world.allProcesses) process.start();
+};
+
+/** A fleet whose stores record origins and whose registries use the records while there is no primary. */
+const createRecordingFleet = (seed: number): Fixture => {
+  const run = createFixture(seed, 80, {
+    shields: 2,
+    stores: 3,
+    offersDiskHints: true,
+    replication: { ...defaultReplicationSettings, persistsOrigins: true },
+  });
+  run.callers.start();
+  run.world.runFor(3000);
+  return run;
+};
+
+// Guards against an acknowledged departure that is only in the memory of processes which then all end at once.
+void test('R6: a departed origin receives no requests although all processes were killed right after its departure was confirmed', () => {
+  for (const state of ['leaving', 'gone'] as const) {
+    for (const seed of seedRange(12)) {
+      const run = createRecordingFleet(seed);
+      const origin = pickDepartingOrigin(run);
+      run.world.runFor(seed % 2 === 0 ? 2000 : 100);
+      origin.isReporting = false;
+      origin.leave(state);
+      assert.ok(run.world.runUntil(1000, () => origin.departureKnownAt !== undefined));
+      for (let restart = 0; restart < 1 + (seed % 3); restart += 1) {
+        restartFleet(run, 600);
+        run.world.runFor(300 + 400 * (seed % 4));
+      }
+      run.world.runFor(8000);
+      assert.deepEqual(finishRun(run), [], `seed ${seed}, ${state}`);
+    }
+  }
+});
+
+// Guards against a late report of a departed origin that the registries take for that of a new one after a restart.
+void test('R6: a late report does not bring back an origin whose departure was confirmed before all processes were killed', () => {
+  for (const seed of seedRange(12)) {
+    const run = createRecordingFleet(seed);
+    const origin = pickDepartingOrigin(run);
+    run.world.runFor(2000);
+    origin.isReporting = false;
+    origin.leave('gone');
+    assert.ok(run.world.runUntil(1000, () => origin.departureKnownAt !== undefined));
+    run.world.runFor(seed % 2 === 0 ? 0 : 3000);
+    restartFleet(run, 600);
+    run.world.runFor(1500);
+    for (const registry of run.world.registries) announce(registry, origin, 'up', () => undefined);
+    run.world.runFor(6000);
+    assert.deepEqual(finishRun(run), [], `seed ${seed}`);
+  }
+});
--- a/packages/simulator/src/run/random-faults.test.ts
+++ b/packages/simulator/src/run/random-faults.test.ts
@@ -14,7 +14,7 @@
 
 const coverage = new Map<CoverageGoal, number>();
 
-for (const seed of seedRange(10)) {
+for (const seed of seedRange(13)) {
   void test(`every rule holds and the fleet recovers from twenty-five random faults of all kinds, seed ${seed}`, () => {
     const report = runRandomFaults({
       seed,
--- a/packages/transport/src/frame/registry-registry.ts
+++ b/packages/transport/src/frame/registry-registry.ts
@@ -1,4 +1,4 @@
-/** Frames between registries: gossip, and departures of origins. */
+/** Frames between registries: gossip, and departures of origins, which the primary store receives too. */
 
 import * as v from 'valibot';
 import * as types from '@switchwheel/types';
@@ -9,8 +9,16 @@
 
 /** Schemas of the departure, its acknowledgement and the gossip message. */
 export const registryRegistryFrames = [
-  /** Notifies the other registries that an origin is leaving or has left; each acknowledges it. */
-  v.object({ kind: kind('departure'), origin: originInstance }),
+  /** Notifies the voters and the primary that an origin is leaving or has left; each voter acknowledges it. */
+  v.object({
+    kind: kind('departure'),
+    origin: originInstance,
+    /**
+     * Whether the sender itself waits for the primary's record. A sender of an older version does not, so voters
+     * acknowledge the departure to it only once it is recorded.
+     */
+    awaitsRecord: v.optional(v.boolean()),
+  }),
   v.object({
     kind: kind('departure-ack'),
     node: types.nodeId,
--- a/packages/transport/src/frame/store-registry.ts
+++ b/packages/transport/src/frame/store-registry.ts
@@ -44,6 +44,8 @@
     serial: types.seq,
     /** Last purge that the registry received. */
     purged: types.seq,
+    /** Serial of the last feed with recorded departures that the registry received; absent in older versions. */
+    departuresSerial: v.optional(types.seq),
     reports: v.array(
       v.object({
         node: types.nodeId,
@@ -82,6 +84,10 @@
     top: types.seq,
     verdicts: v.array(canaryResult),
     releases: v.array(rolloutState),
+    /** Whether the primary records departures of origins; absent in older versions, which delete the origin's record. */
+    recordsDepartures: v.optional(v.boolean()),
+    /** Origins whose departure is recorded on disk; absent if the registry already has this list. */
+    departures: v.optional(v.array(originInstance)),
     electorate: v.optional(electorate),
     fleet: types.fleetId,
   }),
