--- a/packages/proxy/src/direct-edge/client-listener.test.ts
+++ b/packages/proxy/src/direct-edge/client-listener.test.ts
@@ -22,6 +22,7 @@
 } from '@switchwheel/routing';
 import { compileDocument, newConfirmedEdgeAgent } from '@switchwheel/routing/testing';
 import { ClientListener } from './client-listener.js';
+import { bodyMemory } from './testing/body-memory.js';
 
 const service = toServiceName('clips');
 const now = toTimestamp(50_000);
@@ -168,6 +169,7 @@
   const fixture = { isClosing: false };
   const listener = new ClientListener(router, defaultHeaderNames, {
     isClosing: () => fixture.isClosing,
+    bodyMemory,
   });
   const address = await freeAddress();
   await listener.listen(address);
--- a/packages/proxy/src/direct-edge/client-listener.ts
+++ b/packages/proxy/src/direct-edge/client-listener.ts
@@ -5,20 +5,30 @@
 
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import { Server as NetServer } from 'node:net';
-import type { Address } from '@switchwheel/types';
+import { type Address, increment } from '@switchwheel/types';
 import { type HeaderFields, splitAddress } from '@switchwheel/transport';
 import type { EdgeRouter, HeaderNames, IncomingRequest } from '@switchwheel/routing';
 import { fieldValue } from '@switchwheel/proxy-core';
 import type { ClientLimits } from '@switchwheel/configuration';
-import { readBody } from '@switchwheel/runtime';
+import {
+  ByteBudget,
+  type ByteBudgetLimits,
+  type HeldBody,
+  readBudgetedBody,
+} from '@switchwheel/runtime';
 import { headerFieldsOf } from '../http/header-fields.js';
 import { ClientConnections } from './client-connections.js';
 import { ResponseWriter } from './response-writer.js';
 
-const emptyBody = Buffer.alloc(0);
+const noBody: HeldBody = { bytes: Buffer.alloc(0), release: () => undefined };
 const connectionBacklog = 1024;
 /** Limit until a configuration is applied. */
 const defaultMaxBodyBytes = 1024 * 1024;
+/** Part of a client's time for which its body may wait for memory; the rest is left to send it, or to try elsewhere. */
+const bodyWaitShare = 0.75;
+/** Time for which a body may wait if its client doesn't say how long it waits. */
+const defaultBodyWaitMs = 3000;
+const bodyRetryMs = 300;
 const serverOptions = {
   keepAliveTimeout: 15_000,
   headersTimeout: 5000,
@@ -33,12 +43,15 @@
 export interface ClientListenerOptions {
   /** Whether responses ask clients to close their connections. */
   readonly isClosing: () => boolean;
+  /** Memory for the bodies of requests. */
+  readonly bodyMemory: ByteBudgetLimits;
 }
 
 /** A request from its head to its response; `cancel` cancels it at the router. */
 interface ClientExchange {
   hasEnded: boolean;
   cancel: () => void;
+  body: HeldBody;
 }
 
 /** Accepts client connections and requests. */
@@ -48,14 +61,17 @@
   readonly #server: Server;
   readonly #connections = new ClientConnections();
   readonly #writer: ResponseWriter;
+  /** Memory that the bodies of requests hold. */
+  readonly bodyBudget: ByteBudget;
   #maxBodyBytes = defaultMaxBodyBytes;
   /** Number of requests whose head was read and that have no complete response yet. */
   openRequests = 0;
 
-  constructor(router: EdgeRouter, headerNames: HeaderNames, { isClosing }: ClientListenerOptions) {
+  constructor(router: EdgeRouter, headerNames: HeaderNames, options: ClientListenerOptions) {
     this.#router = router;
     this.#headerNames = headerNames;
-    this.#writer = new ResponseWriter(headerNames, this.#connections, isClosing);
+    this.#writer = new ResponseWriter(headerNames, this.#connections, options.isClosing);
+    this.bodyBudget = new ByteBudget(options.bodyMemory);
     this.#server = createServer(serverOptions, (request, response) => {
       void this.#handleRequest(request, response);
     });
@@ -99,19 +115,26 @@
   }
 
   async #handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const exchange: ClientExchange = { hasEnded: false, cancel: () => undefined };
+    const exchange: ClientExchange = { hasEnded: false, cancel: () => undefined, body: noBody };
     const onEnd = (): void => {
       exchange.hasEnded = true;
       this.openRequests -= 1;
       if (!response.writableFinished) exchange.cancel();
+      exchange.body.release();
     };
     if (!this.#connections.begin(message, response, this.#server.keepAliveTimeout, onEnd)) return;
     this.openRequests += 1;
     const fields = headerFieldsOf(message);
     const id = fieldValue(fields, this.#headerNames.requestId) ?? '';
-    const body = hasBody(message) ? await this.#readBody(message, response, id) : emptyBody;
-    if (body === undefined || exchange.hasEnded) return;
-    const request = this.#requestOf(message, id, fields, body);
+    const timeoutMs = this.#timeoutMsOf(fields);
+    const body = hasBody(message) ? await this.#readBody(message, response, id, timeoutMs) : noBody;
+    if (body === undefined) return;
+    if (exchange.hasEnded) {
+      body.release();
+      return;
+    }
+    exchange.body = body;
+    const request = this.#requestOf(message, id, fields, body.bytes, timeoutMs);
     exchange.cancel = this.#router.serve(request, (reply) =>
       this.#writer.sendReply(response, request, reply),
     );
@@ -122,8 +145,8 @@
     id: string,
     fields: HeaderFields,
     body: Buffer,
+    timeoutMs: number | undefined,
   ): IncomingRequest {
-    const timeLeftMs = Number(fieldValue(fields, this.#headerNames.timeLeftMs));
     return {
       id,
       method: message.method ?? 'GET',
@@ -131,20 +154,39 @@
       target: message.url ?? '/',
       fields,
       body,
-      timeoutMs: Number.isFinite(timeLeftMs) && timeLeftMs > 0 ? timeLeftMs : undefined,
+      timeoutMs,
     };
   }
 
+  /** Time that the client waits for a response; undefined if it sent none. */
+  #timeoutMsOf(fields: HeaderFields): number | undefined {
+    const timeLeftMs = Number(fieldValue(fields, this.#headerNames.timeLeftMs));
+    return Number.isFinite(timeLeftMs) && timeLeftMs > 0 ? timeLeftMs : undefined;
+  }
+
   /** Reads the body; returns undefined after sending an error response if it can't be read. */
   async #readBody(
     message: IncomingMessage,
     response: ServerResponse,
     id: string,
-  ): Promise<Buffer | undefined> {
-    const result = await readBody(message, this.#maxBodyBytes);
+    timeoutMs: number | undefined,
+  ): Promise<HeldBody | undefined> {
+    const result = await readBudgetedBody(message, {
+      maxBytes: this.#maxBodyBytes,
+      budget: this.bodyBudget,
+      maxWaitMs: timeoutMs === undefined ? defaultBodyWaitMs : timeoutMs * bodyWaitShare,
+    });
     if (result.isOk) return result.value;
     const { kind: errorKind, text } = result.error;
-    this.#writer.sendError(response, id, { errorKind, text, retryAfterMs: 0, isLast: true });
+    const isRejected = errorKind === 'rejected';
+    if (isRejected) increment(this.#router.counts, 'bodies_rejected');
+    // The rest of a rejected body is read and discarded, so that the connection stays usable.
+    this.#writer.sendError(response, id, {
+      errorKind,
+      text,
+      retryAfterMs: isRejected ? bodyRetryMs : 0,
+      isLast: !isRejected,
+    });
     return undefined;
   }
 }
--- a/packages/proxy/src/direct-edge/end-to-end.test.ts
+++ b/packages/proxy/src/direct-edge/end-to-end.test.ts
@@ -16,6 +16,7 @@
 import { compileDocument, newEdgeAgent } from '@switchwheel/routing/testing';
 import { ClientListener } from './client-listener.js';
 import { HttpOriginClient } from './origin-client.js';
+import { bodyMemory } from './testing/body-memory.js';
 import { MisbehavingOrigin, originBehaviors } from './testing/misbehaving-origin.js';
 
 const service = toServiceName('clips');
@@ -105,7 +106,10 @@
   router.updateFleet(nodeAgent);
   const ticker = setInterval(() => router.tick(now()), 30);
   let isClosing = false;
-  const listener = new ClientListener(router, defaultHeaderNames, { isClosing: () => isClosing });
+  const listener = new ClientListener(router, defaultHeaderNames, {
+    isClosing: () => isClosing,
+    bodyMemory,
+  });
   // Finds a free address.
   const portFinder = new MisbehavingOrigin(() => 'complete');
   const address = toAddress(await portFinder.listen());
--- a/packages/proxy/src/direct-edge/rejection-log.ts
+++ b/packages/proxy/src/direct-edge/rejection-log.ts
@@ -1,5 +1,5 @@
 /**
- * Logs while an edge rejects requests for lack of quota or of other edges' replies, with the increase of all counters
+ * Logs while an edge rejects requests for lack of quota, of memory for their bodies or of other edges' replies, with the increase of all counters
  * since the last line: without it an operator sees a shortage only in the metrics, or once the edge stops.
  */
 
@@ -9,13 +9,14 @@
 /** Minimum time between two lines. */
 const logIntervalMs = 5000;
 
-/** Counters of `EdgeRouter` whose increase is logged as a shortage. */
+/** Counters of requests whose increase is logged as a shortage. */
 const shortageCounters: readonly string[] = [
   'ceiling',
   'connections',
   'no_origin',
   'budget',
   'owner_limited',
+  'bodies_rejected',
 ];
 
 /** Writes at most one line an interval. */
--- a/packages/proxy/src/direct-edge/response-forms.test.ts
+++ b/packages/proxy/src/direct-edge/response-forms.test.ts
@@ -17,6 +17,7 @@
 import { startRecordingOrigin } from '../shield/recording-origin.test-support.js';
 import { ClientListener } from './client-listener.js';
 import { HttpOriginClient } from './origin-client.js';
+import { bodyMemory } from './testing/body-memory.js';
 
 const matchSnapshot = snapshotsFor(import.meta.dirname);
 const service = toServiceName('clips');
@@ -82,7 +83,10 @@
     { seed: 7 },
   );
   router.updateFleet(state);
-  const listener = new ClientListener(router, defaultHeaderNames, { isClosing: () => false });
+  const listener = new ClientListener(router, defaultHeaderNames, {
+    isClosing: () => false,
+    bodyMemory,
+  });
   const limits = state.compiledConfiguration?.header.limits;
   assert.ok(limits !== undefined);
   listener.applyLimits(limits);
--- a/packages/proxy/src/direct-edge/start-edge.ts
+++ b/packages/proxy/src/direct-edge/start-edge.ts
@@ -16,6 +16,7 @@
   nodeAgentTransition,
 } from '@switchwheel/proxy-core';
 import {
+  type ByteBudgetLimits,
   type EventLoop,
   type Logger,
   type RunningProgram,
@@ -51,6 +52,8 @@
   /** Path of the metrics, at the address of the readiness check. */
   readonly metricsPath: string;
   readonly cacheBytes: number;
+  /** Memory for the bodies of requests. */
+  readonly bodyMemory: ByteBudgetLimits;
   /** Bandwidth of this machine's link in bytes per second; infinite if unknown. */
   readonly linkBytesPerSecond: number;
   readonly headerNames: HeaderNames;
@@ -87,7 +90,7 @@
     readinessPath: settings.readiness.path,
     metricsPath: settings.metricsPath,
     isReady: () => readiness.isReady(loop.stateMachine.state()),
-    metrics: () => edgeMetrics(loop.stateMachine.state(), router, loop.takeMaxLagMs()),
+    metrics: () => edgeMetrics(loop.stateMachine.state(), router, listener, loop.takeMaxLagMs()),
   });
   await channels.listen();
   await listener.listen(settings.clientAddress);
@@ -123,6 +126,7 @@
   const readiness = new Readiness();
   const listener = new ClientListener(router, settings.headerNames, {
     isClosing: () => readiness.isStopping,
+    bodyMemory: settings.bodyMemory,
   });
   const ticker = new EdgeTicker({ now, nodeAgent, router, channels, log });
   const parts = { settings, log, channels, cache, loop, router, listener, readiness };
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -14,6 +14,8 @@
 export * from './run/time-slicing.js';
 export * from './http/http-server.js';
 export * from './http/request-body.js';
+export * from './http/budgeted-body.js';
 export * from './http/admin.js';
 export * from './http/metrics.js';
 export * from './disk/disk.js';
+export * from './memory/byte-budget.js';
