--- a/packages/proxy-core/src/cache/cache-lookup.ts
+++ b/packages/proxy-core/src/cache/cache-lookup.ts
@@ -117,6 +117,18 @@
     return mayServeFromCache(nodeAgent, now) && this.cache.lastPurgeSeq >= requiredPurgeSeq;
   }
 
+  /**
+   * Returns a stored response that is fresh by the route in force, whatever its lifetime was when the response was
+   * fetched; `defaultLifetimeMs` applies if the route sets none.
+   */
+  findFresh(
+    { key, fields, route }: CacheableRequest,
+    defaultLifetimeMs: number,
+    now: Timestamp,
+  ): CacheEntry | undefined {
+    return this.cache.find(key, fields, route.cache?.lifetimeMs ?? defaultLifetimeMs, now);
+  }
+
   /**
    * Returns a stored response that may be used now. One whose body does not match its digest is
    * removed.
@@ -128,7 +140,7 @@
     now: Timestamp,
   ): CacheEntry | undefined {
     const entry = this.isCurrent(nodeAgent, requiredPurgeSeq, now)
-      ? this.cache.find(cacheable.key, cacheable.fields, now)
+      ? this.findFresh(cacheable, Infinity, now)
       : undefined;
     if (entry === undefined || bodyDigest(entry.body) === entry.digest) return entry;
     this.cache.remove(entry);
--- a/packages/proxy-core/src/cache/cache.test.ts
+++ b/packages/proxy-core/src/cache/cache.test.ts
@@ -40,7 +40,7 @@
     now,
   ) !== undefined;
 const find = (cache: Cache, request: HeaderFields = [], at = now): string | undefined =>
-  cache.find(key, request, at)?.body.toString();
+  cache.find(key, request, Infinity, at)?.body.toString();
 
 void test('a varying response is served only to requests with the same field values, and its lifetime counts from its creation', () => {
   const cache = new Cache(1_000_000);
@@ -115,6 +115,6 @@
   for (let index = 0; index < 12; index += 1)
     store(cache, 'x'.repeat(9000), { key: { ...key, path: `/${index}` } });
   assert.ok(cache.bytes <= 80_000 && cache.size < 12);
-  assert.equal(cache.find({ ...key, path: '/0' }, [], now), undefined);
-  assert.ok(cache.find({ ...key, path: '/11' }, [], now) !== undefined);
+  assert.equal(cache.find({ ...key, path: '/0' }, [], Infinity, now), undefined);
+  assert.ok(cache.find({ ...key, path: '/11' }, [], Infinity, now) !== undefined);
 });
--- a/packages/proxy-core/src/cache/cache.ts
+++ b/packages/proxy-core/src/cache/cache.ts
@@ -106,14 +106,22 @@
     return this.#lastPurgeSeq;
   }
 
-  /** Returns a fresh response for a request and marks it as recently used. */
-  find(key: CacheKey, request: HeaderFields, now: Timestamp): CacheEntry | undefined {
+  /**
+   * Returns a response for a request that is fresh by its own lifetime and by `maxLifetimeMs`, and marks it as recently
+   * used.
+   */
+  find(
+    key: CacheKey,
+    request: HeaderFields,
+    maxLifetimeMs: number,
+    now: Timestamp,
+  ): CacheEntry | undefined {
     const keyString = cacheKeyString(key);
     const variants = this.#entriesByKey.get(keyString);
     if (variants === undefined) return undefined;
     const entry = variants.find((variant) => isVariantFor(variant, request));
     if (entry === undefined) return undefined;
-    if (now - entry.createdAt >= entry.lifetimeMs) {
+    if (now - entry.createdAt >= Math.min(entry.lifetimeMs, maxLifetimeMs)) {
       this.#remove(keyString, entry);
       return undefined;
     }
--- a/packages/routing/src/router/coalesced-fetches.ts
+++ b/packages/routing/src/router/coalesced-fetches.ts
@@ -24,6 +24,8 @@
 /** A fetch in progress that later requests for the same object may join. */
 export interface CoalescedFetch {
   readonly startedAt: Timestamp;
+  /** Lifetime of the route when the fetch started: another edge may reply with a copy of up to this age. */
+  readonly lifetimeMs: number;
   readonly purgeEpoch: number;
   readonly waiters: Waiter[];
 }
@@ -44,16 +46,17 @@
     this.#purgeEpoch += 1;
   }
 
-  /** Returns the fetch that a request may join, if there is one. */
-  findJoinable(key: string, now: Timestamp): CoalescedFetch | undefined {
+  /** Returns the fetch that a request for an object of the given lifetime may join, if there is one. */
+  findJoinable(key: string, lifetimeMs: number, now: Timestamp): CoalescedFetch | undefined {
     const fetch = this.#fetches.get(key);
     if (fetch === undefined || fetch.purgeEpoch !== this.#purgeEpoch) return undefined;
+    if (fetch.lifetimeMs > lifetimeMs) return undefined;
     return elapsedMs(fetch.startedAt, now) < this.#maxAgeMs ? fetch : undefined;
   }
 
   /** Starts a fetch; later requests join it instead of an older one. */
-  begin(key: string, now: Timestamp): CoalescedFetch {
-    const fetch = { startedAt: now, purgeEpoch: this.#purgeEpoch, waiters: [] };
+  begin(key: string, lifetimeMs: number, now: Timestamp): CoalescedFetch {
+    const fetch = { startedAt: now, lifetimeMs, purgeEpoch: this.#purgeEpoch, waiters: [] };
     this.#fetches.set(key, fetch);
     return fetch;
   }
--- a/packages/routing/src/router/edge-router.test.ts
+++ b/packages/routing/src/router/edge-router.test.ts
@@ -141,6 +141,20 @@
     this.router.tick(this.now);
   }
 
+  /** Puts a configuration in force in which cached clips have another lifetime, and optionally a route of their own. */
+  changeLifetime(lifetimeMs: number, hasNarrowRoute = false): void {
+    const [clips, ...otherRoutes] = document.routes;
+    const cache = { lifetimeMs };
+    const narrowRoute = { ...clips, name: 'narrow', prefix: '/clips/hot/', cache };
+    const routes = [
+      { ...clips, ...(hasNarrowRoute ? {} : { cache }) },
+      ...(hasNarrowRoute ? [narrowRoute] : []),
+      ...otherRoutes,
+    ];
+    const compiledConfiguration = compileDocument({ ...document, routes });
+    this.nodeAgent = { ...this.nodeAgent, compiledConfiguration };
+  }
+
   /** Time at which a generation was first confirmed. */
   #confirmedSince(generation: number): Timestamp {
     const confirmedAt = this.#confirmedAt.get(generation) ?? this.now;
@@ -223,6 +237,52 @@
   assert.equal(fixture.sent.length, 3);
 });
 
+// Guards against review/6: copies that outlive a shortened lifetime.
+void test('a copy is served for the lifetime of the route in force, and never for longer than that of its fetch', () => {
+  const fixture = new RouterFixture(twoOrigins);
+  const isServedFromCache = (): boolean => {
+    const sentBefore = fixture.sent.length;
+    fixture.request('/clips/1');
+    return fixture.sent.length === sentBefore;
+  };
+  fixture.request('/clips/1');
+  fixture.respond(0);
+  fixture.advance(1500);
+  assert.ok(isServedFromCache());
+  fixture.changeLifetime(2000);
+  assert.ok(isServedFromCache());
+  fixture.advance(600);
+  assert.ok(!isServedFromCache(), 'the copy is 2,100 ms old');
+  fixture.respond(1);
+  fixture.changeLifetime(60_000);
+  fixture.advance(1900);
+  assert.ok(isServedFromCache());
+  fixture.advance(200);
+  assert.ok(!isServedFromCache(), 'a longer lifetime does not prolong that of the fetch');
+});
+
+void test('a fetch that is under way when the lifetime is shortened gives no copy of the former lifetime', () => {
+  const fixture = new RouterFixture(twoOrigins);
+  fixture.request('/clips/1');
+  fixture.changeLifetime(1000);
+  fixture.request('/clips/1');
+  assert.equal(fixture.sent.length, 2, 'a request under the new lifetime does not join the fetch');
+  fixture.respond(1);
+  fixture.respond(0);
+  fixture.advance(1100);
+  fixture.request('/clips/1');
+  assert.equal(fixture.sent.length, 3);
+});
+
+void test('a copy of a wider route is not served on a narrower one that was added', () => {
+  const fixture = new RouterFixture(twoOrigins);
+  fixture.request('/clips/hot/1');
+  fixture.respond(0);
+  fixture.changeLifetime(1000, true);
+  fixture.request('/clips/hot/1');
+  assert.equal(fixture.sent.length, 2);
+});
+
 void test('a fetch that started before a purge is not cached, and later requests do not join it', () => {
   const fixture = new RouterFixture(twoOrigins);
   fixture.request('/clips/1');
--- a/packages/routing/src/router/edge-router.ts
+++ b/packages/routing/src/router/edge-router.ts
@@ -89,6 +89,8 @@
 /** An owner sends a single attempt; the requesting edge retries. */
 const maxAttemptsForPeer = 1;
 
+const lifetimeOf = (route: CompiledRoute): number => route.cache?.lifetimeMs ?? 0;
+
 const doNothing = (): void => undefined;
 
 /** Routes the requests of one edge. Its state is updated in place. */
@@ -278,7 +280,7 @@
     const fetch =
       coalescable === undefined
         ? undefined
-        : this.#fetches.findJoinable(coalescable.coalescingKey, now);
+        : this.#fetches.findJoinable(coalescable.coalescingKey, lifetimeOf(route), now);
     if (fetch !== undefined) {
       increment(this.counts, 'joined');
       return joinFetch(fetch, { request, reply, deadline, requester });
@@ -310,7 +312,9 @@
       service: accepted.service,
       cacheable,
       fetch:
-        cacheable === undefined ? undefined : this.#fetches.begin(cacheable.coalescingKey, now),
+        cacheable === undefined
+          ? undefined
+          : this.#fetches.begin(cacheable.coalescingKey, lifetimeOf(route), now),
       reply: accepted.reply,
       inFlight: new Map(),
       attemptStarts: new Map(),
--- a/packages/routing/src/router/response-cache.ts
+++ b/packages/routing/src/router/response-cache.ts
@@ -20,6 +20,9 @@
 import type { AttemptStart } from './active-request.js';
 import type { EdgeLimits, HeaderNames, IncomingRequest } from './ports.js';
 
+/** Lifetime on a route that sets none: responses are not cached. */
+const defaultLifetimeMs = 0;
+
 /** Cached responses of an edge; only responses with status 200 are cached. */
 export class ResponseCache {
   readonly #lookup: CacheLookup;
@@ -45,7 +48,7 @@
       purgesCurrentAsOf !== undefined && elapsedMs(purgesCurrentAsOf, now) < this.#maxPurgeLagMs;
     // An edge disconnected from all registries keeps serving cached responses.
     if (!hasRecentPurges && isConnected(nodeSession, now)) return undefined;
-    return this.#lookup.cache.find(cacheable.key, cacheable.fields, now);
+    return this.#lookup.findFresh(cacheable, defaultLifetimeMs, now);
   }
 
   /** Returns the entry of a fetched response with status 200, and stores it if the route sets a lifetime. */
@@ -89,7 +92,7 @@
       body,
       digest: '',
       createdAt,
-      lifetimeMs: cacheable.route.cache?.lifetimeMs ?? 0,
+      lifetimeMs: cacheable.route.cache?.lifetimeMs ?? defaultLifetimeMs,
       tags: tagsIn(fields, this.#headerNames.cacheTags),
     };
   }
--- a/packages/simulator/src/guard/list.ts
+++ b/packages/simulator/src/guard/list.ts
@@ -326,7 +326,7 @@
     name: 'cached responses expire',
     rule: 'R7',
     file: cache,
-    from: 'if (now - entry.createdAt >= entry.lifetimeMs) {',
+    from: 'if (now - entry.createdAt >= Math.min(entry.lifetimeMs, maxLifetimeMs)) {',
     to: 'if (false) {',
   },
   {
