--- a/packages/proxy/src/direct-edge/body-memory.test.ts
+++ b/packages/proxy/src/direct-edge/body-memory.test.ts
@@ -2,6 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { type ClientRequest, type IncomingMessage, Agent, request } from 'node:http';
+import type { Socket } from 'node:net';
 import { test } from 'node:test';
 import { toAddress, toServiceName, toTimestamp, toZoneName } from '@switchwheel/types';
 import { Cache } from '@switchwheel/proxy-core';
@@ -38,6 +39,13 @@
   readonly retryAfter: string | undefined;
 }
 
+interface SentRequest {
+  readonly answer: Promise<Answer>;
+  readonly clientRequest: ClientRequest;
+  /** Connection that the request is sent on. */
+  readonly socket: Promise<Socket>;
+}
+
 /** A listener on loopback whose origin answers when told. */
 class UploadFixture {
   readonly listener: ClientListener;
@@ -106,14 +114,14 @@
   post(
     id: string,
     body: Buffer,
-    { isChunked = false, timeLeftMs = 20_000 } = {},
-  ): { readonly answer: Promise<Answer>; readonly clientRequest: ClientRequest } {
+    { isChunked = false, timeLeftMs = 20_000, agent = this.#agent } = {},
+  ): SentRequest {
     const clientRequest = request({
       host: '127.0.0.1',
       port: this.#port,
       method: 'POST',
       path: `/edit/${id}`,
-      agent: this.#agent,
+      agent,
       headers: {
         'switchwheel-id': id,
         'switchwheel-deadline-ms': String(timeLeftMs),
@@ -133,9 +141,12 @@
         );
       });
     });
+    const socket = new Promise<Socket>((resolve) => {
+      clientRequest.once('socket', resolve);
+    });
     clientRequest.write(body.subarray(0, body.length / 2));
     clientRequest.end(body.subarray(body.length / 2));
-    return { answer, clientRequest };
+    return { answer, clientRequest, socket };
   }
 
   get attemptCount(): number {
@@ -224,19 +235,29 @@
   });
 }
 
-void test('an upload that gets no memory in its time is refused, on a connection that stays usable', async () => {
-  await withFixture(async (fixture) => {
-    const [first, second] = [fixture.post('u1', upload), fixture.post('u2', upload)];
-    await fixture.untilAttempts(2);
-    const refused = await fixture.post('u3', upload, { timeLeftMs: 200 }).answer;
-    assert.deepEqual(refused, { status: 503, wasKept: true, retryAfter: '0.3' });
-    assert.equal(fixture.counts.get('bodies_rejected'), 1);
-    fixture.answerAttempt(0, upload);
-    fixture.answerAttempt(1, upload);
-    assert.equal((await first.answer).status, 200);
-    assert.equal((await second.answer).status, 200);
+for (const isChunked of [false, true]) {
+  void test(`an upload ${isChunked ? 'in chunks' : 'with a length'} that gets no memory in its time is refused, on a connection that stays usable`, async () => {
+    await withFixture(async (fixture) => {
+      const [first, second] = [fixture.post('u1', upload), fixture.post('u2', upload)];
+      await fixture.untilAttempts(2);
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      const refused = fixture.post('u3', upload, { isChunked, timeLeftMs: 300, agent });
+      assert.deepEqual(await refused.answer, { status: 503, wasKept: true, retryAfter: '0.3' });
+      assert.equal(fixture.counts.get('bodies_rejected'), 1);
+      const next = fixture.post('next', correction, { agent });
+      await fixture.untilAttempts(3);
+      assert.equal(await next.socket, await refused.socket, 'the connection is used again');
+      fixture.answerAttempt(2, correction);
+      assert.equal((await next.answer).status, 200);
+      agent.destroy();
+      fixture.answerAttempt(0, upload);
+      fixture.answerAttempt(1, upload);
+      assert.equal((await first.answer).status, 200);
+      assert.equal((await second.answer).status, 200);
+      assert.equal(fixture.listener.bodyBudget.heldBytes, 0);
+    });
   });
-});
+}
 
 void test('the memory of an upload is returned when its client goes away', async () => {
   await withFixture(async (fixture) => {
--- a/packages/proxy/src/direct-edge/client-listener.ts
+++ b/packages/proxy/src/direct-edge/client-listener.ts
@@ -180,7 +180,8 @@
     const { kind: errorKind, text } = result.error;
     const isRejected = errorKind === 'rejected';
     if (isRejected) increment(this.#router.counts, 'bodies_rejected');
-    // The rest of a rejected body is read and discarded, so that the connection stays usable.
+    // Reads and discards the rest, so that the connection stays usable.
+    if (isRejected) message.resume();
     this.#writer.sendError(response, id, {
       errorKind,
       text,
--- a/packages/runtime/src/http/budgeted-body.ts
+++ b/packages/runtime/src/http/budgeted-body.ts
@@ -65,7 +65,8 @@
     const refusal = await this.#extendTo(this.#declaredBytes ?? Math.min(smallBodyBytes, maxBytes));
     if (refusal !== undefined) return err(refusal);
     try {
-      for await (const chunk of this.#request) {
+      // Destroying the request would end the connection before the refusal is sent.
+      for await (const chunk of this.#request.iterator({ destroyOnReturn: false })) {
         if (!Buffer.isBuffer(chunk)) continue;
         const failureOfChunk = await this.#append(chunk);
         if (failureOfChunk !== undefined) return err(failureOfChunk);
