body-memory.test: a request is answered by its id, not by its place

The test answered the second request that had arrived, and took it for that of the second client; where the two came in the other order it answered the one whose client had gone. Shown by the process itself: one connection left, 8,388,758 bytes read, none written. What the test demands is unchanged.

--- a/packages/proxy/src/direct-edge/body-memory.test.ts
+++ b/packages/proxy/src/direct-edge/body-memory.test.ts
@@ -269,8 +269,8 @@
     first.clientRequest.destroy();
     await hasFailed;
     await fixture.untilAttempts(3);
-    fixture.answerAttempt(1, upload);
-    fixture.answerAttempt(2, upload);
+    fixture.answerAttempt(await fixture.untilAttemptOf('u2'), upload);
+    fixture.answerAttempt(await fixture.untilAttemptOf('u3'), upload);
     assert.equal((await second.answer).status, 200);
     assert.equal((await third.answer).status, 200);
   });
